--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that run outside CI."""
--- /dev/null
+++ b/packages/cli/almonddock_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators and callers."""
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: filters, controllers and adapters around the core."""
--- /dev/null
+++ b/packages/standins/almonddock_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around the tier, for development only."""
--- /dev/null
+++ b/packages/wire/almonddock_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between hosts, encoded with pycapnp."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools that the Makefile runs."""
