--- /dev/null
+++ b/packages/core/almonddock_core/owners/_replies.py
@@ -0,0 +1,39 @@
+"""Replies that the owner makes itself."""
+
+from datetime import timedelta
+
+from almonddock_core.model import Reason, ReplyStatus, SubQuery, SubReply
+from almonddock_core.owners._actions import Reply
+
+
+def refuse(
+    sub: SubQuery,
+    reason: Reason,
+    queued: timedelta = timedelta(),
+) -> Reply:
+    """Returns the reply that the sub-query was not run."""
+    return _build_reply(sub, ReplyStatus.NOT_RUN, reason, queued)
+
+
+def give_up(sub: SubQuery, queued: timedelta) -> Reply:
+    """Returns the reply that the sub-query may have run; time is up."""
+    return _build_reply(sub, ReplyStatus.UNKNOWN, Reason.TIMED_OUT, queued)
+
+
+def _build_reply(
+    sub: SubQuery,
+    status: ReplyStatus,
+    reason: Reason,
+    queued: timedelta,
+) -> Reply:
+    return Reply(
+        SubReply(
+            attempt_id=sub.attempt_id,
+            request_id=sub.request_id,
+            shard=sub.shard,
+            target=sub.target,
+            status=status,
+            reason=reason,
+            queued=queued,
+        ),
+    )
--- /dev/null
+++ b/packages/core/almonddock_core/tests/owner_cases.py
@@ -0,0 +1,123 @@
+"""Builders that the tests of the owner side share."""
+
+from datetime import timedelta
+
+from almonddock_core.deployment import (
+    DataCentreEntry,
+    DataCentresFile,
+    Deployment,
+    ServiceFile,
+    Target,
+    TargetEntry,
+    VersionEntry,
+    build_deployment,
+)
+from almonddock_core.model import (
+    AttemptId,
+    DataCentreId,
+    HostId,
+    IndexVersion,
+    LoadMark,
+    Member,
+    MemberState,
+    Reason,
+    ReplyStatus,
+    RequestId,
+    Revision,
+    ShardId,
+    SubQuery,
+    SubReply,
+    TargetId,
+    Urgency,
+)
+
+SITES = ('north', 'middle', 'south')
+TARGET = TargetId('desk-0/a')
+SHARD = ShardId('desk-0/s0')
+START = timedelta(seconds=100)
+
+
+def millis(count: float) -> timedelta:
+    return timedelta(milliseconds=count)
+
+
+def make_deployment(
+    services: int,
+    replicas: int = 2,
+    slots: int = 3,
+    cold_slots: int = 1,
+) -> Deployment:
+    files = [
+        ServiceFile(
+            service=f'desk-{number}',
+            workload='desk',
+            index_versions=(VersionEntry(version=1, shards=('s0',)),),
+            targets=tuple(
+                TargetEntry(
+                    name='abcdefg'[replica],
+                    address='127.0.0.1:9001',
+                    data_centre=SITES[(number + replica) % len(SITES)],
+                    shards=('s0',),
+                    slots=slots,
+                    connections=30,
+                    cold_slots=cold_slots,
+                )
+                for replica in range(replicas)
+            ),
+        )
+        for number in range(services)
+    ]
+    centres = tuple(DataCentreEntry(site, 'kyushu') for site in SITES)
+    return build_deployment(Revision(1), files, DataCentresFile(centres))
+
+
+def make_target(slots: int = 3, cold_slots: int = 1) -> Target:
+    return make_deployment(1, 1, slots, cold_slots).targets[TARGET]
+
+
+def make_members(count: int, sites: int = 3) -> list[Member]:
+    return [
+        Member(
+            HostId(f'host-{number:04}'),
+            DataCentreId(SITES[number % sites]),
+            '127.0.0.1:1',
+            state=MemberState.ALIVE,
+        )
+        for number in range(count)
+    ]
+
+
+def make_sub(
+    number: int,
+    due: float = 300,
+    urgency: Urgency = Urgency.NORMAL,
+    worth: float = 1,
+) -> SubQuery:
+    return SubQuery(
+        attempt_id=AttemptId(f'request-{number}:0'),
+        request_id=RequestId(f'request-{number}'),
+        shard=SHARD,
+        target=TARGET,
+        version=IndexVersion(1),
+        body=b'{}',
+        deadline=START + millis(due),
+        urgency=urgency,
+        worth=worth,
+    )
+
+
+def make_reply(
+    sub: SubQuery,
+    status: ReplyStatus = ReplyStatus.OK,
+    reason: Reason = Reason.NONE,
+    mark: LoadMark = LoadMark(),
+) -> SubReply:
+    return SubReply(
+        attempt_id=sub.attempt_id,
+        request_id=sub.request_id,
+        shard=sub.shard,
+        target=sub.target,
+        status=status,
+        reason=reason,
+        mark=mark,
+    )
