--- /dev/null
+++ b/packages/daemon/almonddock_daemon/tests/test_store_client.py
@@ -0,0 +1,212 @@
+import asyncio
+import base64
+import itertools
+import json
+import random
+import unittest
+from collections.abc import AsyncIterator
+from datetime import timedelta
+from typing import Any
+
+import httpx
+
+from almonddock_core.model import ManualClock, StoreUnavailableError
+from almonddock_daemon.adapters import (
+    Conflict,
+    StoreClient,
+    StoredValue,
+    StoreSettings,
+    Swapped,
+    Unknown,
+    WatchEvent,
+)
+from almonddock_daemon.adapters._store_limits import CallLimiter
+
+SETTINGS = StoreSettings(
+    'http://127.0.0.1:1',
+    backoff_base=timedelta(),
+    call_timeout=timedelta(seconds=5),
+)
+
+
+def encode(text: str) -> str:
+    return base64.b64encode(text.encode()).decode()
+
+
+def make_value(text: str, revision: int) -> dict[str, str]:
+    return {
+        'key': encode('head'),
+        'value': encode(text),
+        'mod_revision': str(revision),
+    }
+
+
+def make_watch(revision: int, *values: dict[str, str]) -> bytes:
+    events = [{'kv': one} for one in values]
+    header = {'revision': str(revision)}
+    return json.dumps({'result': {'header': header, 'events': events}}).encode()
+
+
+class Stream(httpx.AsyncByteStream):
+    def __init__(self, lines: list[bytes], *, idle: bool = False) -> None:
+        self.lines = lines
+        self.idle = idle
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        for line in self.lines:
+            yield b'%b\n' % line
+        if self.idle:
+            raise httpx.ReadTimeout('idle')
+
+
+class Store(httpx.AsyncBaseTransport):
+    """Answers each call with the next step of a script."""
+
+    def __init__(self, *steps: Any) -> None:
+        self.steps = iter(steps)
+        self.requests: list[dict[str, Any]] = []
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        self.requests.append(json.loads(await request.aread()))
+        step = next(self.steps)
+        if isinstance(step, Exception):
+            raise step
+        if isinstance(step, int):
+            return httpx.Response(step, json={}, request=request)
+        if isinstance(step, Stream):
+            return httpx.Response(200, stream=step, request=request)
+        return httpx.Response(200, json=step, request=request)
+
+
+def open_client(store: Store) -> StoreClient:
+    return StoreClient(SETTINGS, ManualClock(), random.Random(1), store)
+
+
+CONFLICT = {'responses': [{'response_range': {'kvs': [make_value('b', 9)]}}]}
+ABSENT: dict[str, Any] = {'responses': [{'response_range': {'header': {}}}]}
+SWAPS: tuple[tuple[Any, object], ...] = (
+    ({'succeeded': True, 'header': {'revision': '7'}}, Swapped(7)),
+    (CONFLICT, Conflict(StoredValue(b'b', 9))),
+    (ABSENT, Conflict(None)),
+    (httpx.ReadTimeout('lost'), Unknown),
+    (httpx.RemoteProtocolError('cut'), Unknown),
+    (503, Unknown),
+    (400, StoreUnavailableError),
+    (httpx.ConnectError('refused'), StoreUnavailableError),
+)
+
+
+class StoreClientTest(unittest.IsolatedAsyncioTestCase):
+    async def test_tells_apart_every_outcome_of_a_swap(self) -> None:
+        for step, expected in SWAPS:
+            with self.subTest(step=step):
+                client = open_client(Store(step))
+                try:
+                    result: object = await client.swap('head', b'a', 3)
+                except StoreUnavailableError as error:
+                    result = error
+                if isinstance(expected, type):
+                    self.assertIsInstance(result, expected)
+                else:
+                    self.assertEqual(result, expected)
+                self.assertEqual(client.calls, 1)
+
+    async def test_compares_what_the_caller_expects(self) -> None:
+        for expected, compare in (
+            (None, {'target': 'CREATE', 'create_revision': '0'}),
+            (3, {'target': 'MOD', 'mod_revision': '3'}),
+        ):
+            store = Store(ABSENT)
+            await open_client(store).swap('head', b'a', expected)
+            sent = store.requests[0]['compare'][0]
+            self.assertEqual(
+                sent, {'key': encode('head'), 'result': 'EQUAL', **compare}
+            )
+
+    async def test_repeats_reads_and_then_gives_up(self) -> None:
+        found = {'kvs': [make_value('a', 4)]}
+        client = open_client(Store(503, httpx.ReadTimeout(''), found))
+        self.assertEqual(await client.read('head'), StoredValue(b'a', 4))
+        client = open_client(Store(503, 503, 503, found))
+        with self.assertRaises(StoreUnavailableError):
+            await client.read('head')
+
+    async def test_resumes_a_watch_without_loss_or_repeats(self) -> None:
+        store = Store(
+            Stream([make_watch(4), make_watch(5, make_value('a', 5))]),
+            httpx.ConnectError('down'),
+            Stream(
+                [make_watch(7, make_value('a', 5), make_value('b', 7))],
+                idle=True,
+            ),
+            Stream([make_watch(8, make_value('c', 8))]),
+        )
+        found = await take(open_client(store).watch('head', 5), 3)
+        self.assertEqual(
+            [(event.revision, event.reset) for event in found],
+            [(5, False), (7, False), (8, False)],
+        )
+        starts = [
+            one['create_request']['start_revision'] for one in store.requests
+        ]
+        self.assertEqual(starts, ['5', '6', '6', '8'])
+
+    async def test_reads_afresh_when_the_store_went_back(self) -> None:
+        store = Store(
+            Stream([make_watch(9, make_value('a', 9))]),
+            Stream([make_watch(4)]),
+            {'kvs': [make_value('old', 3)]},
+            Stream([make_watch(5, make_value('b', 5))]),
+        )
+        found = await take(open_client(store).watch('head', 9), 3)
+        self.assertEqual(
+            found[1],
+            WatchEvent(StoredValue(b'old', 3), 3, reset=True),
+        )
+        self.assertEqual(found[2].revision, 5)
+
+    async def test_bounds_the_rate_of_calls(self) -> None:
+        clock = ManualClock()
+        limits = StoreSettings('', calls_per_second=10, burst=2)
+        limiter = CallLimiter(limits, clock)
+        waits = [limiter.reserve().total_seconds() for _ in range(4)]
+        self.assertEqual(waits, [0, 0, 0.1, 0.2])
+        clock.advance(timedelta(seconds=10))
+        self.assertEqual(limiter.reserve(), timedelta())
+
+    async def test_bounds_calls_at_a_time(self) -> None:
+        limiter = CallLimiter(
+            StoreSettings('', max_concurrent_calls=2), ManualClock()
+        )
+        release = asyncio.Event()
+        running = itertools.count()
+        tasks = [
+            asyncio.create_task(hold(limiter, running, release))
+            for _ in range(3)
+        ]
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertEqual(next(running), 2)
+        release.set()
+        await asyncio.gather(*tasks)
+
+
+async def hold(
+    limiter: CallLimiter, running: 'itertools.count[int]', until: asyncio.Event
+) -> None:
+    async with limiter.admit():
+        next(running)
+        await until.wait()
+
+
+async def take(
+    events: AsyncIterator[WatchEvent], count: int
+) -> list[WatchEvent]:
+    found: list[WatchEvent] = []
+    async for event in events:
+        found.append(event)
+        if len(found) == count:
+            break
+    return found
