Add the messages between hosts

Cause: hosts must forward sub-queries to the owners of targets. Change: capnp schema, typed messages, codec, length-prefixed frames with a size limit.

--- a/packages/wire/almonddock_wire/__init__.py
+++ b/packages/wire/almonddock_wire/__init__.py
@@ -1,1 +1,38 @@
-"""Messages between hosts, encoded with pycapnp."""
+"""Messages between hosts, encoded with pycapnp.
+
+:func:`encode` and :func:`decode` turn one message into bytes and back;
+:func:`add_length` and :class:`FrameReader` put frames on a byte stream.
+"""
+
+from almonddock_wire._codec import Message, decode, encode
+from almonddock_wire._errors import BadFrameError, OversizedFrameError
+from almonddock_wire._framing import (
+    MAX_FRAME_BYTES,
+    FrameReader,
+    add_length,
+)
+from almonddock_wire._messages import (
+    CancelBatch,
+    Hello,
+    Ping,
+    Pong,
+    SubQueryBatch,
+    SubReplyBatch,
+)
+
+__all__ = [
+    'MAX_FRAME_BYTES',
+    'BadFrameError',
+    'CancelBatch',
+    'FrameReader',
+    'Hello',
+    'Message',
+    'OversizedFrameError',
+    'Ping',
+    'Pong',
+    'SubQueryBatch',
+    'SubReplyBatch',
+    'add_length',
+    'decode',
+    'encode',
+]
--- /dev/null
+++ b/packages/wire/almonddock_wire/_codec.py
@@ -0,0 +1,112 @@
+"""Turns messages into bytes and back.
+
+To add a message: add it to ``messages.capnp`` (at the end of the union), to
+``_messages.py``, and its two functions to ``_WRITERS`` and ``_READERS``.
+"""
+
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from types import MappingProxyType
+from typing import Any
+
+import capnp
+
+from almonddock_wire._errors import BadFrameError
+from almonddock_wire._links import (
+    read_hello,
+    read_ping,
+    read_pong,
+    write_hello,
+    write_ping,
+    write_pong,
+)
+from almonddock_wire._messages import (
+    CancelBatch,
+    Hello,
+    Ping,
+    Pong,
+    SubQueryBatch,
+    SubReplyBatch,
+)
+from almonddock_wire._schema import FRAME
+from almonddock_wire._sub_queries import (
+    read_cancel,
+    read_sub_queries,
+    write_cancel,
+    write_sub_queries,
+)
+from almonddock_wire._sub_replies import read_sub_replies, write_sub_replies
+
+Message = Hello | Ping | Pong | SubQueryBatch | SubReplyBatch | CancelBatch
+
+_WRITERS: Mapping[
+    type[Any],
+    Callable[[Any, Any, timedelta], None],
+] = MappingProxyType(
+    {
+        Hello: write_hello,
+        Ping: write_ping,
+        Pong: write_pong,
+        SubQueryBatch: write_sub_queries,
+        SubReplyBatch: write_sub_replies,
+        CancelBatch: write_cancel,
+    }
+)
+
+_READERS: Mapping[
+    str,
+    Callable[[Any, timedelta], Message],
+] = MappingProxyType(
+    {
+        'hello': read_hello,
+        'ping': read_ping,
+        'pong': read_pong,
+        'subQueries': read_sub_queries,
+        'subReplies': read_sub_replies,
+        'cancel': read_cancel,
+    }
+)
+
+
+#: What damaged bytes raise: the text, enumeration and pointer checks.
+_DECODING_ERRORS = (
+    capnp.KjException,
+    IndexError,
+    OverflowError,
+    ValueError,
+)
+
+
+def encode(message: Message, now: timedelta) -> bytes:
+    """Returns the bytes of one message.
+
+    Args:
+        message: What to send.
+        now: The sender's time; deadlines travel as time remaining from it.
+    """
+    frame = FRAME.new_message()
+    _WRITERS[type(message)](frame, message, now)
+    encoded: bytes = frame.to_bytes()
+    return encoded
+
+
+def decode(encoded: bytes, now: timedelta) -> Message:
+    """Returns the message in the bytes of one frame.
+
+    Args:
+        encoded: The bytes, without any length prefix.
+        now: The receiver's time, to which remaining times are added.
+
+    Raises:
+        BadFrameError: the bytes are not a message of the schema.
+    """
+    try:
+        return _decode_checked(encoded, now)
+    except _DECODING_ERRORS as error:
+        raise BadFrameError(f'a frame cannot be decoded: {error}') from error
+
+
+def _decode_checked(encoded: bytes, now: timedelta) -> Message:
+    with FRAME.from_bytes(encoded) as frame:
+        kind = str(frame.which())
+        return _READERS[kind](getattr(frame, kind), now)
