--- /dev/null
+++ b/packages/core/almonddock_core/scatter/__init__.py
@@ -0,0 +1,43 @@
+"""Sends the sub-queries of one query and collects their replies.
+
+A host keeps one :class:`ScatterContext` for all its queries. For each query,
+build a :class:`Scatter`, call ``start``, and carry out the actions that it
+and every later call return::
+
+    scatter = Scatter(query, plan, settings, context)
+    actions = scatter.start(now)
+    actions = scatter.receive(reply, now)
+    actions = scatter.tick(now)  # no later than ``scatter.next_wake()``
+
+:class:`Send` and :class:`Cancel` go to owner hosts; :class:`Finish` comes
+exactly once and is the last action that matters.
+"""
+
+from almonddock_core.scatter._actions import (
+    Cancel,
+    Finish,
+    ScatterAction,
+    Send,
+)
+from almonddock_core.scatter._budget import BudgetSettings, TryBudget
+from almonddock_core.scatter._latency import LatencyTable
+from almonddock_core.scatter._scatter import Scatter
+from almonddock_core.scatter._settings import (
+    ScatterContext,
+    ScatterSettings,
+)
+from almonddock_core.scatter._shard import Drop
+
+__all__ = [
+    'BudgetSettings',
+    'Cancel',
+    'Drop',
+    'Finish',
+    'LatencyTable',
+    'Scatter',
+    'ScatterAction',
+    'ScatterContext',
+    'ScatterSettings',
+    'Send',
+    'TryBudget',
+]
--- /dev/null
+++ b/packages/core/almonddock_core/scatter/_latency.py
@@ -0,0 +1,84 @@
+"""What this host has seen of each target."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from almonddock_core.model import SubReply, TargetId, TargetLoad
+
+#: The quantile of a target's round trips after which a reply is late.
+QUANTILE = 0.95
+#: The relative step of the quantile estimate on each round trip.
+STEP = 0.05
+#: The weight of a new sample in the smoothed network time.
+WEIGHT = 0.1
+#: Round trips after which the estimate is used.
+MIN_SAMPLES = 20
+
+
+@dataclass(slots=True)
+class _Record:
+    samples: int = 0
+    quantile: timedelta = timedelta()
+    network: timedelta = timedelta()
+    #: The load seen last, and the tries sent since it came.
+    load: TargetLoad | None = None
+    sent: int = 0
+
+
+class LatencyTable:
+    """Round trips, network times and recent sends, a record a target.
+
+    One table serves all queries of a host. The quantile is a stochastic
+    estimate, so that a record costs a few numbers however long it lives.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[TargetId, _Record] = {}
+
+    def record(self, reply: SubReply, elapsed: timedelta) -> None:
+        """Learns from the round trip of a reply that was counted."""
+        known = self._find(reply.target)
+        network = max(elapsed - reply.queued - reply.served, timedelta())
+        if known.samples:
+            known.quantile = _move_quantile(known.quantile, elapsed)
+            known.network += WEIGHT * (network - known.network)
+        else:
+            known.quantile = elapsed
+            known.network = network
+        known.samples += 1
+
+    def quantile(self, target: TargetId) -> timedelta | None:
+        """Returns the time after which a reply is late, once known."""
+        known = self._records.get(target)
+        if known is None or known.samples < MIN_SAMPLES:
+            return None
+        return known.quantile
+
+    def network(self, target: TargetId) -> timedelta:
+        """Returns the smoothed part of round trips spent on the way."""
+        known = self._records.get(target)
+        return known.network if known else timedelta()
+
+    def note_sent(self, target: TargetId, load: TargetLoad | None) -> None:
+        """Counts a try that ``load`` cannot include yet."""
+        known = self._find(target)
+        known.sent = self.count_sent(target, load) + 1
+        known.load = load
+
+    def count_sent(self, target: TargetId, load: TargetLoad | None) -> int:
+        """Returns the tries sent since ``load`` came."""
+        known = self._records.get(target)
+        return known.sent if known and known.load is load else 0
+
+    def _find(self, target: TargetId) -> _Record:
+        known = self._records.get(target)
+        if known is None:
+            known = _Record()
+            self._records[target] = known
+        return known
+
+
+def _move_quantile(quantile: timedelta, elapsed: timedelta) -> timedelta:
+    if elapsed > quantile:
+        return quantile * (1 + STEP * QUANTILE)
+    return quantile * (1 - STEP * (1 - QUANTILE))
--- /dev/null
+++ b/packages/core/almonddock_core/scatter/_result.py
@@ -0,0 +1,35 @@
+"""The result of a scatter that has ended."""
+
+from collections.abc import Iterable, Mapping
+
+from almonddock_core.model import (
+    Plan,
+    Reason,
+    ScatterResult,
+    ShardId,
+    SubReply,
+)
+from almonddock_core.scatter._shard import ShardState
+
+
+def build_result(
+    plan: Plan,
+    replies: Mapping[ShardId, SubReply],
+    unanswered: Iterable[ShardState],
+    extra_tries: int,
+) -> ScatterResult:
+    """Names every shard of the plan once, as answered or as missing."""
+    ended = tuple(unanswered)
+    missing = {
+        shard: plan.unavailable.get(shard, Reason.NO_TARGET)
+        for shard in plan.shards
+        if shard not in replies
+    }
+    missing.update((one.shard, one.reason) for one in ended)
+    return ScatterResult(
+        replies=replies,
+        missing=missing,
+        may_have_run=any(one.may_have_run or one.running for one in ended),
+        extra_tries=extra_tries,
+        stale=tuple(sorted(one.shard for one in ended if one.stale)),
+    )
--- /dev/null
+++ b/packages/core/almonddock_core/scatter/_scatter.py
@@ -0,0 +1,264 @@
+"""The state machine of one query's sub-queries."""
+
+from collections import Counter
+from datetime import timedelta
+from functools import partial
+
+from almonddock_core.model import (
+    AttemptId,
+    Candidate,
+    HostId,
+    Plan,
+    Query,
+    Reason,
+    ReplyStatus,
+    ShardId,
+    SubReply,
+)
+from almonddock_core.scatter._actions import (
+    Cancel,
+    Finish,
+    ScatterAction,
+    Send,
+)
+from almonddock_core.scatter._choice import choose_candidate
+from almonddock_core.scatter._hedging import HedgeTimer
+from almonddock_core.scatter._messages import (
+    build_lost_reply,
+    build_sub_query,
+    is_reply_to,
+    mark_wrong_version,
+    pay_retry,
+)
+from almonddock_core.scatter._result import build_result
+from almonddock_core.scatter._settings import ScatterContext, ScatterSettings
+from almonddock_core.scatter._shard import Attempt, Drop, ShardState
+
+
+class Scatter:
+    """Collects one reply for each shard of a plan, until the deadline.
+
+    ``first_attempt`` numbers the first try; a query that is planned anew
+    passes :attr:`next_attempt` of the scatter before, so that each try of
+    the request has an id of its own.
+    """
+
+    def __init__(
+        self,
+        query: Query,
+        plan: Plan,
+        settings: ScatterSettings,
+        context: ScatterContext,
+        *,
+        first_attempt: int = 0,
+    ) -> None:
+        #: Replies that were not counted, by the reason.
+        self.drops: Counter[Drop] = Counter()
+        #: The number of the next try.
+        self.next_attempt = first_attempt
+        self._query = query
+        self._plan = plan
+        self._context = context
+        self._replies: dict[ShardId, SubReply] = {}
+        self._open: dict[ShardId, ShardState] = {}
+        self._failed: dict[ShardId, ShardState] = {}
+        self._attempts: dict[AttemptId, Attempt] = {}
+        self._lost: set[HostId] = set()
+        self._timer = HedgeTimer(settings)
+        self._choose = partial(
+            choose_candidate,
+            lost=self._lost,
+            settings=settings,
+            context=context,
+        )
+        self._finished = False
+        self._extra_tries = 0
+
+    def start(self, now: timedelta) -> list[ScatterAction]:
+        """Sends the first try of every shard."""
+        self._open = {
+            shard: ShardState(shard, candidates)
+            for shard, candidates in self._plan.candidates.items()
+        }
+        if now >= self._query.deadline:
+            return self._finish(Reason.TIMED_OUT)
+        self._context.budget.earn(len(self._open))
+        actions: list[ScatterAction] = []
+        for state in tuple(self._open.values()):
+            actions.extend(self._try_first(state, now))
+        if self._query.idempotent:
+            targets = [one.candidate.target for one in self._attempts.values()]
+            self._timer.start(now, targets, self._context.latencies)
+        return actions + self._finish_if_settled()
+
+    def receive(
+        self,
+        reply: SubReply,
+        now: timedelta,
+    ) -> list[ScatterAction]:
+        """Counts the reply, or tries the shard again, or drops it."""
+        attempt = self._attempts.get(reply.attempt_id)
+        if attempt is None or self._finished:
+            self.drops[Drop.UNKNOWN_ATTEMPT] += 1
+            return []
+        if not is_reply_to(attempt, self._query.request_id, reply):
+            self.drops[Drop.CROSSED] += 1
+            return []
+        self._attempts.pop(reply.attempt_id)
+        if reply.status is ReplyStatus.OK:
+            if reply.version == self._plan.version:
+                return self._count(attempt, reply, now)
+            self.drops[Drop.WRONG_VERSION] += 1
+            return self._recover(attempt, mark_wrong_version(reply), now)
+        return self._recover(attempt, reply, now)
+
+    def lose_owner(
+        self,
+        host: HostId,
+        now: timedelta,
+    ) -> list[ScatterAction]:
+        """Tries elsewhere what was sent to a host whose link is gone."""
+        self._lost.add(host)
+        lost = [
+            one
+            for one in self._attempts.values()
+            if one.candidate.owner == host
+        ]
+        actions: list[ScatterAction] = []
+        for attempt in lost:
+            if self._attempts.pop(attempt.attempt_id, None) is not None:
+                reply = build_lost_reply(attempt, self._query.request_id)
+                actions.extend(self._recover(attempt, reply, now))
+        return actions
+
+    def tick(self, now: timedelta) -> list[ScatterAction]:
+        """Hedges late sub-queries, and finishes at the deadline."""
+        if self._finished:
+            return []
+        if now >= self._query.deadline:
+            return self._finish(Reason.TIMED_OUT)
+        if not self._timer.is_due(now, len(self._open)):
+            return []
+        self._timer.restart(now)
+        actions: list[ScatterAction] = []
+        for state in self._open.values():
+            actions.extend(self._hedge(state, now))
+        return actions
+
+    def abandon(self, now: timedelta) -> list[ScatterAction]:
+        """Cancels everything, because the caller is gone."""
+        return [] if self._finished else self._finish(Reason.CANCELLED)
+
+    def next_wake(self) -> timedelta | None:
+        """Returns when ``tick`` must be called, None once finished."""
+        if self._finished:
+            return None
+        due = self._timer.next_due(len(self._open))
+        deadline = self._query.deadline
+        return deadline if due is None else min(due, deadline)
+
+    def _try_first(
+        self,
+        state: ShardState,
+        now: timedelta,
+    ) -> list[ScatterAction]:
+        candidate = self._choose(state)
+        if candidate is None:
+            state.reason = Reason.NO_TARGET
+            self._failed[state.shard] = self._open.pop(state.shard)
+            return []
+        return [self._send(state, candidate, now)]
+
+    def _hedge(
+        self,
+        state: ShardState,
+        now: timedelta,
+    ) -> list[ScatterAction]:
+        candidate = self._choose(state)
+        if candidate is None or not self._context.budget.spend():
+            return []
+        return [self._send(state, candidate, now)]
+
+    def _recover(
+        self,
+        attempt: Attempt,
+        reply: SubReply,
+        now: timedelta,
+    ) -> list[ScatterAction]:
+        state = self._open[attempt.shard]
+        state.end_attempt(attempt, reply)
+        if state.running:
+            return []
+        if self._query.idempotent or not state.may_have_run:
+            candidate = self._choose(state)
+            if candidate is not None and pay_retry(
+                reply,
+                self._context.budget,
+            ):
+                return [self._send(state, candidate, now)]
+        self._failed[state.shard] = self._open.pop(state.shard)
+        return self._finish_if_settled()
+
+    def _send(
+        self,
+        state: ShardState,
+        candidate: Candidate,
+        now: timedelta,
+    ) -> Send:
+        target = candidate.target
+        self._extra_tries += bool(state.tries)
+        sub = build_sub_query(
+            self._query,
+            self._plan,
+            state,
+            target,
+            self.next_attempt,
+        )
+        self.next_attempt += 1
+        attempt = Attempt(sub.attempt_id, state.shard, candidate, now)
+        self._attempts[sub.attempt_id] = attempt
+        state.begin_attempt(attempt)
+        self._context.latencies.note_sent(
+            target,
+            self._context.loads.get(target),
+        )
+        return Send(sub, candidate.owner)
+
+    def _count(
+        self,
+        attempt: Attempt,
+        reply: SubReply,
+        now: timedelta,
+    ) -> list[ScatterAction]:
+        state = self._open.pop(attempt.shard)
+        state.running.remove(attempt)
+        self._replies[attempt.shard] = reply
+        self._context.latencies.record(reply, now - attempt.sent_at)
+        self._timer.note_reply(now, len(self._open))
+        return self._cancel(state.running) + self._finish_if_settled()
+
+    def _cancel(self, attempts: list[Attempt]) -> list[ScatterAction]:
+        for attempt in attempts:
+            self._attempts.pop(attempt.attempt_id)
+        return [
+            Cancel(attempt.attempt_id, attempt.candidate.owner)
+            for attempt in attempts
+        ]
+
+    def _finish_if_settled(self) -> list[ScatterAction]:
+        if self._open or self._finished:
+            return []
+        return self._finish(Reason.NONE)
+
+    def _finish(self, reason: Reason) -> list[ScatterAction]:
+        """Ends the scatter; ``reason`` tells why open shards are missing."""
+        self._finished = True
+        for state in self._open.values():
+            state.reason = reason
+        result = build_result(
+            self._plan,
+            self._replies,
+            (*self._open.values(), *self._failed.values()),
+            self._extra_tries,
+        )
+        return [*self._cancel(list(self._attempts.values())), Finish(result)]
--- /dev/null
+++ b/packages/core/almonddock_core/scatter/_shard.py
@@ -0,0 +1,68 @@
+"""What a scatter keeps of each shard and each try."""
+
+import enum
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from almonddock_core.model import (
+    AttemptId,
+    Candidate,
+    Reason,
+    ReplyStatus,
+    ShardId,
+    SubReply,
+    TargetId,
+)
+
+
+class Drop(enum.Enum):
+    """Why a reply was not counted."""
+
+    #: No such try is running: late, doubled or never sent.
+    UNKNOWN_ATTEMPT = 'unknown_attempt'
+    #: The reply names another request, shard or target than its try.
+    CROSSED = 'crossed'
+    #: The target read another index version than the pinned one.
+    WRONG_VERSION = 'wrong_version'
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """A try that is running."""
+
+    attempt_id: AttemptId
+    shard: ShardId
+    candidate: Candidate
+    sent_at: timedelta
+
+
+@dataclass(slots=True)
+class ShardState:
+    """The tries of one shard that has no reply yet."""
+
+    shard: ShardId
+    candidates: tuple[Candidate, ...]
+    tries: int = 0
+    tried: set[TargetId] = field(default_factory=set)
+    running: list[Attempt] = field(default_factory=list)
+    #: Why the last try failed.
+    reason: Reason = Reason.NONE
+    #: Whether a try that ended may have run.
+    may_have_run: bool = False
+    #: Whether a target no longer holds the pinned version.
+    stale: bool = False
+
+    def begin_attempt(self, attempt: Attempt) -> None:
+        """Notes that a try is on its way."""
+        self.tries += 1
+        self.tried.add(attempt.candidate.target)
+        self.running.append(attempt)
+
+    def end_attempt(self, attempt: Attempt, reply: SubReply) -> None:
+        """Notes that a try ended without rows that count."""
+        self.running.remove(attempt)
+        self.reason = reply.reason
+        if reply.status is not ReplyStatus.NOT_RUN:
+            self.may_have_run = True
+        if reply.reason is Reason.WRONG_VERSION:
+            self.stale = True
--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_scatter_flow.py
@@ -0,0 +1,227 @@
+import random
+import unittest
+from collections.abc import Mapping
+from datetime import timedelta
+
+from almonddock_core.model import (
+    Candidate,
+    DataCentreId,
+    HostId,
+    IndexVersion,
+    Plan,
+    Query,
+    Reason,
+    ReplyStatus,
+    RequestId,
+    ScatterResult,
+    ShardId,
+    SubQuery,
+    SubReply,
+    TargetId,
+    TargetLoad,
+    WorkloadId,
+)
+from almonddock_core.scatter import (
+    BudgetSettings,
+    Cancel,
+    Drop,
+    Finish,
+    LatencyTable,
+    Scatter,
+    ScatterAction,
+    ScatterContext,
+    ScatterSettings,
+    Send,
+    TryBudget,
+)
+
+VERSION = IndexVersion(7)
+
+
+def ms(value: float) -> timedelta:
+    return timedelta(milliseconds=value)
+
+
+def make_plan(shards: int, replicas: int = 2) -> Plan:
+    names = tuple(ShardId(f's{number:02d}/x') for number in range(shards))
+    return Plan(
+        version=VERSION,
+        shards=names,
+        candidates={
+            name: tuple(
+                Candidate(
+                    TargetId(f'{name}-{replica}'),
+                    HostId(f'host-{replica}'),
+                    DataCentreId(f'dc-{replica}'),
+                )
+                for replica in range(replicas)
+            )
+            for name in names
+        },
+    )
+
+
+def make_context(
+    tokens: float = 10,
+    loads: Mapping[TargetId, TargetLoad] | None = None,
+) -> ScatterContext:
+    budget = TryBudget(BudgetSettings(share=0, initial=tokens))
+    return ScatterContext(budget, loads or {}, random.Random(1), LatencyTable())
+
+
+def make_scatter(
+    plan: Plan,
+    context: ScatterContext | None = None,
+    *,
+    idempotent: bool = True,
+) -> Scatter:
+    query = Query(
+        RequestId('r'),
+        WorkloadId('desk'),
+        b'{}',
+        ms(300),
+        idempotent=idempotent,
+    )
+    return Scatter(query, plan, ScatterSettings(), context or make_context())
+
+
+def answer(
+    sub: SubQuery,
+    status: ReplyStatus = ReplyStatus.OK,
+    reason: Reason = Reason.NONE,
+    version: IndexVersion = VERSION,
+) -> SubReply:
+    return SubReply(
+        sub.attempt_id,
+        sub.request_id,
+        sub.shard,
+        sub.target,
+        status,
+        reason,
+        version,
+    )
+
+
+def list_sends(actions: list[ScatterAction]) -> list[Send]:
+    return [one for one in actions if isinstance(one, Send)]
+
+
+def only_send(actions: list[ScatterAction]) -> Send:
+    sends = list_sends(actions)
+    if len(sends) != 1:
+        raise AssertionError(f'expected one Send in {actions}')
+    return sends[0]
+
+
+def find_result(actions: list[ScatterAction]) -> ScatterResult:
+    found = [one.result for one in actions if isinstance(one, Finish)]
+    if len(found) != 1:
+        raise AssertionError(f'expected one Finish in {actions}')
+    return found[0]
+
+
+class ScatterTest(unittest.TestCase):
+    def test_finishes_when_every_shard_is_in(self) -> None:
+        scatter = make_scatter(make_plan(2))
+        first, second = list_sends(scatter.start(ms(0)))
+        self.assertEqual(scatter.receive(answer(first.sub), ms(5)), [])
+        result = find_result(scatter.receive(answer(second.sub), ms(6)))
+        self.assertEqual(set(result.replies), {'s00/x', 's01/x'})
+        self.assertEqual((result.missing, result.extra_tries), ({}, 0))
+        self.assertIsNone(scatter.next_wake())
+
+    def test_names_missing_shards_at_the_deadline(self) -> None:
+        scatter = make_scatter(make_plan(2))
+        sends = list_sends(scatter.start(ms(0)))
+        scatter.receive(answer(sends[0].sub), ms(5))
+        result = find_result(scatter.tick(ms(300)))
+        self.assertEqual(result.missing, {sends[1].sub.shard: Reason.TIMED_OUT})
+        self.assertTrue(result.may_have_run)
+        self.assertEqual(scatter.tick(ms(301)), [])
+
+    def test_hedges_at_another_owner_and_cancels_the_loser(self) -> None:
+        scatter = make_scatter(make_plan(5))
+        sends = list_sends(scatter.start(ms(0)))
+        for send in sends[:-1]:
+            scatter.receive(answer(send.sub), ms(10))
+        self.assertEqual(scatter.next_wake(), ms(14))
+        hedge = only_send(scatter.tick(ms(14)))
+        late = sends[-1]
+        self.assertTrue(hedge.sub.hedge)
+        self.assertNotEqual(hedge.owner, late.owner)
+        actions = scatter.receive(answer(hedge.sub), ms(20))
+        self.assertEqual(actions[0], Cancel(late.sub.attempt_id, late.owner))
+        self.assertEqual(find_result(actions).extra_tries, 1)
+
+    def test_resends_once_what_a_lost_owner_held(self) -> None:
+        cases = ((True, 1, Reason.TIMED_OUT), (False, 0, None))
+        for idempotent, resent, reason in cases:
+            with self.subTest(idempotent=idempotent):
+                scatter = make_scatter(
+                    make_plan(1), make_context(0), idempotent=idempotent
+                )
+                send = only_send(scatter.start(ms(0)))
+                actions = scatter.lose_owner(send.owner, ms(1))
+                self.assertEqual(len(list_sends(actions)), resent)
+                if reason is None:
+                    result = find_result(actions)
+                    self.assertTrue(result.may_have_run)
+                    reason = Reason.OWNER_UNREACHABLE
+                else:
+                    result = find_result(scatter.tick(ms(300)))
+                self.assertEqual(result.missing, {send.sub.shard: reason})
+
+    def test_sends_refused_work_elsewhere(self) -> None:
+        scatter = make_scatter(make_plan(1), idempotent=False)
+        send = only_send(scatter.start(ms(0)))
+        refusal = answer(send.sub, ReplyStatus.NOT_RUN, Reason.DRAINING)
+        again = only_send(scatter.receive(refusal, ms(1)))
+        self.assertNotEqual(again.sub.target, send.sub.target)
+        refusal = answer(again.sub, ReplyStatus.NOT_RUN, Reason.COLD)
+        result = find_result(scatter.receive(refusal, ms(2)))
+        self.assertEqual(result.missing, {send.sub.shard: Reason.COLD})
+        self.assertFalse(result.may_have_run)
+
+    def test_drops_replies_that_are_not_its_own(self) -> None:
+        scatter = make_scatter(make_plan(2))
+        first, second = (one.sub for one in list_sends(scatter.start(ms(0))))
+        crossed = SubReply(
+            first.attempt_id,
+            RequestId('other'),
+            first.shard,
+            first.target,
+            ReplyStatus.OK,
+            version=VERSION,
+        )
+        mixed = SubReply(
+            first.attempt_id,
+            second.request_id,
+            second.shard,
+            second.target,
+            ReplyStatus.OK,
+            version=VERSION,
+        )
+        for reply in (crossed, mixed):
+            self.assertEqual(scatter.receive(reply, ms(1)), [])
+        scatter.receive(answer(first), ms(2))
+        scatter.receive(answer(first), ms(3))
+        self.assertEqual(
+            scatter.drops, {Drop.CROSSED: 2, Drop.UNKNOWN_ATTEMPT: 1}
+        )
+
+    def test_never_counts_another_version(self) -> None:
+        scatter = make_scatter(make_plan(1, replicas=1))
+        send = only_send(scatter.start(ms(0)))
+        reply = answer(send.sub, version=IndexVersion(8))
+        result = find_result(scatter.receive(reply, ms(1)))
+        self.assertEqual(result.missing, {'s00/x': Reason.WRONG_VERSION})
+        self.assertEqual(result.stale, ('s00/x',))
+
+    def test_cancels_everything_when_the_caller_is_gone(self) -> None:
+        scatter = make_scatter(make_plan(3))
+        sends = list_sends(scatter.start(ms(0)))
+        actions = scatter.abandon(ms(1))
+        expected = [Cancel(one.sub.attempt_id, one.owner) for one in sends]
+        self.assertEqual(actions[:-1], expected)
+        find_result(actions)
+        self.assertEqual(scatter.abandon(ms(2)), [])
