--- /dev/null
+++ b/packages/core/almonddock_core/truth/__init__.py
@@ -0,0 +1,24 @@
+"""What an answer may claim: one snapshot, true coverage, one merge.
+
+:func:`pin_snapshot` chooses the index version and the partition map of a
+query from the configuration and a :class:`VersionTable`;
+:func:`merge_rows` puts the rows of the shards together, and
+:func:`build_answer` states what the result covers.
+"""
+
+from almonddock_core.truth._answer import build_answer
+from almonddock_core.truth._merge import check_rows, merge_partial, merge_rows
+from almonddock_core.truth._rows import BadRowsError
+from almonddock_core.truth._snapshot import SnapshotCache, pin_snapshot
+from almonddock_core.truth._versions import VersionTable
+
+__all__ = [
+    'BadRowsError',
+    'SnapshotCache',
+    'VersionTable',
+    'build_answer',
+    'check_rows',
+    'merge_partial',
+    'merge_rows',
+    'pin_snapshot',
+]
--- /dev/null
+++ b/packages/core/almonddock_core/truth/_snapshot.py
@@ -0,0 +1,183 @@
+"""Pinning of one index version with its partition map."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from almonddock_core.deployment import Deployment
+from almonddock_core.model import (
+    Candidate,
+    HostId,
+    IndexVersion,
+    Plan,
+    Reason,
+    ShardId,
+    TargetId,
+    UnknownWorkloadError,
+    WorkloadId,
+)
+from almonddock_core.truth._versions import VersionTable
+
+Owners = Mapping[TargetId, HostId]
+
+
+def pin_snapshot(
+    deployment: Deployment,
+    workload: WorkloadId,
+    versions: VersionTable,
+    owners: Owners,
+) -> Plan:
+    """Returns the newest whole snapshot, else the one that covers most.
+
+    Every shard of the partition map stands in the plan, with its usable
+    targets or with the reason why there are none. Use
+    :class:`SnapshotCache` where many queries are planned.
+
+    Raises:
+        UnknownWorkloadError: No service of the configuration has it.
+    """
+    if workload not in deployment.workloads:
+        raise UnknownWorkloadError(f'unknown workload {workload}', '/workload')
+    best: Plan | None = None
+    for version in _list_candidate_versions(deployment, workload):
+        plan = _plan_version(deployment, workload, version, versions, owners)
+        if not plan.unavailable:
+            return plan
+        if best is None or _covers_more(plan, best):
+            best = plan
+    assert best is not None
+    return best
+
+
+def _covers_more(plan: Plan, other: Plan) -> bool:
+    mine = len(plan.candidates) * len(other.shards)
+    return mine > len(other.candidates) * len(plan.shards)
+
+
+def _list_candidate_versions(
+    deployment: Deployment,
+    workload: WorkloadId,
+) -> tuple[IndexVersion, ...]:
+    """Lists versions of every service, else of any, the newest first."""
+    common = deployment.list_versions(workload)
+    if common:
+        return common
+    found = {
+        IndexVersion(entry.version)
+        for name in deployment.workloads[workload]
+        for entry in deployment.services[name].index_versions
+    }
+    return tuple(sorted(found, reverse=True))
+
+
+def _list_foreign_shards(
+    deployment: Deployment,
+    workload: WorkloadId,
+    version: IndexVersion,
+) -> tuple[ShardId, ...]:
+    """Lists shards of services without the version, from their newest."""
+    shards: list[ShardId] = []
+    for name in deployment.workloads[workload]:
+        entries = deployment.services[name].index_versions
+        if all(entry.version != version for entry in entries):
+            newest = max(entries, key=lambda entry: entry.version)
+            shards.extend(ShardId(f'{name}/{one}') for one in newest.shards)
+    return tuple(shards)
+
+
+def _plan_version(
+    deployment: Deployment,
+    workload: WorkloadId,
+    version: IndexVersion,
+    versions: VersionTable,
+    owners: Owners,
+) -> Plan:
+    candidates: dict[ShardId, tuple[Candidate, ...]] = {}
+    unavailable: dict[ShardId, Reason] = dict.fromkeys(
+        _list_foreign_shards(deployment, workload, version), Reason.NO_TARGET
+    )
+    own = deployment.list_shards(workload, version)
+    for shard in own:
+        holders = [
+            target
+            for target in deployment.holders.get(shard, ())
+            if versions.holds(target, version)
+        ]
+        found = _list_usable(deployment, holders, owners)
+        if found:
+            candidates[shard] = found
+        else:
+            unavailable[shard] = _explain(deployment, holders)
+    shards = tuple(sorted({*own, *unavailable}))
+    return Plan(version, shards, candidates, unavailable)
+
+
+def _list_usable(
+    deployment: Deployment,
+    holders: list[TargetId],
+    owners: Owners,
+) -> tuple[Candidate, ...]:
+    usable = []
+    for name in holders:
+        data_centre = deployment.targets[name].data_centre
+        owner = owners.get(name)
+        if owner is not None and not deployment.is_out(data_centre):
+            usable.append(Candidate(name, owner, data_centre))
+    return tuple(usable)
+
+
+def _explain(deployment: Deployment, holders: list[TargetId]) -> Reason:
+    """Says why none of the targets that hold a shard is usable."""
+    if not holders:
+        return Reason.NO_TARGET
+    sites = {deployment.targets[name].data_centre for name in holders}
+    if all(deployment.is_out(site) for site in sites):
+        return Reason.DATA_CENTRE_OUT
+    return Reason.OWNER_UNREACHABLE
+
+
+@dataclass(frozen=True, slots=True)
+class _Basis:
+    """What the cached plans were made from."""
+
+    deployment: Deployment
+    owners: Owners
+    generation: int
+
+
+class SnapshotCache:
+    """Plans of each workload, made anew only when their basis changes.
+
+    The mapping of owners must not be changed in place; a new view of the
+    members comes with a new mapping.
+    """
+
+    def __init__(self, versions: VersionTable) -> None:
+        self._versions = versions
+        self._basis: _Basis | None = None
+        self._plans: dict[WorkloadId, Plan] = {}
+
+    def pin(
+        self,
+        deployment: Deployment,
+        workload: WorkloadId,
+        owners: Owners,
+    ) -> Plan:
+        """Returns the same plan as :func:`pin_snapshot`."""
+        if not self._is_current(deployment, owners):
+            generation = self._versions.generation
+            self._basis = _Basis(deployment, owners, generation)
+            self._plans = {}
+        plan = self._plans.get(workload)
+        if plan is None:
+            plan = pin_snapshot(deployment, workload, self._versions, owners)
+            self._plans[workload] = plan
+        return plan
+
+    def _is_current(self, deployment: Deployment, owners: Owners) -> bool:
+        basis = self._basis
+        return (
+            basis is not None
+            and basis.deployment is deployment
+            and basis.owners is owners
+            and basis.generation == self._versions.generation
+        )
--- /dev/null
+++ b/packages/core/almonddock_core/truth/_versions.py
@@ -0,0 +1,127 @@
+"""What each target is known to hold."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from almonddock_core.model import IndexVersion, TargetId
+
+#: A status endpoint may lag by this much behind a reply of the same target.
+STATUS_LAG = timedelta(seconds=10)
+
+#: What a reply said counts for this long when no status confirms it.
+EVIDENCE_LIFETIME = timedelta(minutes=1)
+
+
+@dataclass(frozen=True, slots=True)
+class _Evidence:
+    """What a reply said of one version."""
+
+    held: bool
+    said_at: timedelta
+
+
+@dataclass(slots=True)
+class _Record:
+    """All that one target has said."""
+
+    replies: dict[IndexVersion, _Evidence] = field(default_factory=dict)
+    status: frozenset[IndexVersion] | None = None
+    status_at: timedelta = timedelta()
+
+    def holds(self, version: IndexVersion) -> bool:
+        """Returns the belief; the configuration is right by default."""
+        evidence = self.replies.get(version)
+        if self.status is None:
+            return evidence is None or evidence.held
+        if evidence and self.status_at < evidence.said_at + STATUS_LAG:
+            return evidence.held
+        return version in self.status
+
+
+class VersionTable:
+    """Which targets hold which index versions.
+
+    A target that has said nothing is taken to hold what the configuration
+    says. A reply counts more than a status read up to ``STATUS_LAG`` later,
+    because status endpoints lag. Call :meth:`tick` about once a second.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[TargetId, _Record] = {}
+        self._generation = 0
+
+    @property
+    def generation(self) -> int:
+        """A number that grows whenever a belief changes."""
+        return self._generation
+
+    def holds(self, target: TargetId, version: IndexVersion) -> bool:
+        """Returns whether the target is believed to hold the version."""
+        record = self._records.get(target)
+        return record is None or record.holds(version)
+
+    def learn(
+        self,
+        target: TargetId,
+        version: IndexVersion,
+        now: timedelta,
+    ) -> None:
+        """Notes that a reply was read from ``version``."""
+        self._note(target, version, _Evidence(held=True, said_at=now))
+
+    def learn_gone(
+        self,
+        target: TargetId,
+        version: IndexVersion,
+        now: timedelta,
+    ) -> None:
+        """Notes that the target refused ``version`` as not held."""
+        self._note(target, version, _Evidence(held=False, said_at=now))
+
+    def learn_status(
+        self,
+        target: TargetId,
+        versions: Iterable[IndexVersion],
+        now: timedelta,
+    ) -> None:
+        """Notes the versions that the status endpoint listed."""
+        record = self._records.setdefault(target, _Record())
+        status = frozenset(versions)
+        known = status | (record.status or frozenset()) | record.replies.keys()
+        before = [record.holds(version) for version in known]
+        unchanged = record.status == status
+        record.status = status
+        record.status_at = now
+        if not unchanged or before != [record.holds(one) for one in known]:
+            self._generation += 1
+
+    def forget(self, target: TargetId) -> None:
+        """Drops all that is known, for example of a replaced target."""
+        if self._records.pop(target, None):
+            self._generation += 1
+
+    def tick(self, now: timedelta) -> None:
+        """Drops what replies said too long ago."""
+        for record in self._records.values():
+            expired = [
+                version
+                for version, evidence in record.replies.items()
+                if now - evidence.said_at >= EVIDENCE_LIFETIME
+            ]
+            for version in expired:
+                before = record.holds(version)
+                record.replies.pop(version)
+                self._generation += record.holds(version) != before
+
+    def _note(
+        self,
+        target: TargetId,
+        version: IndexVersion,
+        evidence: _Evidence,
+    ) -> None:
+        record = self._records.setdefault(target, _Record())
+        before = record.holds(version)
+        record.replies[version] = evidence
+        if evidence.held != before:
+            self._generation += 1
