Publish by one guarded swap of a tree of documents

Cause: a change must come into force whole or not at all, and the head of 3,550 services (about 210 KB) is too much to send for each change. Change: root, 64 buckets and bodies under digests; publish and clean are generators over store calls; the cleaner's key guards the swap of the head, so cleaning never deletes what a publish relies on.

--- a/packages/core/almonddock_core/configuration/__init__.py
+++ b/packages/core/almonddock_core/configuration/__init__.py
@@ -1,17 +1,89 @@
 """The configuration: checked, published and brought to every host.
 
 :func:`check_files` reads the operators' files and reports every fault
-together. See :mod:`almonddock_core.deployment` for the shapes of the files.
+together; :func:`publish` brings them into force as one change of the store;
+:func:`clean` removes what is left over. See
+:mod:`almonddock_core.deployment` for the shapes of the files and
+:mod:`almonddock_core.store` for how the generators here use the store.
 """
 
+from almonddock_core.configuration._changes import (
+    DATA_CENTRES,
+    Changes,
+    Difference,
+    compare,
+)
 from almonddock_core.configuration._check import (
     DATA_CENTRES_FILE,
     CheckedFiles,
     check_files,
 )
+from almonddock_core.configuration._clean import CleanRequest, clean
+from almonddock_core.configuration._documents import (
+    Digest,
+    Root,
+    Snapshot,
+    compute_digest,
+    decode_root,
+    encode_root,
+    normalise_body,
+)
+from almonddock_core.configuration._publish import (
+    NotPublished,
+    Published,
+    PublishRequest,
+    PublishResult,
+    PublishUnknown,
+    Refused,
+    Unchanged,
+    build_request,
+    compute_digests,
+    publish,
+)
+from almonddock_core.configuration._store_reads import (
+    CLEANER_KEY,
+    DOCUMENT_PREFIX,
+    HEAD_KEY,
+    Head,
+    Steps,
+    build_document_key,
+    read_documents,
+    read_head,
+)
 
 __all__ = [
+    'CLEANER_KEY',
+    'Changes',
     'CheckedFiles',
+    'CleanRequest',
+    'DATA_CENTRES',
     'DATA_CENTRES_FILE',
+    'DOCUMENT_PREFIX',
+    'Difference',
+    'Digest',
+    'HEAD_KEY',
+    'Head',
+    'NotPublished',
+    'PublishRequest',
+    'PublishResult',
+    'PublishUnknown',
+    'Published',
+    'Refused',
+    'Root',
+    'Snapshot',
+    'Steps',
+    'Unchanged',
+    'build_document_key',
+    'build_request',
     'check_files',
+    'clean',
+    'compare',
+    'compute_digest',
+    'compute_digests',
+    'decode_root',
+    'encode_root',
+    'normalise_body',
+    'publish',
+    'read_documents',
+    'read_head',
 ]
--- /dev/null
+++ b/packages/core/almonddock_core/configuration/_store_reads.py
@@ -0,0 +1,130 @@
+"""Reads of the published configuration, as parts of larger generators."""
+
+from collections.abc import Generator, Iterable, Mapping
+from dataclasses import dataclass
+from typing import TypeAlias, TypeVar
+
+from almonddock_core.configuration._documents import (
+    Digest,
+    Root,
+    Snapshot,
+    compute_digest,
+    decode_bucket,
+    decode_root,
+)
+from almonddock_core.model import Revision, StoreUnavailableError
+from almonddock_core.store import (
+    ReadValues,
+    StoreCall,
+    StoredValue,
+    StoreReply,
+    Unavailable,
+    Values,
+)
+
+#: The one key whose value is in force: the root's document.
+HEAD_KEY = 'configuration/head'
+#: Swapped by each cleaning, so that it excludes a publish at that time.
+CLEANER_KEY = 'configuration/cleaner'
+#: Put before the digest of each document.
+DOCUMENT_PREFIX = 'configuration/document/'
+
+_Result = TypeVar('_Result')
+Steps: TypeAlias = Generator[StoreCall, StoreReply, _Result]
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """The head as one read found it."""
+
+    #: The store's revision of the head; None when there is no head yet.
+    store_revision: int | None
+    #: The store's revision of the cleaner's key; None if never cleaned.
+    cleaner_revision: int | None
+    root: Root
+    digest: Digest
+    snapshot: Snapshot
+
+    def list_referenced(self) -> frozenset[Digest]:
+        """Returns the digests of all documents that the head needs."""
+        return frozenset(
+            (
+                self.digest,
+                *self.root.buckets.values(),
+                *self.snapshot.values(),
+            ),
+        )
+
+
+def build_document_key(digest: Digest) -> str:
+    """Returns the store's key of a document."""
+    return f'{DOCUMENT_PREFIX}{digest}'
+
+
+def read_head() -> Steps[Head]:
+    """Reads the head with its snapshot; an empty one when there is none."""
+    # The cleaner's key comes first: a cleaning after it stops the swap.
+    cleaner = yield from _read((CLEANER_KEY,))
+    values = yield from _read((HEAD_KEY,))
+    stored = values.get(HEAD_KEY)
+    root = Root(Revision(0), '')
+    if stored is not None:
+        root = decode_root(stored.value)
+    snapshot = yield from read_snapshot(root)
+    cleaned = cleaner.get(CLEANER_KEY)
+    return Head(
+        store_revision=None if stored is None else stored.revision,
+        cleaner_revision=None if cleaned is None else cleaned.revision,
+        root=root,
+        digest=Digest('') if stored is None else compute_digest(stored.value),
+        snapshot=snapshot,
+    )
+
+
+def read_snapshot(root: Root) -> Steps[dict[str, Digest]]:
+    """Reads the buckets of a root."""
+    buckets = yield from read_documents(root.buckets.values())
+    snapshot: dict[str, Digest] = {}
+    for document in buckets.values():
+        snapshot.update(decode_bucket(document))
+    return snapshot
+
+
+def read_documents(digests: Iterable[Digest]) -> Steps[dict[Digest, bytes]]:
+    """Reads documents; raises StoreUnavailableError if any is missing."""
+    wanted = tuple(dict.fromkeys(digests))
+    if not wanted:
+        return {}
+    values = yield from _read(tuple(map(build_document_key, wanted)))
+    found = {
+        digest: values[build_document_key(digest)].value
+        for digest in wanted
+        if build_document_key(digest) in values
+    }
+    if len(found) < len(wanted):
+        raise StoreUnavailableError('the head changed while it was read')
+    return found
+
+
+def find_base(head: Head, base: Revision) -> Steps[Snapshot | None]:
+    """Returns the snapshot of an earlier revision, None when it is gone."""
+    root = head.root
+    try:
+        while root.revision > base and root.parent:
+            found = yield from read_documents((root.parent,))
+            root = decode_root(found[root.parent])
+        if root.revision != base:
+            return {} if base == 0 else None
+        return (yield from read_snapshot(root))
+    except StoreUnavailableError:
+        return None
+
+
+def _read(keys: tuple[str, ...]) -> Steps[Mapping[str, StoredValue]]:
+    reply = yield ReadValues(keys)
+    match reply:
+        case Values():
+            return reply.found
+        case Unavailable():
+            raise StoreUnavailableError(reply.message)
+    raise TypeError(f'expected the values of {keys}, found {reply}')
--- /dev/null
+++ b/packages/core/almonddock_core/store/__init__.py
@@ -0,0 +1,45 @@
+"""Calls to the platform's key-value store, as values.
+
+Decisions that use the store are generators: they yield :data:`StoreCall`
+values and are sent :data:`StoreReply` values, so that the same decision runs
+over the real store, over a fake and under a virtual clock. See
+:func:`almonddock_core.configuration.publish` for an example.
+"""
+
+from almonddock_core.store._calls import (
+    Conflict,
+    DeleteValue,
+    Guard,
+    ListRevisions,
+    PutValues,
+    ReadValues,
+    Revisions,
+    StoreCall,
+    StoredValue,
+    StoreReply,
+    Swapped,
+    SwapResult,
+    SwapValue,
+    Unavailable,
+    Unknown,
+    Values,
+)
+
+__all__ = [
+    'Conflict',
+    'DeleteValue',
+    'Guard',
+    'ListRevisions',
+    'PutValues',
+    'ReadValues',
+    'Revisions',
+    'StoreCall',
+    'StoreReply',
+    'StoredValue',
+    'SwapResult',
+    'SwapValue',
+    'Swapped',
+    'Unavailable',
+    'Unknown',
+    'Values',
+]
--- a/packages/daemon/almonddock_daemon/adapters/__init__.py
+++ b/packages/daemon/almonddock_daemon/adapters/__init__.py
@@ -1,18 +1,20 @@
 """Clients of the platform's services."""
 
-from almonddock_daemon.adapters._store_client import StoreClient
-from almonddock_daemon.adapters._store_values import (
+from almonddock_core.store import (
     Conflict,
+    Guard,
     StoredValue,
-    StoreSettings,
     Swapped,
     SwapResult,
     Unknown,
-    WatchEvent,
 )
+from almonddock_daemon.adapters._store_client import StoreClient
+from almonddock_daemon.adapters._store_steps import perform_call, run_steps
+from almonddock_daemon.adapters._store_values import StoreSettings, WatchEvent
 
 __all__ = [
     'Conflict',
+    'Guard',
     'StoreClient',
     'StoreSettings',
     'StoredValue',
@@ -20,4 +22,6 @@
     'Swapped',
     'Unknown',
     'WatchEvent',
+    'perform_call',
+    'run_steps',
 ]
--- a/packages/daemon/almonddock_daemon/adapters/_store_client.py
+++ b/packages/daemon/almonddock_daemon/adapters/_store_client.py
@@ -1,6 +1,7 @@
 """The client of the platform's key-value store."""
 
 import asyncio
+import itertools
 import random
 from collections.abc import AsyncIterator
 from typing import Any
@@ -9,16 +10,20 @@
 import orjson
 
 from almonddock_core.model import Clock, StoreUnavailableError
+from almonddock_core.store import (
+    Guard,
+    StoredValue,
+    SwapResult,
+    SwapValue,
+    Unknown,
+)
 from almonddock_daemon.adapters import _store_codec as codec
 from almonddock_daemon.adapters._store_limits import (
     CallLimiter,
     choose_backoff,
 )
 from almonddock_daemon.adapters._store_values import (
-    StoredValue,
     StoreSettings,
-    SwapResult,
-    Unknown,
     WatchEvent,
 )
 from almonddock_daemon.adapters._store_watch import StoreWatch
@@ -26,7 +31,7 @@
 # Failures before any byte of the request has left.
 _NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 # Failures after which a write may have taken effect.
-_LOST = (httpx.HTTPError, TimeoutError, ValueError)
+_LOST = (httpx.HTTPError, TimeoutError, LookupError, ValueError)
 _BROKEN = (*_LOST, StoreUnavailableError)
 _RANGE = '/v3/kv/range'
 _TRANSACTION = '/v3/kv/txn'
@@ -51,57 +56,66 @@
         self._random = source
         self._limiter = CallLimiter(settings, clock)
         self._http = httpx.AsyncClient(
-            base_url=settings.endpoint,
             timeout=settings.call_timeout.total_seconds(),
             transport=transport,
             trust_env=False,
         )
+        self._endpoints = itertools.cycle(settings.endpoints)
+        self._endpoint = next(self._endpoints)
         #: Calls sent since the start, watches included.
         self.calls = 0
 
     async def read(self, key: str) -> StoredValue | None:
         """Returns the key's value, None when it does not exist."""
-        reply = await self._read(_RANGE, {'key': codec.encode_text(key)})
-        return next(codec.parse_values(reply), None)
+        return await self._read_key(self._settings.prefix + key)
 
-    async def list_keys(self, prefix: str) -> tuple[str, ...]:
-        """Returns the names of all keys that start with the prefix."""
+    async def list_keys(self, prefix: str) -> dict[str, int]:
+        """Returns all keys with the prefix and their revisions."""
         request = {
-            'key': codec.encode_text(prefix),
-            'range_end': codec.find_prefix_end(prefix),
+            'key': self._encode(prefix),
+            'range_end': codec.find_prefix_end(self._settings.prefix + prefix),
             'keys_only': True,
         }
-        return codec.parse_keys(await self._read(_RANGE, request))
+        found = codec.parse_revisions(await self._read(_RANGE, request))
+        return {
+            key.removeprefix(self._settings.prefix): revision
+            for key, revision in found.items()
+        }
+
+    async def put(self, key: str, content: bytes) -> None:
+        """Writes a key whatever it holds, again if the reply is lost.
+
+        Only for content that may be written twice, such as a document under
+        its digest.
+        """
+        request = codec.build_put(self._settings.prefix + key, content)
+        await self._read('/v3/kv/put', request)
 
     async def swap(
         self,
         key: str,
         content: bytes,
         expected_revision: int | None,
+        guard: Guard | None = None,
     ) -> SwapResult:
         """Writes only if the key is at the expected revision.
 
-        ``None`` expects that the key does not exist. Raises
+        ``None`` expects that the key does not exist; a guard is a second
+        key that must be at its revision. Raises
         :class:`~almonddock_core.model.StoreUnavailableError` only when
         nothing was written.
         """
-        request = codec.build_swap(key, content, expected_revision)
-        reply = await self._write(_TRANSACTION, request)
-        if isinstance(reply, Unknown):
-            return reply
-        return codec.parse_swap(reply)
-
-    async def delete(
-        self,
-        key: str,
-        expected_revision: int,
-    ) -> bool | Unknown:
-        """Deletes the key at a revision; returns whether it was there."""
-        request = codec.build_delete(key, expected_revision)
-        reply = await self._write(_TRANSACTION, request)
-        if isinstance(reply, Unknown):
-            return reply
-        return bool(reply.get('succeeded'))
+        prefix = self._settings.prefix
+        if guard is not None:
+            guard = Guard(prefix + guard.key, guard.revision)
+        call = SwapValue(prefix + key, content, expected_revision, guard)
+        return await self._write(codec.build_swap(call))
+
+    async def delete(self, key: str, expected_revision: int) -> SwapResult:
+        """Deletes the key only at a revision."""
+        return await self._write(
+            codec.build_delete(self._settings.prefix + key, expected_revision),
+        )
 
     async def watch(
         self,
@@ -114,7 +128,7 @@
         that was seen, so none is lost. Changes that the store itself no
         longer has are replaced by a fresh read, marked as ``reset``.
         """
-        watch = StoreWatch(key, from_revision)
+        watch = StoreWatch(self._settings.prefix + key, from_revision)
         failures = 0
         while True:
             try:
@@ -123,6 +137,7 @@
                     yield event
             except _BROKEN:
                 failures += 1
+                self._endpoint = next(self._endpoints)
                 pause = choose_backoff(self._settings, failures, self._random)
                 await asyncio.sleep(pause.total_seconds())
 
@@ -130,6 +145,13 @@
         """Closes all connections."""
         await self._http.aclose()
 
+    def _encode(self, key: str) -> str:
+        return codec.encode_text(self._settings.prefix + key)
+
+    async def _read_key(self, key: str) -> StoredValue | None:
+        reply = await self._read(_RANGE, {'key': codec.encode_text(key)})
+        return next(codec.parse_values(reply), None)
+
     async def _watch_once(self, watch: StoreWatch) -> AsyncIterator[WatchEvent]:
         idle = self._settings.watch_idle.total_seconds()
         limits = httpx.Timeout(
@@ -140,7 +162,7 @@
             self.calls += 1
         async with self._http.stream(
             'POST',
-            '/v3/watch',
+            f'{self._endpoint}/v3/watch',
             content=orjson.dumps(watch.build_request()),
             timeout=limits,
         ) as response:
@@ -148,7 +170,8 @@
             async for line in _read_lines(response):
                 reply = codec.parse_watch(orjson.loads(line))
                 if watch.needs_reset(reply):
-                    yield watch.reset(reply, await self.read(watch.key))
+                    current = await self._read_key(watch.key)
+                    yield watch.reset(reply, current)
                     return
                 for event in watch.receive(reply):
                     yield event
@@ -165,13 +188,9 @@
                 failure = repr(error)
         raise StoreUnavailableError(f'the store did not answer: {failure}')
 
-    async def _write(
-        self,
-        path: str,
-        request: object,
-    ) -> codec.JsonObject | Unknown:
+    async def _write(self, request: object) -> SwapResult:
         try:
-            return await self._post(path, request)
+            return codec.parse_swap(await self._post(_TRANSACTION, request))
         except _NOT_SENT as refused:
             raise StoreUnavailableError(
                 f'the store could not be reached: {refused!r}',
@@ -188,17 +207,21 @@
     async def _post(self, path: str, request: object) -> dict[str, Any]:
         async with self._limiter.admit():
             self.calls += 1
-            # The timeouts of httpx bound each step, this one the whole call.
-            async with asyncio.timeout(
-                self._settings.call_timeout.total_seconds(),
-            ):
-                response = await self._http.post(
-                    path,
-                    content=orjson.dumps(request),
-                )
-            response.raise_for_status()
+            try:
+                response = await self._send(path, orjson.dumps(request))
+            except _LOST:
+                self._endpoint = next(self._endpoints)
+                raise
             return _parse_object(response.content)
 
+    async def _send(self, path: str, content: bytes) -> httpx.Response:
+        # The timeouts of httpx bound each step, this one the whole call.
+        limit = self._settings.call_timeout.total_seconds()
+        async with asyncio.timeout(limit):
+            url = f'{self._endpoint}{path}'
+            response = await self._http.post(url, content=content)
+        return response.raise_for_status()
+
 
 def _parse_object(content: bytes) -> dict[str, Any]:
     parsed = orjson.loads(content)
--- a/packages/daemon/almonddock_daemon/adapters/_store_codec.py
+++ b/packages/daemon/almonddock_daemon/adapters/_store_codec.py
@@ -9,11 +9,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from almonddock_daemon.adapters._store_values import (
+from almonddock_core.store import (
     Conflict,
     StoredValue,
     Swapped,
     SwapResult,
+    SwapValue,
 )
 
 JsonObject = Mapping[str, Any]
@@ -45,32 +46,29 @@
     return encode_text(content[:-1] + bytes((content[-1] + 1,)))
 
 
-def build_swap(
-    key: str,
-    content: bytes,
-    expected_revision: int | None,
-) -> JsonObject:
-    """Returns a transaction that writes only over the expected revision."""
+def build_swap(call: SwapValue) -> JsonObject:
+    """Returns a transaction that writes only over expected revisions."""
+    compares = [_build_compare(call.key, call.expected)]
+    if call.guard is not None:
+        compares.append(_build_compare(call.guard.key, call.guard.revision))
     return {
-        'compare': [_build_compare(key, expected_revision)],
-        'success': [
-            {
-                'request_put': {
-                    _KEY: encode_text(key),
-                    'value': encode_text(content),
-                },
-            },
-        ],
-        'failure': [{'request_range': {_KEY: encode_text(key)}}],
+        'compare': compares,
+        'success': [{'request_put': build_put(call.key, call.content)}],
+        'failure': [{'request_range': {_KEY: encode_text(call.key)}}],
     }
 
 
+def build_put(key: str, content: bytes) -> JsonObject:
+    """Returns a write of one key."""
+    return {_KEY: encode_text(key), 'value': encode_text(content)}
+
+
 def build_delete(key: str, expected_revision: int) -> JsonObject:
     """Returns a transaction that deletes only the expected revision."""
     return {
         'compare': [_build_compare(key, expected_revision)],
         'success': [{'request_delete_range': {_KEY: encode_text(key)}}],
-        'failure': [],
+        'failure': [{'request_range': {_KEY: encode_text(key)}}],
     }
 
 
@@ -98,11 +96,12 @@
         yield _parse_value(entry)
 
 
-def parse_keys(reply: JsonObject) -> tuple[str, ...]:
-    """Returns the keys of a range reply."""
-    return tuple(
-        base64.b64decode(entry[_KEY]).decode() for entry in reply.get('kvs', ())
-    )
+def parse_revisions(reply: JsonObject) -> dict[str, int]:
+    """Returns the keys of a range reply with their revisions."""
+    return {
+        base64.b64decode(entry[_KEY]).decode(): int(entry['mod_revision'])
+        for entry in reply.get('kvs', ())
+    }
 
 
 def parse_watch(message: JsonObject) -> WatchReply:
--- a/packages/daemon/almonddock_daemon/adapters/_store_values.py
+++ b/packages/daemon/almonddock_daemon/adapters/_store_values.py
@@ -1,17 +1,20 @@
-"""Values, results and settings of the store client."""
+"""Settings and events of the store client."""
 
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import TypeAlias
+
+from almonddock_core.store import StoredValue
 
 
 @dataclass(frozen=True, slots=True)
 class StoreSettings:
     """How much of the platform's store one process may use."""
 
-    #: Base URL of the etcd v3 JSON gateway, for example
-    #: ``http://127.0.0.1:2379``.
-    endpoint: str
+    #: Base URLs of the etcd v3 JSON gateway, for example
+    #: ``http://127.0.0.1:2379``; the next one is used after a failure.
+    endpoints: tuple[str, ...]
+    #: Put before every key, so that deployments can share a store.
+    prefix: str = ''
     #: How long one call may take.
     call_timeout: timedelta = timedelta(seconds=1)
     #: How often a read is sent before the store counts as unavailable.
@@ -29,40 +32,6 @@
     watch_idle: timedelta = timedelta(seconds=4)
 
 
-@dataclass(frozen=True, slots=True)
-class StoredValue:
-    """A value and the store's revision that wrote it."""
-
-    value: bytes
-    #: The revision of the last write to the key, for the next swap.
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class Swapped:
-    """The write took effect."""
-
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class Conflict:
-    """Another write came first; nothing was written."""
-
-    #: What the key holds instead; None when it does not exist.
-    current: StoredValue | None
-
-
-@dataclass(frozen=True, slots=True)
-class Unknown:
-    """The write may or may not have taken effect."""
-
-    message: str
-
-
-SwapResult: TypeAlias = Swapped | Conflict | Unknown
-
-
 @dataclass(frozen=True, slots=True)
 class WatchEvent:
     """One change of a watched key."""
--- a/packages/daemon/almonddock_daemon/tests/test_store_client.py
+++ b/packages/daemon/almonddock_daemon/tests/test_store_client.py
@@ -13,6 +13,7 @@
 from almonddock_core.model import ManualClock, StoreUnavailableError
 from almonddock_daemon.adapters import (
     Conflict,
+    Guard,
     StoreClient,
     StoredValue,
     StoreSettings,
@@ -23,7 +24,8 @@
 from almonddock_daemon.adapters._store_limits import CallLimiter
 
 SETTINGS = StoreSettings(
-    'http://127.0.0.1:1',
+    ('http://127.0.0.1:1', 'http://127.0.0.1:2'),
+    prefix='/a/',
     backoff_base=timedelta(),
     call_timeout=timedelta(seconds=5),
 )
@@ -65,10 +67,12 @@
     def __init__(self, *steps: Any) -> None:
         self.steps = iter(steps)
         self.requests: list[dict[str, Any]] = []
+        self.ports: list[int | None] = []
 
     async def handle_async_request(
         self, request: httpx.Request
     ) -> httpx.Response:
+        self.ports.append(request.url.port)
         self.requests.append(json.loads(await request.aread()))
         step = next(self.steps)
         if isinstance(step, Exception):
@@ -122,13 +126,33 @@
             await open_client(store).swap('head', b'a', expected)
             sent = store.requests[0]['compare'][0]
             self.assertEqual(
-                sent, {'key': encode('head'), 'result': 'EQUAL', **compare}
+                sent, {'key': encode('/a/head'), 'result': 'EQUAL', **compare}
             )
 
+    async def test_guards_a_swap_by_a_second_key(self) -> None:
+        store = Store(ABSENT)
+        await open_client(store).swap('head', b'a', 3, Guard('other', 5))
+        self.assertEqual(
+            [
+                (one['key'], one['mod_revision'])
+                for one in store.requests[0]['compare']
+            ],
+            [(encode('/a/head'), '3'), (encode('/a/other'), '5')],
+        )
+
+    async def test_lists_keys_without_the_prefix(self) -> None:
+        entry = {'key': encode('/a/x/1'), 'mod_revision': '4'}
+        store = Store({'kvs': [entry]})
+        found = await open_client(store).list_keys('x/')
+        self.assertEqual(found, {'x/1': 4})
+        self.assertEqual(store.requests[0]['range_end'], encode('/a/x0'))
+
     async def test_repeats_reads_and_then_gives_up(self) -> None:
         found = {'kvs': [make_value('a', 4)]}
-        client = open_client(Store(503, httpx.ReadTimeout(''), found))
+        store = Store(503, httpx.ReadTimeout(''), found)
+        client = open_client(store)
         self.assertEqual(await client.read('head'), StoredValue(b'a', 4))
+        self.assertEqual(store.ports, [1, 2, 1])
         client = open_client(Store(503, 503, 503, found))
         with self.assertRaises(StoreUnavailableError):
             await client.read('head')
@@ -169,7 +193,7 @@
 
     async def test_bounds_the_rate_of_calls(self) -> None:
         clock = ManualClock()
-        limits = StoreSettings('', calls_per_second=10, burst=2)
+        limits = StoreSettings((), calls_per_second=10, burst=2)
         limiter = CallLimiter(limits, clock)
         waits = [limiter.reserve().total_seconds() for _ in range(4)]
         self.assertEqual(waits, [0, 0, 0.1, 0.2])
@@ -178,7 +202,7 @@
 
     async def test_bounds_calls_at_a_time(self) -> None:
         limiter = CallLimiter(
-            StoreSettings('', max_concurrent_calls=2), ManualClock()
+            StoreSettings((), max_concurrent_calls=2), ManualClock()
         )
         release = asyncio.Event()
         running = itertools.count()
