--- /dev/null
+++ b/bench/measurement.py
@@ -0,0 +1,132 @@
+"""What an experiment yields: figures with their bounds, and curves."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+Point = tuple[float, float]
+Curve = tuple[Point, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Subject:
+    """What was measured: the same for several figures of one run."""
+
+    #: The registered name, and what of it: ``stragglers.p99.60``.
+    experiment: str
+    #: The deployment or the size, for example ``kyushu`` or ``1600 hosts``.
+    deployment: str
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """One figure; printed and kept as one line of JSON.
+
+    Made by :func:`limit_value`, :func:`require_value`, :func:`limit_ratio`
+    or :func:`note_value`, which work out ``holds``.
+    """
+
+    experiment: str
+    deployment: str
+    seed: int
+    value: float
+    unit: str
+    #: The same figure of the rival, taken in the same run.
+    baseline: float | None = None
+    #: ``value / baseline``.
+    ratio: float | None = None
+    #: The stated target, of the ratio where there is one.
+    bound: float | None = None
+    holds: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Series:
+    """Curves for one plot of the report."""
+
+    experiment: str
+    title: str
+    x_label: str
+    y_label: str
+    #: The points of each curve by its name.
+    curves: Mapping[str, Curve]
+
+
+def limit_value(
+    subject: Subject,
+    value: float,
+    unit: str,
+    *,
+    bound: float,
+) -> Measurement:
+    """Returns a figure that must not exceed the bound."""
+    return Measurement(
+        subject.experiment,
+        subject.deployment,
+        subject.seed,
+        value,
+        unit,
+        bound=bound,
+        holds=value <= bound,
+    )
+
+
+def require_value(
+    subject: Subject,
+    value: float,
+    unit: str,
+    *,
+    bound: float,
+) -> Measurement:
+    """Returns a figure that must reach the bound."""
+    return Measurement(
+        subject.experiment,
+        subject.deployment,
+        subject.seed,
+        value,
+        unit,
+        bound=bound,
+        holds=value >= bound,
+    )
+
+
+def limit_ratio(
+    subject: Subject,
+    value: float,
+    unit: str,
+    *,
+    baseline: float,
+    bound: float,
+) -> Measurement:
+    """Returns a figure whose ratio to a baseline must not exceed a bound."""
+    ratio = value / baseline
+    return Measurement(
+        subject.experiment,
+        subject.deployment,
+        subject.seed,
+        value,
+        unit,
+        baseline=baseline,
+        ratio=ratio,
+        bound=bound,
+        holds=ratio <= bound,
+    )
+
+
+def note_value(
+    subject: Subject,
+    value: float,
+    unit: str,
+    *,
+    baseline: float | None = None,
+) -> Measurement:
+    """Returns a figure without a bound."""
+    return Measurement(
+        subject.experiment,
+        subject.deployment,
+        subject.seed,
+        value,
+        unit,
+        baseline=baseline,
+        ratio=value / baseline if baseline else None,
+    )
