Carry a query through the whole path

Cause: no process served a query yet. Change: checked settings, the daemon with its filter chain, controllers, links between hosts, the target's interface over kept HTTP/1.1 connections, the callers' HTTP interface, structured logs, metrics and a first demonstration. Conclusion: the thin path stands; the parts now grow on it.

--- /dev/null
+++ b/packages/daemon/almonddock_daemon/_clock.py
@@ -0,0 +1,15 @@
+"""The clock of the daemon."""
+
+import time
+from datetime import timedelta
+
+
+class MonotonicClock:
+    """Tells the time since it was made; it counts while stopped, too."""
+
+    def __init__(self) -> None:
+        self._start = time.monotonic()
+
+    def now(self) -> timedelta:
+        """Returns the time since the start."""
+        return timedelta(seconds=time.monotonic() - self._start)
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -0,0 +1,282 @@
+"""One host: its controllers, filter chain, links and HTTP interface."""
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Mapping
+from typing import Any
+
+from almonddock_core.deployment import Deployment, MergeRule
+from almonddock_core.model import (
+    Answer,
+    DataCentreId,
+    HostId,
+    Incarnation,
+    Member,
+    MembershipView,
+    Plan,
+    RequestId,
+    TargetId,
+    WorkloadId,
+)
+from almonddock_core.owners import OwnerSettings, place_targets
+from almonddock_core.scatter import ScatterSettings
+from almonddock_core.truth import VersionTable, pin_snapshot
+from almonddock_daemon._clock import MonotonicClock
+from almonddock_daemon._routing import Router
+from almonddock_daemon.adapters import StoreClient
+from almonddock_daemon.adapters import StoreSettings as StoreLimits
+from almonddock_daemon.controllers import (
+    ConfigurationController,
+    MembershipController,
+    ScatterController,
+    TargetController,
+)
+from almonddock_daemon.filters import (
+    Exchange,
+    Handler,
+    RunningQueries,
+    build_admission_filter,
+    build_chain,
+    build_coverage_handler,
+    build_deadline_filter,
+    build_scatter_filter,
+    build_snapshot_filter,
+)
+from almonddock_daemon.http import (
+    HttpPorts,
+    HttpServer,
+    build_application,
+    build_query,
+    build_server,
+    parse_request,
+)
+from almonddock_daemon.links import LinkMesh
+from almonddock_daemon.settings import HostSettings
+from almonddock_daemon.telemetry import LOG, Metrics
+from almonddock_wire import Hello
+
+SEED_BITS = 64
+REQUEST_ID_BYTES = 16
+
+#: How often a stopping host looks whether accepted queries are done.
+DRAIN_POLL_S = 0.02
+
+
+class Host:
+    """Assembles the parts and runs them until :meth:`stop`."""
+
+    def __init__(self, settings: HostSettings) -> None:
+        self._settings = settings
+        self._clock = MonotonicClock()
+        source = random.Random(_choose_seed(settings))
+        self._metrics = Metrics()
+        self._running = RunningQueries()
+        self._stopping = asyncio.Event()
+        own = _describe_self(settings)
+        self._own = own
+        self._versions = VersionTable()
+        self._owners: Mapping[TargetId, HostId] = {}
+        self._mesh = LinkMesh(_build_hello(own), self._clock)
+        self._targets = TargetController(OwnerSettings(), self._clock)
+        self._router = Router(own.host, self._mesh, self._targets)
+        self._scatters = ScatterController(
+            ScatterSettings(),
+            self._clock,
+            source,
+            self._router.send,
+            self._router.connect,
+        )
+        self._router.attach(self._scatters)
+        self._store = StoreClient(
+            StoreLimits(endpoint=settings.store.endpoints[0]),
+            self._clock,
+            source,
+        )
+        self._configuration = ConfigurationController(
+            self._store,
+            settings.store.prefix,
+            self._apply_deployment,
+        )
+        self._membership = MembershipController(
+            settings.host_list,
+            own,
+            self._apply_membership,
+        )
+        self._chain = self._build_chain()
+
+    async def run(self) -> None:
+        """Serves until stopped, then finishes the accepted queries."""
+        await self._mesh.start()
+        tasks = [
+            asyncio.create_task(self._configuration.run()),
+            asyncio.create_task(self._membership.run()),
+        ]
+        server = build_server(
+            build_application(
+                self._build_ports(),
+                self._settings.limits.body_bytes,
+            ),
+            self._settings.listen.http,
+        )
+        serving = asyncio.create_task(server.serve())
+        LOG.info('host_started', http=self._settings.listen.http)
+        await self._stopping.wait()
+        await self._drain(server)
+        await serving
+        for task in tasks:
+            task.cancel()
+        self._targets.close()
+        await self._mesh.stop()
+        await self._store.close()
+        LOG.info('host_stopped')
+
+    def stop(self) -> None:
+        """Begins a graceful shutdown."""
+        LOG.info('host_stopping')
+        self._stopping.set()
+
+    async def _drain(self, server: HttpServer) -> None:
+        while self._running.count or self._targets.outstanding:
+            await asyncio.sleep(DRAIN_POLL_S)
+        server.should_exit = True
+
+    def _build_chain(self) -> Handler:
+        clock = self._clock
+        return build_chain(
+            [
+                build_deadline_filter(clock),
+                build_admission_filter(
+                    self._settings.limits,
+                    self._running,
+                    self._stopping.is_set,
+                    clock,
+                ),
+                build_snapshot_filter(self._pin),
+                build_scatter_filter(self._scatters.run),
+            ],
+            build_coverage_handler(self._find_rule, clock),
+        )
+
+    def _build_ports(self) -> HttpPorts:
+        return HttpPorts(
+            ask=self._ask,
+            explain_unready=self._explain_unready,
+            describe_status=self._describe_status,
+            render_metrics=self._render_metrics,
+        )
+
+    async def _ask(self, body: bytes, traceparent: str) -> Answer:
+        now = self._clock.now()
+        query = build_query(
+            parse_request(body),
+            self._configuration.view,
+            RequestId(secrets.token_hex(REQUEST_ID_BYTES)),
+            now,
+            traceparent,
+        )
+        answer = await self._chain(Exchange(query, arrived=now))
+        self._count(query.workload, answer)
+        return answer
+
+    def _count(self, workload: WorkloadId, answer: Answer) -> None:
+        metrics = self._metrics
+        labels = {'workload': workload}
+        metrics.answers.inc({**labels, 'outcome': answer.outcome.value})
+        metrics.shards.add({**labels, 'state': 'total'}, answer.coverage.total)
+        metrics.shards.add(
+            {**labels, 'state': 'answered'},
+            answer.coverage.answered,
+        )
+        metrics.latency.observe(labels, answer.elapsed.total_seconds())
+        metrics.extra_tries.add(labels, answer.extra_tries)
+
+    def _pin(self, workload: WorkloadId) -> Plan:
+        return pin_snapshot(
+            self._configuration.view,
+            workload,
+            self._versions,
+            self._owners,
+        )
+
+    def _find_rule(self, workload: WorkloadId) -> MergeRule:
+        deployment = self._configuration.view
+        name = deployment.workloads[workload][0]
+        return deployment.services[name].merge
+
+    def _apply_deployment(self, deployment: Deployment) -> None:
+        self._place(deployment, self._membership.view)
+
+    def _apply_membership(self, view: MembershipView) -> None:
+        self._mesh.update_addresses(
+            {host: member.address for host, member in view.members.items()},
+        )
+        self._place(self._configuration.view, view)
+
+    def _place(self, deployment: Deployment, view: MembershipView) -> None:
+        self._owners = place_targets(deployment, view.list_owners())
+        own = [
+            target
+            for target, owner in self._owners.items()
+            if owner == self._own.host
+        ]
+        self._targets.update(deployment, dict.fromkeys(own, False))
+
+    def _explain_unready(self) -> str:
+        if self._stopping.is_set():
+            return 'shutting_down'
+        if not self._configuration.view.revision:
+            return 'no_configuration'
+        return ''
+
+    def _describe_status(self) -> dict[str, Any]:
+        view = self._membership.view
+        return {
+            'host': self._own.host,
+            'data_centre': self._own.data_centre,
+            'revision': self._configuration.view.revision,
+            'queries_running': self._running.count,
+            'hosts': {
+                host: member.state.value
+                for host, member in sorted(view.members.items())
+            },
+            'targets': [
+                {
+                    'target': load.target,
+                    'queued': load.queued,
+                    'in_flight': load.in_flight,
+                    'allowed': load.allowed,
+                    'open': load.open,
+                }
+                for load in self._targets.measure_loads()
+            ],
+        }
+
+    def _render_metrics(self) -> bytes:
+        state = self._metrics.state
+        state.set({'name': 'targets_owned'}, len(self._targets.owned))
+        state.set({'name': 'queries_running'}, self._running.count)
+        state.set({'name': 'revision'}, self._configuration.view.revision)
+        state.set({'name': 'store_calls'}, self._store.calls)
+        return self._metrics.render()
+
+
+def _choose_seed(settings: HostSettings) -> int:
+    if settings.seed is None:
+        return secrets.randbits(SEED_BITS)
+    return settings.seed
+
+
+def _describe_self(settings: HostSettings) -> Member:
+    # A restart must draw a larger incarnation without any disk.
+    return Member(
+        host=HostId(settings.host),
+        data_centre=DataCentreId(settings.data_centre),
+        address=settings.listen.link,
+        incarnation=Incarnation(time.time_ns()),
+    )
+
+
+def _build_hello(own: Member) -> Hello:
+    return Hello(own.host, own.data_centre, own.incarnation, own.address)
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/_routing.py
@@ -0,0 +1,79 @@
+"""Carries messages between this host's parts and other hosts."""
+
+from collections.abc import Callable
+
+from almonddock_core.model import HostId
+from almonddock_daemon.controllers import ScatterController, TargetController
+from almonddock_daemon.links import Link, LinkMesh
+from almonddock_wire import (
+    CancelBatch,
+    Message,
+    SubQueryBatch,
+    SubReplyBatch,
+)
+
+
+class Router:
+    """Sends to owners, by link or directly when this host is the owner."""
+
+    def __init__(
+        self,
+        own: HostId,
+        mesh: LinkMesh,
+        targets: TargetController,
+    ) -> None:
+        self._own = own
+        self._mesh = mesh
+        self._targets = targets
+        self._scatters: ScatterController | None = None
+        # One function for each link, so that replies to it are batched.
+        self._answers: dict[Link, Callable[[SubReplyBatch], None]] = {}
+
+    def attach(self, scatters: ScatterController) -> None:
+        """Names the controller that takes replies and lost owners."""
+        self._scatters = scatters
+        self._mesh.subscribe(self._receive, scatters.lose_owner)
+
+    def send(self, owner: HostId, message: SubQueryBatch | CancelBatch) -> bool:
+        """Sends to an owner; returns False when no link is open."""
+        if owner != self._own:
+            return self._mesh.send(owner, message)
+        if isinstance(message, SubQueryBatch):
+            self._targets.receive(message, self._answer_locally)
+        else:
+            self._targets.cancel(message)
+        return True
+
+    async def connect(self, owner: HostId) -> bool:
+        """Opens a link to an owner; returns whether one is open."""
+        return owner == self._own or await self._mesh.connect(owner)
+
+    def _receive(self, link: Link, message: Message) -> None:
+        match message:
+            case SubQueryBatch():
+                self._targets.receive(message, self._find_answer(link))
+            case CancelBatch():
+                self._targets.cancel(message)
+            case SubReplyBatch():
+                self._answer_locally(message)
+
+    def _answer_locally(self, batch: SubReplyBatch) -> None:
+        if self._scatters is not None:
+            self._scatters.receive(batch)
+
+    def _find_answer(self, link: Link) -> Callable[[SubReplyBatch], None]:
+        self._answers = {
+            known: one for known, one in self._answers.items() if known.open
+        }
+        answer = self._answers.get(link)
+        if answer is None:
+            answer = _bind_answer(link)
+            self._answers[link] = answer
+        return answer
+
+
+def _bind_answer(link: Link) -> Callable[[SubReplyBatch], None]:
+    def answer(batch: SubReplyBatch) -> None:
+        link.send(batch)
+
+    return answer
--- a/packages/daemon/almonddock_daemon/adapters/__init__.py
+++ b/packages/daemon/almonddock_daemon/adapters/__init__.py
@@ -10,6 +10,8 @@
     Unknown,
     WatchEvent,
 )
+from almonddock_daemon.adapters._target_client import TargetClient
+from almonddock_daemon.adapters._target_messages import build_reply
 
 __all__ = [
     'Conflict',
@@ -18,6 +20,8 @@
     'StoredValue',
     'SwapResult',
     'Swapped',
+    'TargetClient',
     'Unknown',
     'WatchEvent',
+    'build_reply',
 ]
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/adapters/_http_connection.py
@@ -0,0 +1,97 @@
+"""One HTTP/1.1 connection to a target, parsed with httptools."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+import httptools
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A whole response; header names are in lower case."""
+
+    status: int
+    headers: Mapping[bytes, bytes]
+    body: bytes
+
+
+#: Receives the response, or None when the connection ended without one.
+HandleResponse = Callable[[HttpResponse | None], None]
+
+
+class HttpConnection(asyncio.Protocol):
+    """Carries one request at a time.
+
+    ``close`` is called once, when the connection has ended.
+    """
+
+    def __init__(self, close: 'Callable[[HttpConnection], None]') -> None:
+        self._close = close
+        self._transport: asyncio.Transport | None = None
+        self._handle: HandleResponse | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: dict[bytes, bytes] = {}
+        self._body: list[bytes] = []
+
+    @property
+    def open(self) -> bool:
+        """Whether a request can be sent."""
+        transport = self._transport
+        return transport is not None and not transport.is_closing()
+
+    def request(self, encoded: bytes, handle: HandleResponse) -> None:
+        """Sends one request; no other may be under way."""
+        assert self._transport is not None
+        self._handle = handle
+        self._headers = {}
+        self._body = []
+        self._transport.write(encoded)
+
+    def abort(self) -> None:
+        """Closes the connection; a request under way gets None."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, received: bytes) -> None:
+        """Feeds the parser; a response that cannot be parsed ends it."""
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserError:
+            self.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Reports the end to a request under way and to the pool."""
+        self._transport = None
+        self._finish(None)
+        self._close(self)
+
+    def on_header(self, name: bytes, field: bytes) -> None:
+        """Keeps a header; called by the parser."""
+        self._headers[name.lower()] = field
+
+    def on_body(self, part: bytes) -> None:
+        """Keeps a part of the body; called by the parser."""
+        self._body.append(part)
+
+    def on_message_complete(self) -> None:
+        """Hands the response on; called by the parser."""
+        response = HttpResponse(
+            status=self._parser.get_status_code(),
+            headers=self._headers,
+            body=b''.join(self._body),
+        )
+        if not self._parser.should_keep_alive():
+            self.abort()
+        self._finish(response)
+
+    def _finish(self, response: HttpResponse | None) -> None:
+        handle = self._handle
+        self._handle = None
+        if handle is not None:
+            handle(response)
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/adapters/_target_client.py
@@ -0,0 +1,173 @@
+"""The connections of an owner to one target."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+
+from almonddock_core.deployment import Target
+from almonddock_core.model import (
+    AttemptId,
+    Clock,
+    Reason,
+    ReplyStatus,
+    SubQuery,
+    SubReply,
+)
+from almonddock_daemon.adapters._http_connection import (
+    HttpConnection,
+    HttpResponse,
+)
+from almonddock_daemon.adapters._target_messages import (
+    build_reply,
+    format_cancellation,
+    format_request,
+    read_reply,
+)
+
+#: How long after its deadline a reply is still awaited, in seconds.
+REPLY_GRACE_S = 0.05
+REPLY_GRACE = timedelta(seconds=REPLY_GRACE_S)
+
+#: How long a new connection may take, in seconds.
+DIAL_TIMEOUT_S = 1.0
+
+HandleReply = Callable[[SubReply], None]
+
+
+class TargetClient:
+    """Sends sub-queries to one target over kept connections."""
+
+    def __init__(self, target: Target, clock: Clock) -> None:
+        #: The target, with its address and limits.
+        self.target = target
+        self._clock = clock
+        self._idle: deque[HttpConnection] = deque()
+        self._count = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def send(self, sub: SubQuery, handle: HandleReply) -> None:
+        """Sends a sub-query; ``handle`` is called exactly once."""
+        connection = self._take_idle()
+        if connection is not None:
+            self._request(connection, sub, handle)
+            return
+        if self._count >= self.target.entry.connections:
+            handle(build_reply(sub, ReplyStatus.NOT_RUN, Reason.OVERLOADED))
+            return
+        self._spawn(self._dial_and_send(sub, handle))
+
+    def cancel(self, attempt_id: AttemptId) -> None:
+        """Asks the target to stop a try; the reply still arrives."""
+        encoded = format_cancellation(attempt_id, self.target.entry.address)
+        connection = self._take_idle()
+        if connection is not None:
+            self._request_and_keep(connection, encoded)
+        elif self._count < self.target.entry.connections:
+            self._spawn(self._dial_and_cancel(encoded))
+
+    def close(self) -> None:
+        """Closes the idle connections; those in use close when done."""
+        while self._idle:
+            self._idle.pop().abort()
+
+    def _take_idle(self) -> HttpConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.open:
+                return connection
+        return None
+
+    def _request(
+        self,
+        connection: HttpConnection,
+        sub: SubQuery,
+        handle: HandleReply,
+    ) -> None:
+        now = self._clock.now()
+        wait = sub.deadline - now + REPLY_GRACE
+        timer = asyncio.get_running_loop().call_later(
+            max(0, wait.total_seconds()),
+            connection.abort,
+        )
+
+        def finish(response: HttpResponse | None) -> None:
+            timer.cancel()
+            handle(self._settle(connection, sub, response))
+
+        connection.request(
+            format_request(sub, self.target.entry.address, now),
+            finish,
+        )
+
+    def _settle(
+        self,
+        connection: HttpConnection,
+        sub: SubQuery,
+        response: HttpResponse | None,
+    ) -> SubReply:
+        if response is None:
+            late = self._clock.now() >= sub.deadline
+            reason = Reason.TIMED_OUT if late else Reason.TARGET_UNREACHABLE
+            return build_reply(sub, ReplyStatus.UNKNOWN, reason)
+        reply = read_reply(sub, response)
+        if reply.reason is Reason.BAD_REPLY:
+            connection.abort()
+        elif connection.open:
+            self._idle.append(connection)
+        return reply
+
+    def _request_and_keep(
+        self,
+        connection: HttpConnection,
+        encoded: bytes,
+    ) -> None:
+        def keep(response: HttpResponse | None) -> None:
+            if response is not None and connection.open:
+                self._idle.append(connection)
+
+        connection.request(encoded, keep)
+
+    async def _dial(self) -> HttpConnection | None:
+        address, _, port = self.target.entry.address.rpartition(':')
+        self._count += 1
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                (
+                    _,
+                    connection,
+                ) = await asyncio.get_running_loop().create_connection(
+                    lambda: HttpConnection(self._forget),
+                    address.strip('[]'),
+                    int(port),
+                )
+        except (OSError, TimeoutError):
+            self._count -= 1
+            return None
+        return connection
+
+    async def _dial_and_send(self, sub: SubQuery, handle: HandleReply) -> None:
+        connection = await self._dial()
+        if connection is None:
+            handle(
+                build_reply(
+                    sub,
+                    ReplyStatus.NOT_RUN,
+                    Reason.TARGET_UNREACHABLE,
+                ),
+            )
+            return
+        self._request(connection, sub, handle)
+
+    async def _dial_and_cancel(self, encoded: bytes) -> None:
+        connection = await self._dial()
+        if connection is not None:
+            self._request_and_keep(connection, encoded)
+
+    def _forget(self, connection: HttpConnection) -> None:
+        self._count -= 1
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/controllers/__init__.py
@@ -0,0 +1,18 @@
+"""Controllers, each of which owns one piece of the host's state.
+
+A controller publishes immutable views; filters only read views.
+"""
+
+from almonddock_daemon.controllers._configuration import (
+    ConfigurationController,
+)
+from almonddock_daemon.controllers._membership import MembershipController
+from almonddock_daemon.controllers._scatters import ScatterController
+from almonddock_daemon.controllers._targets import TargetController
+
+__all__ = [
+    'ConfigurationController',
+    'MembershipController',
+    'ScatterController',
+    'TargetController',
+]
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/controllers/_scatters.py
@@ -0,0 +1,182 @@
+"""Runs the scatters of this host over links to owners."""
+
+import asyncio
+import random
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Iterable
+from datetime import timedelta
+
+from almonddock_core.model import (
+    AttemptId,
+    Clock,
+    HostId,
+    Plan,
+    Query,
+    RequestId,
+    ScatterResult,
+    SubQuery,
+    TargetId,
+    TargetLoad,
+)
+from almonddock_core.scatter import (
+    Cancel,
+    Finish,
+    LatencyTable,
+    Scatter,
+    ScatterAction,
+    ScatterContext,
+    ScatterSettings,
+    Send,
+    TryBudget,
+)
+from almonddock_wire import CancelBatch, SubQueryBatch, SubReplyBatch
+
+#: Sends a message to an owner; returns False when no link is open.
+SendMessage = Callable[[HostId, SubQueryBatch | CancelBatch], bool]
+
+#: Opens a link to an owner; returns whether one is open.
+Connect = Callable[[HostId], Awaitable[bool]]
+
+
+class _Running:
+    """A scatter, the future of its result and its timer."""
+
+    def __init__(self, scatter: Scatter) -> None:
+        self.scatter = scatter
+        self.done: asyncio.Future[ScatterResult] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.timer: asyncio.TimerHandle | None = None
+
+    def stop_timer(self) -> None:
+        """Forgets the timer."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+
+class ScatterController:
+    """Owns the running scatters and the loads that owners report."""
+
+    def __init__(
+        self,
+        settings: ScatterSettings,
+        clock: Clock,
+        source: random.Random,
+        send: SendMessage,
+        connect: Connect,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._send = send
+        self._connect = connect
+        self._running: dict[RequestId, _Running] = {}
+        self._loads: dict[TargetId, TargetLoad] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._context = ScatterContext(
+            budget=TryBudget(settings.budget),
+            loads=self._loads,
+            random=source,
+            latencies=LatencyTable(),
+        )
+
+    @property
+    def count(self) -> int:
+        """Scatters that have no result yet."""
+        return len(self._running)
+
+    async def run(self, query: Query, plan: Plan) -> ScatterResult:
+        """Returns the result, at the latest at the query's deadline."""
+        scatter = Scatter(query, plan, self._settings, self._context)
+        running = _Running(scatter)
+        self._running[query.request_id] = running
+        try:
+            self._carry_out(running, scatter.start(self._clock.now()))
+            return await running.done
+        finally:
+            running.stop_timer()
+            self._running.pop(query.request_id, None)
+
+    def receive(self, batch: SubReplyBatch) -> None:
+        """Hands each reply to its scatter and keeps the loads."""
+        for load in batch.loads:
+            self._loads[load.target] = load
+        now = self._clock.now()
+        for reply in batch.replies:
+            running = self._running.get(reply.request_id)
+            if running is not None:
+                actions = running.scatter.receive(reply, now)
+                self._carry_out(running, actions)
+
+    def lose_owner(self, host: HostId) -> None:
+        """Tells every scatter that a link to an owner has closed."""
+        now = self._clock.now()
+        for running in list(self._running.values()):
+            actions = running.scatter.lose_owner(host, now)
+            self._carry_out(running, actions)
+
+    def _carry_out(
+        self,
+        running: _Running,
+        actions: Iterable[ScatterAction],
+    ) -> None:
+        sends: dict[HostId, list[SubQuery]] = defaultdict(list)
+        cancels: dict[HostId, list[AttemptId]] = defaultdict(list)
+        for action in actions:
+            match action:
+                case Send(sub, owner):
+                    sends[owner].append(sub)
+                case Cancel(attempt_id, owner):
+                    cancels[owner].append(attempt_id)
+                case Finish(result):
+                    _finish(running, result)
+        for owner, subs in sends.items():
+            self._send_batch(running, owner, SubQueryBatch(tuple(subs)))
+        for owner, attempts in cancels.items():
+            self._send(owner, CancelBatch(tuple(attempts)))
+        self._set_timer(running)
+
+    def _send_batch(
+        self,
+        running: _Running,
+        owner: HostId,
+        batch: SubQueryBatch,
+    ) -> None:
+        if not self._send(owner, batch):
+            task = asyncio.create_task(
+                self._connect_and_send(running, owner, batch),
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _connect_and_send(
+        self,
+        running: _Running,
+        owner: HostId,
+        batch: SubQueryBatch,
+    ) -> None:
+        connected = await self._connect(owner)
+        if not connected or not self._send(owner, batch):
+            now = self._clock.now()
+            self._carry_out(running, running.scatter.lose_owner(owner, now))
+
+    def _set_timer(self, running: _Running) -> None:
+        running.stop_timer()
+        wake = running.scatter.next_wake()
+        if running.done.done() or wake is None:
+            return
+        wait = max(timedelta(), wake - self._clock.now())
+        running.timer = asyncio.get_running_loop().call_later(
+            wait.total_seconds(),
+            self._tick,
+            running,
+        )
+
+    def _tick(self, running: _Running) -> None:
+        running.timer = None
+        self._carry_out(running, running.scatter.tick(self._clock.now()))
+
+
+def _finish(running: _Running, result: ScatterResult) -> None:
+    if not running.done.done():
+        running.done.set_result(result)
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/filters/__init__.py
@@ -0,0 +1,33 @@
+"""The filter chain that every query passes at its entry host.
+
+:func:`build_chain` binds filters in order; each gets an :class:`Exchange`
+and the next handler, and returns an answer.
+"""
+
+from almonddock_daemon.filters._admission import (
+    RunningQueries,
+    build_admission_filter,
+)
+from almonddock_daemon.filters._chain import (
+    Exchange,
+    Filter,
+    Handler,
+    build_chain,
+)
+from almonddock_daemon.filters._coverage import build_coverage_handler
+from almonddock_daemon.filters._deadline import build_deadline_filter
+from almonddock_daemon.filters._scatter import build_scatter_filter
+from almonddock_daemon.filters._snapshot import build_snapshot_filter
+
+__all__ = [
+    'Exchange',
+    'Filter',
+    'Handler',
+    'RunningQueries',
+    'build_admission_filter',
+    'build_chain',
+    'build_coverage_handler',
+    'build_deadline_filter',
+    'build_scatter_filter',
+    'build_snapshot_filter',
+]
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/http/_application.py
@@ -0,0 +1,145 @@
+"""The HTTP interface for callers, operators and the balancer."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+from litestar import Litestar, Request, Response, get, post
+from litestar.exceptions import HTTPException
+from litestar.openapi.config import OpenAPIConfig
+from litestar.openapi.datastructures import ResponseSpec
+from litestar.openapi.spec import (
+    OpenAPIMediaType,
+    Operation,
+    RequestBody,
+    Schema,
+)
+
+from almonddock_core.model import (
+    AlmonddockError,
+    Answer,
+    InvalidRequestError,
+    UnknownWorkloadError,
+)
+from almonddock_daemon.http._requests import describe_request
+from almonddock_daemon.http._responses import (
+    STATUS_BAD_REQUEST,
+    STATUS_NOT_FOUND,
+    STATUS_OK,
+    STATUS_UNAVAILABLE,
+    choose_status,
+    format_answer,
+    format_error,
+)
+
+JSON_TYPE = 'application/json'
+METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+
+
+@dataclass(frozen=True, slots=True)
+class HttpPorts:
+    """What the HTTP interface calls; bound by the program."""
+
+    #: Answers the body of a query with its trace context.
+    ask: Callable[[bytes, str], Awaitable[Answer]]
+    #: Why the host is not ready for the balancer; empty when it is.
+    explain_unready: Callable[[], str]
+    #: What operators see of the host.
+    describe_status: Callable[[], dict[str, Any]]
+    #: The metrics in the text format of Prometheus.
+    render_metrics: Callable[[], bytes]
+
+
+@dataclass
+class QueryOperation(Operation):
+    """Describes the query's body on the OpenAPI page."""
+
+    def __post_init__(self) -> None:
+        """Adds the JSON Schema of the body."""
+        schema = describe_request()
+        self.request_body = RequestBody(
+            content={
+                JSON_TYPE: OpenAPIMediaType(
+                    schema=Schema(
+                        description=schema.get('description'),
+                        examples=[{'workload': 'parts-desk', 'query': {}}],
+                    ),
+                ),
+            },
+            required=True,
+        )
+
+
+def build_application(ports: HttpPorts, body_bytes: int) -> Litestar:
+    """Returns the application; bodies above ``body_bytes`` are refused."""
+
+    @post(
+        '/v1/query',
+        status_code=STATUS_OK,
+        operation_class=QueryOperation,
+        request_max_body_size=body_bytes,
+        responses={
+            STATUS_BAD_REQUEST: ResponseSpec(
+                data_container=None,
+                description='The request is malformed; nothing was run.',
+            ),
+        },
+    )
+    async def post_query(request: Request[Any, Any, Any]) -> Response[bytes]:
+        """Answers a query over all shards of a workload."""
+        body = await request.body()
+        traceparent = request.headers.get('traceparent', '')
+        answer = await ports.ask(body, traceparent)
+        return _respond(format_answer(answer), choose_status(answer))
+
+    @get('/v1/ready')
+    async def get_ready() -> Response[bytes]:
+        """Tells the balancer whether to send queries here."""
+        reason = ports.explain_unready()
+        status = STATUS_UNAVAILABLE if reason else STATUS_OK
+        shown = {'ready': not reason, 'reason': reason}
+        return _respond(orjson.dumps(shown), status)
+
+    @get('/v1/status')
+    async def get_status() -> Response[bytes]:
+        """Tells operators what the host knows."""
+        return _respond(orjson.dumps(ports.describe_status()), STATUS_OK)
+
+    @get('/metrics')
+    async def get_metrics() -> Response[bytes]:
+        """Returns all metrics."""
+        return Response(ports.render_metrics(), media_type=METRICS_TYPE)
+
+    return Litestar(
+        [post_query, get_ready, get_status, get_metrics],
+        openapi_config=OpenAPIConfig(title='almonddock', version='1'),
+        exception_handlers={
+            AlmonddockError: _handle_error,
+            HTTPException: _handle_http_error,
+        },
+        logging_config=None,
+    )
+
+
+def _respond(body: bytes, status: int) -> Response[bytes]:
+    return Response(body, status_code=status, media_type=JSON_TYPE)
+
+
+def _handle_error(
+    request: Request[Any, Any, Any],
+    error: AlmonddockError,
+) -> Response[bytes]:
+    if isinstance(error, UnknownWorkloadError):
+        return _respond(format_error(error), STATUS_NOT_FOUND)
+    if isinstance(error, InvalidRequestError):
+        return _respond(format_error(error), STATUS_BAD_REQUEST)
+    return _respond(format_error(error, ran=True), STATUS_UNAVAILABLE)
+
+
+def _handle_http_error(
+    request: Request[Any, Any, Any],
+    error: HTTPException,
+) -> Response[bytes]:
+    fault = InvalidRequestError(str(error.detail))
+    return _respond(format_error(fault), error.status_code)
