--- a/packages/daemon/almonddock_daemon/adapters/__init__.py
+++ b/packages/daemon/almonddock_daemon/adapters/__init__.py
@@ -11,6 +11,8 @@
 from almonddock_daemon.adapters._store_client import StoreClient
 from almonddock_daemon.adapters._store_steps import perform_call, run_steps
 from almonddock_daemon.adapters._store_values import StoreSettings, WatchEvent
+from almonddock_daemon.adapters._target_client import TargetClient
+from almonddock_daemon.adapters._target_messages import build_reply
 
 __all__ = [
     'Conflict',
@@ -20,8 +22,10 @@
     'StoredValue',
     'SwapResult',
     'Swapped',
+    'TargetClient',
     'Unknown',
     'WatchEvent',
+    'build_reply',
     'perform_call',
     'run_steps',
 ]
--- a/packages/daemon/almonddock_daemon/adapters/_store_watch.py
+++ b/packages/daemon/almonddock_daemon/adapters/_store_watch.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Iterator
 
+from almonddock_core.store import StoredValue
 from almonddock_daemon.adapters import _store_codec as codec
-from almonddock_daemon.adapters._store_values import StoredValue, WatchEvent
+from almonddock_daemon.adapters._store_values import WatchEvent
 
 
 class StoreWatch:
