Keep the newest accepted configuration on each host

Cause: a configuration must reach every host within seconds and never go back. Change: ConfigurationState fetches only changed documents, from store or peers, refuses older and forked revisions with an alarm, asks for a repair of a store that went back, and tells when it hears nobody.

--- a/packages/core/almonddock_core/configuration/__init__.py
+++ b/packages/core/almonddock_core/configuration/__init__.py
@@ -7,6 +7,15 @@
 :mod:`almonddock_core.store` for how the generators here use the store.
 """
 
+from almonddock_core.configuration._actions import (
+    Announce,
+    ConfigurationAction,
+    Fetch,
+    Install,
+    RaiseAlarm,
+    RepairStore,
+    Source,
+)
 from almonddock_core.configuration._changes import (
     DATA_CENTRES,
     Changes,
@@ -28,6 +37,11 @@
     encode_root,
     normalise_body,
 )
+from almonddock_core.configuration._messages import (
+    ConfigurationHead,
+    DocumentReply,
+    DocumentRequest,
+)
 from almonddock_core.configuration._publish import (
     NotPublished,
     Published,
@@ -40,6 +54,11 @@
     compute_digests,
     publish,
 )
+from almonddock_core.configuration._state import (
+    ConfigurationSettings,
+    ConfigurationState,
+    ConfigurationStatus,
+)
 from almonddock_core.configuration._store_reads import (
     CLEANER_KEY,
     DOCUMENT_PREFIX,
@@ -50,32 +69,47 @@
     read_documents,
     read_head,
 )
+from almonddock_core.configuration._watchers import choose_watchers
 
 __all__ = [
+    'Announce',
     'CLEANER_KEY',
     'Changes',
     'CheckedFiles',
     'CleanRequest',
+    'ConfigurationAction',
+    'ConfigurationHead',
+    'ConfigurationSettings',
+    'ConfigurationState',
+    'ConfigurationStatus',
     'DATA_CENTRES',
     'DATA_CENTRES_FILE',
     'DOCUMENT_PREFIX',
     'Difference',
     'Digest',
+    'DocumentReply',
+    'DocumentRequest',
+    'Fetch',
     'HEAD_KEY',
     'Head',
+    'Install',
     'NotPublished',
     'PublishRequest',
     'PublishResult',
     'PublishUnknown',
     'Published',
+    'RaiseAlarm',
     'Refused',
+    'RepairStore',
     'Root',
     'Snapshot',
+    'Source',
     'Steps',
     'Unchanged',
     'build_document_key',
     'build_request',
     'check_files',
+    'choose_watchers',
     'clean',
     'compare',
     'compute_digest',
--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_configuration_state.py
@@ -0,0 +1,173 @@
+import random
+import unittest
+from datetime import timedelta
+
+from almonddock_core.configuration import (
+    HEAD_KEY,
+    Announce,
+    ConfigurationAction,
+    ConfigurationHead,
+    ConfigurationSettings,
+    ConfigurationState,
+    Digest,
+    DocumentReply,
+    DocumentRequest,
+    Fetch,
+    Install,
+    RaiseAlarm,
+    RepairStore,
+    publish,
+)
+from almonddock_core.model import DataCentreId, HostId, Revision
+from almonddock_core.tests.configuration_store import FakeStore
+from almonddock_core.tests.test_configuration_publish import (
+    drive,
+    make_request,
+)
+
+SECOND = timedelta(seconds=1)
+NOW = 10 * SECOND
+PEER = HostId('peer')
+
+
+def make_state(name: str = 'own') -> ConfigurationState:
+    settings = ConfigurationSettings(HostId(name), DataCentreId('north'))
+    return ConfigurationState(settings, random.Random(1), NOW)
+
+
+def publish_change(store: FakeStore, change: str, deadline: int) -> bytes:
+    drive(store, publish(make_request(change, {1: deadline})))
+    return store.values[HEAD_KEY].value
+
+
+def serve(store: FakeStore, request: DocumentRequest) -> DocumentReply:
+    return DocumentReply(
+        tuple(store.read_document(one) for one in request.digests)
+    )
+
+
+def settle(
+    state: ConfigurationState,
+    store: FakeStore,
+    actions: list[ConfigurationAction],
+) -> list[ConfigurationAction]:
+    """Answers each fetch from the store and returns the other actions."""
+    done: list[ConfigurationAction] = []
+    while actions:
+        action = actions.pop(0)
+        if isinstance(action, Fetch):
+            reply = serve(store, DocumentRequest(action.digests))
+            actions += state.receive(action.source, reply, NOW)
+        else:
+            done.append(action)
+    return done
+
+
+def list_codes(actions: list[ConfigurationAction]) -> list[str]:
+    return [one.code for one in actions if isinstance(one, RaiseAlarm)]
+
+
+class ConfigurationStateTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = FakeStore()
+        self.first = publish_change(self.store, 'a', 300)
+        self.state = make_state()
+        self.done = settle(
+            self.state, self.store, self.state.hear_store(self.first, NOW)
+        )
+
+    def tell(
+        self, state: ConfigurationState, now: timedelta = NOW
+    ) -> list[ConfigurationAction]:
+        return state.hear_peer(PEER, self.state.describe_head(now), now)
+
+    def test_installs_and_announces_what_the_store_has(self) -> None:
+        kinds = [type(one) for one in self.done]
+        self.assertEqual(kinds, [Install, Announce])
+        self.assertEqual(len(self.state.deployment.services), 2)
+        status = self.state.measure(NOW)
+        self.assertEqual((status.revision, status.unready), (1, ''))
+
+    def test_fetches_only_what_changed(self) -> None:
+        content = publish_change(self.store, 'b', 400)
+        actions = self.state.hear_store(content, NOW)
+        fetched: list[Digest] = []
+        while actions and isinstance(actions[0], Fetch):
+            fetched += actions[0].digests
+            reply = serve(self.store, DocumentRequest(actions[0].digests))
+            actions = self.state.receive(None, reply, NOW)
+        # One bucket and one body; the root came with the watch.
+        self.assertEqual(len(fetched), 2)
+        self.assertEqual(self.state.deployment.revision, 2)
+
+    def test_learns_everything_from_a_peer(self) -> None:
+        fresh = make_state('fresh')
+        actions = self.tell(fresh)
+        for _ in range(3):
+            self.assertIsInstance(actions[0], Fetch)
+            assert isinstance(actions[0], Fetch)
+            self.assertEqual(actions[0].source, PEER)
+            reply = self.state.answer(DocumentRequest(actions[0].digests))
+            actions = fresh.receive(PEER, reply, NOW)
+        self.assertEqual(fresh.deployment, self.state.deployment)
+        self.assertEqual(fresh.measure(NOW).unready, '')
+
+    def test_refuses_an_older_store_and_repairs_it(self) -> None:
+        content = publish_change(self.store, 'b', 400)
+        settle(self.state, self.store, self.state.hear_store(content, NOW))
+        for older in (self.first, None):
+            later = NOW + 10 * SECOND * (older is None)
+            actions = self.state.hear_store(older, later)
+            self.assertEqual(list_codes(actions), ['store_older'])
+            self.assertEqual(actions[1], RepairStore())
+            again = self.state.hear_store(older, later + SECOND)
+            self.assertNotIn(RepairStore(), again)
+        self.assertEqual(self.state.deployment.revision, 2)
+        self.assertEqual(self.state.measure(NOW).alarms, {'store_older': 4})
+
+    def test_refuses_an_older_peer_and_a_second_content(self) -> None:
+        cases = (
+            (ConfigurationHead(), []),
+            (ConfigurationHead(Revision(1), Digest('x')), ['forked']),
+        )
+        for head, codes in cases:
+            with self.subTest(head=head):
+                actions = self.state.hear_peer(PEER, head, NOW)
+                self.assertEqual(list_codes(actions), codes)
+                self.assertEqual(len(actions), len(codes))
+
+    def test_refuses_a_root_that_cannot_be_read(self) -> None:
+        document = b'{"revision": 9}'
+        reply = DocumentReply((document,))
+        head = ConfigurationHead(
+            Revision(9), Digest('f96d3aa0b5f49efb2ea3cb4ec7a9a7c5')
+        )
+        store = FakeStore()
+        drive(store, publish(make_request('a', {})))
+        # The digest asked for and the content differ: it is dropped.
+        actions = self.state.hear_peer(PEER, head, NOW)
+        self.assertEqual(actions, [Fetch(PEER, (head.digest,))])
+        again = self.state.receive(PEER, reply, NOW)
+        self.assertEqual(again, [Fetch(PEER, (head.digest,))])
+        self.assertEqual(
+            self.state.hear_store(document, NOW)[0].__class__, RaiseAlarm
+        )
+        self.assertEqual(self.state.deployment.revision, 1)
+
+    def test_asks_another_peer_when_one_is_silent(self) -> None:
+        fresh = make_state('fresh')
+        self.tell(fresh)
+        other = HostId('other')
+        head = self.state.describe_head(NOW)
+        self.assertEqual(fresh.hear_peer(other, head, NOW), [])
+        actions = fresh.tick(NOW + SECOND)
+        assert isinstance(actions[0], Fetch)
+        self.assertEqual(actions[0].source, other)
+
+    def test_says_when_it_hears_nobody(self) -> None:
+        self.assertEqual(self.state.measure(NOW + 15 * SECOND).unready, '')
+        late = NOW + 16 * SECOND
+        self.assertEqual(self.state.measure(late).unready, 'isolated')
+        self.tell(self.state, late)
+        self.assertEqual(self.state.measure(late).unready, '')
+        self.assertEqual(make_state().measure(NOW).unready, 'no_configuration')
