Know the hosts by probes and news

Cause: the host list lags and errs, and a host must cost the same in any fleet. Change: Membership probes one member a period, asks three others before it suspects, spreads bounded news, refutes by incarnation, and checks itself after a pause; a fake fleet runs it with the configuration in virtual time.

--- /dev/null
+++ b/packages/core/almonddock_core/membership/_table.py
@@ -0,0 +1,112 @@
+"""The members that a host knows, and which news of them counts."""
+
+from collections.abc import Iterator
+from dataclasses import replace
+from datetime import timedelta
+from types import MappingProxyType
+
+from almonddock_core.model import (
+    HostId,
+    Incarnation,
+    Member,
+    MembershipView,
+    MemberState,
+)
+
+#: Of one incarnation, the later state overrides the earlier one.
+_RANKS = MappingProxyType(
+    {
+        state: rank
+        for rank, state in enumerate(
+            (
+                MemberState.ALIVE,
+                MemberState.SUSPECT,
+                MemberState.LEAVING,
+                MemberState.DEAD,
+            ),
+        )
+    },
+)
+
+
+class MemberTable:
+    """Members by host; an incarnation's state only moves towards dead."""
+
+    def __init__(self, own: Member) -> None:
+        self.own = own
+        self._members: dict[HostId, Member] = {own.host: own}
+        self._dead_since: dict[HostId, timedelta] = {}
+        self._view: MembershipView | None = None
+
+    def __len__(self) -> int:
+        """Returns the number of members, dead ones included."""
+        return len(self._members)
+
+    @property
+    def view(self) -> MembershipView:
+        """An immutable view; the same object until something changes."""
+        if self._view is None:
+            self._view = MembershipView(self.own.host, dict(self._members))
+        return self._view
+
+    def find(self, host: HostId) -> Member | None:
+        """Returns what is known of a host."""
+        return self._members.get(host)
+
+    def put(self, member: Member, now: timedelta) -> None:
+        """Replaces what is known of a host."""
+        self._members[member.host] = member
+        self._view = None
+        if member.host == self.own.host:
+            self.own = member
+        if member.state is MemberState.DEAD:
+            self._dead_since.setdefault(member.host, now)
+        else:
+            self._dead_since.pop(member.host, None)
+
+    def is_news(self, member: Member) -> bool:
+        """Returns whether an item overrides what is known."""
+        known = self._members.get(member.host)
+        if known is None:
+            return member.state is not MemberState.DEAD
+        if member.incarnation != known.incarnation:
+            return member.incarnation > known.incarnation
+        return _RANKS[member.state] > _RANKS[known.state]
+
+    def refute(self, member: Member, now: timedelta) -> bool:
+        """Overrides wrong news of this host itself; returns if it did."""
+        own = self.own
+        older = member.incarnation < own.incarnation
+        if older or _RANKS[member.state] <= _RANKS[own.state]:
+            return False
+        larger = Incarnation(member.incarnation + 1)
+        self.put(replace(own, incarnation=larger), now)
+        return True
+
+    def list_others(self) -> Iterator[Member]:
+        """Yields all members but this host and dead ones."""
+        for member in self._members.values():
+            if self._is_other(member):
+                yield member
+
+    def list_dead(self) -> list[HostId]:
+        """Returns the dead members."""
+        return list(self._dead_since)
+
+    def forget_dead(self, before: timedelta, listed: frozenset[HostId]) -> bool:
+        """Drops members dead for long, unless the host list names them."""
+        gone = [
+            host
+            for host, since in self._dead_since.items()
+            if since <= before and host not in listed
+        ]
+        for host in gone:
+            self._members.pop(host)
+            self._dead_since.pop(host)
+            self._view = None
+        return bool(gone)
+
+    def _is_other(self, member: Member) -> bool:
+        if member.state is MemberState.DEAD:
+            return False
+        return member.host != self.own.host
--- a/packages/core/almonddock_core/tests/configuration_store.py
+++ b/packages/core/almonddock_core/tests/configuration_store.py
@@ -114,6 +114,10 @@
             return revision is None
         return self.values[key].revision == revision
 
+    def put_document(self, key: str, content: bytes) -> None:
+        if key not in self.values:
+            self._write(key, content)
+
     def read_document(self, digest: Digest) -> bytes:
         return self.values[build_document_key(digest)].value
 
--- a/packages/core/almonddock_core/tests/test_configuration_state.py
+++ b/packages/core/almonddock_core/tests/test_configuration_state.py
@@ -126,7 +126,7 @@
         self.assertEqual(self.state.measure(NOW).alarms, {'store_older': 4})
 
     def test_refuses_an_older_peer_and_a_second_content(self) -> None:
-        cases = (
+        cases: tuple[tuple[ConfigurationHead, list[str]], ...] = (
             (ConfigurationHead(), []),
             (ConfigurationHead(Revision(1), Digest('x')), ['forked']),
         )
--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_membership.py
@@ -0,0 +1,166 @@
+import unittest
+from collections.abc import Iterable
+from dataclasses import replace
+from datetime import timedelta
+
+from almonddock_core.model import (
+    DataCentreId,
+    HostId,
+    Incarnation,
+    Member,
+    MemberState,
+)
+from almonddock_core.tests.state_fleet import Fleet
+
+NAMES = ('a', 'b', 'c', 'd', 'e', 'f')
+SUSPECTED = 3
+CONVERGED = 12
+
+
+def choose_delay(one: DataCentreId, other: DataCentreId) -> timedelta:
+    return timedelta(milliseconds=1 if one == other else 3)
+
+
+def choose_data_centre(name: str) -> str:
+    return f'd{NAMES.index(name) % 3}'
+
+
+def make_fleet(seed: int = 1, loss: float = 0) -> Fleet:
+    fleet = Fleet(seed, choose_delay, loss)
+    fleet.host_list = [make_member(name) for name in NAMES]
+    for name in NAMES:
+        fleet.add(name, choose_data_centre(name))
+    fleet.run(SUSPECTED)
+    return fleet
+
+
+def make_member(name: str) -> Member:
+    where = DataCentreId(choose_data_centre(name))
+    return Member(HostId(name), where, '127.0.0.1:1')
+
+
+def list_states(fleet: Fleet, host: str) -> set[MemberState | None]:
+    """Returns what the other hosts believe of one."""
+    return {
+        find_state(one.membership.view.members.get(HostId(host)))
+        for name, one in fleet.hosts.items()
+        if name != host
+    }
+
+
+def find_state(member: Member | None) -> MemberState | None:
+    return None if member is None else member.state
+
+
+class MembershipTest(unittest.TestCase):
+    def assert_alive(self, fleet: Fleet, names: Iterable[str]) -> None:
+        for name in names:
+            self.assertEqual(list_states(fleet, name), {MemberState.ALIVE})
+
+    def test_suspects_nobody_without_a_failure(self) -> None:
+        for seed in range(5):
+            fleet = make_fleet(seed, loss=0.01)
+            fleet.run(60)
+            self.assert_alive(fleet, NAMES)
+            # A host that was suspected would have a larger incarnation.
+            incarnations = {
+                one.membership.view.members[HostId(name)].incarnation
+                for one in fleet.hosts.values()
+                for name in NAMES
+            }
+            self.assertEqual(incarnations, {1})
+
+    def test_notices_dead_hosts_even_if_half_die_together(self) -> None:
+        for dead in (('a',), ('a', 'd'), ('a', 'b', 'c')):
+            with self.subTest(dead=dead):
+                fleet = make_fleet()
+                fleet.kill([HostId(name) for name in dead])
+                fleet.run(CONVERGED)
+                for name in dead:
+                    states = list_states(fleet, name)
+                    self.assertEqual(states, {MemberState.DEAD})
+                self.assert_alive(fleet, set(NAMES) - set(dead))
+
+    def test_asks_others_before_it_suspects(self) -> None:
+        fleet = make_fleet()
+        fleet.reachable = lambda one, other: (
+            {one.host, other.host} != {'a', 'b'}
+        )
+        fleet.run(60)
+        self.assert_alive(fleet, NAMES)
+
+    def test_a_paused_host_checks_itself_and_comes_back(self) -> None:
+        fleet = make_fleet()
+        fleet.pause(HostId('a'), 30)
+        fleet.run(25)
+        self.assertEqual(list_states(fleet, 'a'), {MemberState.DEAD})
+        host = fleet.hosts[HostId('a')].membership
+        actions = host.tick(fleet.now)
+        self.assertFalse(host.validated)
+        self.assertEqual(type(actions[0]).__name__, 'Paused')
+        fleet.run(5 + CONVERGED)
+        self.assertTrue(host.validated)
+        self.assert_alive(fleet, NAMES)
+
+    def test_heals_after_a_split_of_an_hour(self) -> None:
+        fleet = make_fleet()
+        fleet.reachable = lambda one, other: (
+            (one.data_centre == 'd0') == (other.data_centre == 'd0')
+        )
+        fleet.run(3600)
+        self.assertEqual(
+            list_states(fleet, 'a'), {MemberState.ALIVE, MemberState.DEAD}
+        )
+        fleet.reachable = lambda one, other: True
+        fleet.run(2 * CONVERGED)
+        self.assert_alive(fleet, NAMES)
+
+    def test_replaces_all_hosts_one_after_another(self) -> None:
+        fleet = make_fleet()
+        for number, name in enumerate(NAMES):
+            one = fleet.hosts[HostId(name)]
+            fleet.act(one, one.membership.leave(fleet.now))
+            fleet.run(1)
+            states = list_states(fleet, name)
+            self.assertEqual(states, {MemberState.LEAVING})
+            fleet.kill([HostId(name)])
+            fleet.add(name, choose_data_centre(name), 100 + number)
+            fleet.run(CONVERGED)
+            self.assert_alive(fleet, NAMES)
+
+    def test_corrects_a_wrong_host_list(self) -> None:
+        fleet = make_fleet()
+        ghost = replace(make_member('a'), host=HostId('ghost'))
+        fleet.host_list = [*fleet.host_list[1:], ghost]
+        fleet.add('new', 'd0')
+        fleet.run(2 * CONVERGED)
+        self.assert_alive(fleet, (*NAMES, 'new'))
+        # Nobody believes in the host that only the list names.
+        states = list_states(fleet, 'ghost')
+        self.assertLessEqual(states, {None, MemberState.DEAD})
+
+    def test_keeps_the_larger_incarnation(self) -> None:
+        fleet = make_fleet()
+        fleet.kill([HostId('a')])
+        fleet.add('a', 'd0', 7)
+        fleet.run(CONVERGED)
+        members = fleet.hosts[HostId('b')].membership.view.members
+        self.assertEqual(members[HostId('a')].incarnation, Incarnation(7))
+        self.assert_alive(fleet, NAMES)
+
+    def test_costs_a_host_the_same_in_a_larger_fleet(self) -> None:
+        counts: list[int] = []
+        for size in (6, 48):
+            fleet = Fleet(1, choose_delay)
+            fleet.host_list = [
+                replace(make_member('a'), host=HostId(f'h{number}'))
+                for number in range(size)
+            ]
+            for member in fleet.host_list:
+                fleet.add(member.host, 'd0')
+            fleet.run(SUSPECTED)
+            sent: list[str] = []
+            fleet.observe = lambda host, message, to=sent: to.append(host)
+            fleet.run(10)
+            counts.append(round(len(sent) / size))
+        self.assertEqual(counts, [40, 40])
