Build decoded sub-queries from what they share

Cause: the linter counted twelve local names in one function. Change: the shared fields are bound once with functools.partial. Measured: lint clean, 7 wire tests pass.

--- a/packages/wire/almonddock_wire/_sub_queries.py
+++ b/packages/wire/almonddock_wire/_sub_queries.py
@@ -1,5 +1,6 @@
 """Encodes and decodes batches of sub-queries."""
 
+import functools
 from datetime import timedelta
 from typing import Any
 
@@ -47,28 +48,24 @@
 def read_sub_queries(shared: Any, now: timedelta) -> SubQueryBatch:
     """Returns the batch with deadlines on the receiver's clock."""
     request_id = RequestId(shared.requestId)
-    version = IndexVersion(shared.version)
-    body = bytes(shared.body)
-    deadline = now + make_duration(shared.remaining)
-    urgency = Urgency(shared.urgency)
-    worth = shared.worth
-    idempotent = shared.idempotent
-    traceparent = shared.traceparent
+    build = functools.partial(
+        SubQuery,
+        request_id=request_id,
+        version=IndexVersion(shared.version),
+        body=bytes(shared.body),
+        deadline=now + make_duration(shared.remaining),
+        urgency=Urgency(shared.urgency),
+        worth=shared.worth,
+        idempotent=shared.idempotent,
+        traceparent=shared.traceparent,
+    )
     return SubQueryBatch(
         tuple(
-            SubQuery(
+            build(
                 attempt_id=build_attempt_id(request_id, attempt),
-                request_id=request_id,
                 shard=ShardId(shard),
                 target=TargetId(target),
-                version=version,
-                body=body,
-                deadline=deadline,
-                urgency=urgency,
-                worth=worth,
-                idempotent=idempotent,
                 hedge=hedge,
-                traceparent=traceparent,
             )
             for attempt, shard, target, hedge in zip(
                 shared.attempts,
