--- /dev/null
+++ b/packages/cli/almonddock_cli/_hosts.py
@@ -0,0 +1,57 @@
+"""Calls entry hosts over HTTP."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import httpx
+
+TIMEOUT_S = 15
+
+
+@dataclass(frozen=True, slots=True)
+class HostReply:
+    """What one host answered, or why it did not."""
+
+    url: str
+    #: The parsed body; empty when the host did not answer.
+    body: dict[str, Any]
+    #: The HTTP status; 0 when the host did not answer.
+    status: int = 0
+    #: Why there is no answer; empty when there is one.
+    error: str = ''
+
+
+def call_host(
+    method: str,
+    url: str,
+    path: str,
+    document: dict[str, Any] | None = None,
+) -> HostReply:
+    """Calls one host; failures become part of the reply."""
+    try:
+        response = httpx.request(
+            method,
+            f'{url.rstrip("/")}{path}',
+            json=document,
+            timeout=TIMEOUT_S,
+            trust_env=False,
+        )
+        return HostReply(url, response.json(), response.status_code)
+    except (httpx.HTTPError, ValueError) as error:
+        return HostReply(url, {}, error=repr(error))
+
+
+def call_first(
+    method: str,
+    urls: Sequence[str],
+    path: str,
+    document: dict[str, Any] | None = None,
+) -> HostReply:
+    """Calls the hosts in turn until one accepts the connection."""
+    reply = HostReply('', {}, error='no host was named')
+    for url in urls:
+        reply = call_host(method, url, path, document)
+        if reply.status:
+            break
+    return reply
--- /dev/null
+++ b/packages/cli/almonddock_cli/program.py
@@ -0,0 +1,24 @@
+"""The program ``almonddock``, for operators and callers."""
+
+import typer
+
+from almonddock_cli._query import ask_query
+from almonddock_cli._services import list_services
+from almonddock_cli._status import show_status
+
+APPLICATION = typer.Typer(
+    help=(
+        'Drive an almonddock deployment. Start with "check DIR" on the '
+        'operators\' files, then "publish DIR --wait", then "query".'
+    ),
+    no_args_is_help=True,
+)
+
+APPLICATION.command('query')(ask_query)
+APPLICATION.command('status')(show_status)
+APPLICATION.command('services')(list_services)
+
+
+def run() -> None:
+    """Runs the program; named in the package's scripts."""
+    APPLICATION()
--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -24,6 +24,10 @@
 from almonddock_core.scatter import ScatterSettings
 from almonddock_core.truth import VersionTable, pin_snapshot
 from almonddock_daemon._clock import MonotonicClock
+from almonddock_daemon._descriptions import (
+    describe_load,
+    describe_services,
+)
 from almonddock_daemon._routing import Router
 from almonddock_daemon.adapters import StoreClient
 from almonddock_daemon.adapters import StoreSettings as StoreLimits
@@ -164,6 +168,9 @@
             ask=self._ask,
             explain_unready=self._explain_unready,
             describe_status=self._describe_status,
+            describe_services=lambda: describe_services(
+                self._configuration.view,
+            ),
             render_metrics=self._render_metrics,
         )
 
@@ -241,15 +248,9 @@
                 host: member.state.value
                 for host, member in sorted(view.members.items())
             },
+            'unready': self._explain_unready(),
             'targets': [
-                {
-                    'target': load.target,
-                    'queued': load.queued,
-                    'in_flight': load.in_flight,
-                    'allowed': load.allowed,
-                    'open': load.open,
-                }
-                for load in self._targets.measure_loads()
+                describe_load(load) for load in self._targets.measure_loads()
             ],
         }
 
--- a/packages/daemon/almonddock_daemon/http/_application.py
+++ b/packages/daemon/almonddock_daemon/http/_application.py
@@ -47,6 +47,8 @@
     explain_unready: Callable[[], str]
     #: What operators see of the host.
     describe_status: Callable[[], dict[str, Any]]
+    #: The services of the configuration in force.
+    describe_services: Callable[[], dict[str, Any]]
     #: The metrics in the text format of Prometheus.
     render_metrics: Callable[[], bytes]
 
@@ -106,13 +108,18 @@
         """Tells operators what the host knows."""
         return _respond(orjson.dumps(ports.describe_status()), STATUS_OK)
 
+    @get('/v1/services')
+    async def get_services() -> Response[bytes]:
+        """Lists the services of the configuration in force."""
+        return _respond(orjson.dumps(ports.describe_services()), STATUS_OK)
+
     @get('/metrics')
     async def get_metrics() -> Response[bytes]:
         """Returns all metrics."""
         return Response(ports.render_metrics(), media_type=METRICS_TYPE)
 
     return Litestar(
-        [post_query, get_ready, get_status, get_metrics],
+        [post_query, get_ready, get_status, get_services, get_metrics],
         openapi_config=OpenAPIConfig(title='almonddock', version='1'),
         exception_handlers={
             AlmonddockError: _handle_error,
