Trace each hop: entry, owner, target

Cause: a slow query could not be followed over hosts. Change: a span a hop in W3C context, to an OTLP collector or as JSON lines; a trace that is not sampled costs a check of one digit.

--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -47,6 +47,7 @@
     build_deadline_filter,
     build_scatter_filter,
     build_snapshot_filter,
+    build_trace_filter,
 )
 from almonddock_daemon.http import (
     HttpPorts,
@@ -58,7 +59,7 @@
 )
 from almonddock_daemon.links import LinkMesh
 from almonddock_daemon.settings import HostSettings
-from almonddock_daemon.telemetry import LOG, Metrics
+from almonddock_daemon.telemetry import LOG, Metrics, Tracing
 from almonddock_wire import Hello
 
 SEED_BITS = 64
@@ -76,6 +77,7 @@
         self._clock = MonotonicClock()
         source = random.Random(_choose_seed(settings))
         self._metrics = Metrics()
+        self._tracing = Tracing(settings.traces, settings.host)
         self._running = RunningQueries()
         self._stopping = asyncio.Event()
         own = _describe_self(settings)
@@ -83,8 +85,17 @@
         self._versions = VersionTable()
         self._owners: Mapping[TargetId, HostId] = {}
         self._mesh = LinkMesh(_build_hello(own), self._clock)
-        self._targets = TargetController(OwnerSettings(), self._clock)
-        self._router = Router(own.host, self._mesh, self._targets)
+        self._targets = TargetController(
+            OwnerSettings(),
+            self._clock,
+            self._tracing,
+        )
+        self._router = Router(
+            own.host,
+            self._mesh,
+            self._targets,
+            self._tracing,
+        )
         self._scatters = ScatterController(
             ScatterSettings(),
             self._clock,
@@ -134,6 +145,7 @@
         self._targets.close()
         await self._mesh.stop()
         await self._store.close()
+        self._tracing.stop()
         LOG.info('host_stopped')
 
     def stop(self) -> None:
@@ -150,6 +162,7 @@
         clock = self._clock
         return build_chain(
             [
+                build_trace_filter(self._tracing),
                 build_deadline_filter(clock),
                 build_admission_filter(
                     self._settings.limits,
--- a/packages/daemon/almonddock_daemon/_routing.py
+++ b/packages/daemon/almonddock_daemon/_routing.py
@@ -1,10 +1,12 @@
 """Carries messages between this host's parts and other hosts."""
 
+import dataclasses
 from collections.abc import Callable
 
 from almonddock_core.model import HostId
 from almonddock_daemon.controllers import ScatterController, TargetController
 from almonddock_daemon.links import Link, LinkMesh
+from almonddock_daemon.telemetry import Tracing
 from almonddock_wire import (
     CancelBatch,
     Message,
@@ -21,10 +23,12 @@
         own: HostId,
         mesh: LinkMesh,
         targets: TargetController,
+        tracing: Tracing,
     ) -> None:
         self._own = own
         self._mesh = mesh
         self._targets = targets
+        self._tracing = tracing
         self._scatters: ScatterController | None = None
         # One function for each link, so that replies to it are batched.
         self._answers: dict[Link, Callable[[SubReplyBatch], None]] = {}
@@ -51,12 +55,27 @@
     def _receive(self, link: Link, message: Message) -> None:
         match message:
             case SubQueryBatch():
-                self._targets.receive(message, self._find_answer(link))
+                self._receive_batch(link, message)
             case CancelBatch():
                 self._targets.cancel(message)
             case SubReplyBatch():
                 self._answer_locally(message)
 
+    def _receive_batch(self, link: Link, batch: SubQueryBatch) -> None:
+        answer = self._find_answer(link)
+        first = batch.subs[0] if batch.subs else None
+        if first is None:
+            return
+        hop = self._tracing.begin(
+            'owner',
+            first.traceparent,
+            {'request_id': first.request_id, 'sub_queries': len(batch.subs)},
+        )
+        if hop.traceparent != first.traceparent:
+            batch = _continue_trace(batch, hop.traceparent)
+        self._targets.receive(batch, answer)
+        hop.end()
+
     def _answer_locally(self, batch: SubReplyBatch) -> None:
         if self._scatters is not None:
             self._scatters.receive(batch)
@@ -77,3 +96,12 @@
         link.send(batch)
 
     return answer
+
+
+def _continue_trace(batch: SubQueryBatch, traceparent: str) -> SubQueryBatch:
+    return SubQueryBatch(
+        tuple(
+            dataclasses.replace(sub, traceparent=traceparent)
+            for sub in batch.subs
+        ),
+    )
--- a/packages/daemon/almonddock_daemon/controllers/_targets.py
+++ b/packages/daemon/almonddock_daemon/controllers/_targets.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from almonddock_core.deployment import Deployment, Target
@@ -26,6 +26,7 @@
     Reply,
 )
 from almonddock_daemon.adapters import TargetClient, build_reply
+from almonddock_daemon.telemetry import Tracing
 from almonddock_wire import CancelBatch, SubQueryBatch, SubReplyBatch
 
 #: Takes the replies for one entry host.
@@ -56,8 +57,14 @@
     in one message.
     """
 
-    def __init__(self, settings: OwnerSettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: OwnerSettings,
+        clock: Clock,
+        tracing: Tracing,
+    ) -> None:
         self._settings = settings
+        self._tracing = tracing
         self._clock = clock
         self._owned: dict[TargetId, _Owned] = {}
         self._origins: dict[AttemptId, _Origin] = {}
@@ -162,10 +169,19 @@
         self._set_timer(owned)
 
     def _dispatch(self, owned: _Owned, sub: SubQuery) -> None:
+        hop = self._tracing.begin(
+            'target',
+            sub.traceparent,
+            {'target': sub.target, 'shard': sub.shard},
+        )
+
         def settle(reply: SubReply) -> None:
+            hop.end({'status': reply.status.value})
             now = self._clock.now()
             self._carry_out(owned, owned.state.settle(reply, now))
 
+        if hop.traceparent != sub.traceparent:
+            sub = replace(sub, traceparent=hop.traceparent)
         owned.client.send(sub, settle)
 
     def _answer(self, reply: SubReply) -> None:
--- a/packages/daemon/almonddock_daemon/filters/__init__.py
+++ b/packages/daemon/almonddock_daemon/filters/__init__.py
@@ -18,6 +18,7 @@
 from almonddock_daemon.filters._deadline import build_deadline_filter
 from almonddock_daemon.filters._scatter import build_scatter_filter
 from almonddock_daemon.filters._snapshot import build_snapshot_filter
+from almonddock_daemon.filters._trace import build_trace_filter
 
 __all__ = [
     'Exchange',
@@ -30,4 +31,5 @@
     'build_deadline_filter',
     'build_scatter_filter',
     'build_snapshot_filter',
+    'build_trace_filter',
 ]
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/filters/_trace.py
@@ -0,0 +1,31 @@
+"""Starts the span of the entry host."""
+
+import dataclasses
+
+from almonddock_core.model import Answer
+from almonddock_daemon.filters._chain import Exchange, Filter, Handler
+from almonddock_daemon.telemetry import Tracing
+
+
+def build_trace_filter(tracing: Tracing) -> Filter:
+    """Returns a filter that spans the query from arrival to answer."""
+
+    async def trace(exchange: Exchange, following: Handler) -> Answer:
+        query = exchange.query
+        hop = tracing.begin(
+            'entry',
+            query.traceparent,
+            {'request_id': query.request_id, 'workload': query.workload},
+        )
+        traced = dataclasses.replace(query, traceparent=hop.traceparent)
+        answer = await following(dataclasses.replace(exchange, query=traced))
+        hop.end(
+            {
+                'outcome': answer.outcome.value,
+                'shards': answer.coverage.total,
+                'answered': answer.coverage.answered,
+            },
+        )
+        return answer
+
+    return trace
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/telemetry/_traces.py
@@ -0,0 +1,107 @@
+"""Traces: a span for each hop, in W3C trace context."""
+
+import sys
+from collections.abc import Mapping
+
+from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
+    OTLPSpanExporter,
+)
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    ConsoleSpanExporter,
+    SimpleSpanProcessor,
+)
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.trace import Span, format_span_id, format_trace_id
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+from almonddock_daemon.settings import TraceSettings
+
+#: The last digits of a traceparent whose sampled bit is set.
+_SAMPLED_DIGITS = frozenset('13579bdf')
+_HEADER = 'traceparent'
+
+SpanAttributes = Mapping[str, str | int | float]
+
+
+class Hop:
+    """One span; without effect when the trace is not sampled."""
+
+    def __init__(self, span: Span | None, traceparent: str) -> None:
+        self._span = span
+        #: The context that the next hop continues.
+        self.traceparent = traceparent
+
+    def end(self, attributes: SpanAttributes | None = None) -> None:
+        """Ends the span with its last attributes."""
+        if self._span is not None:
+            self._span.set_attributes(dict(attributes or {}))
+            self._span.end()
+
+
+class Tracing:
+    """Starts spans and sends them where the settings say."""
+
+    def __init__(self, settings: TraceSettings, host: str) -> None:
+        self._enabled = settings.export != 'none'
+        self._provider = TracerProvider(
+            sampler=ParentBased(TraceIdRatioBased(settings.share)),
+            resource=Resource.create(
+                {'service.name': 'almonddock', 'host.name': host},
+            ),
+        )
+        if settings.export == 'otlp':
+            self._provider.add_span_processor(
+                BatchSpanProcessor(
+                    OTLPSpanExporter(f'{settings.endpoint}/v1/traces'),
+                ),
+            )
+        elif settings.export == 'lines':
+            self._provider.add_span_processor(
+                SimpleSpanProcessor(
+                    ConsoleSpanExporter(out=sys.stderr, formatter=_format),
+                ),
+            )
+        self._tracer = self._provider.get_tracer('almonddock')
+        self._propagator = TraceContextTextMapPropagator()
+
+    def begin(
+        self,
+        name: str,
+        traceparent: str,
+        attributes: SpanAttributes | None = None,
+    ) -> Hop:
+        """Starts a span that continues ``traceparent``, empty for none.
+
+        Below the first hop, a trace that is not sampled costs nothing.
+        """
+        known = bool(traceparent)
+        if known and traceparent[-1] not in _SAMPLED_DIGITS:
+            return Hop(None, traceparent)
+        if not self._enabled:
+            return Hop(None, traceparent)
+        span = self._tracer.start_span(
+            name,
+            context=self._propagator.extract({_HEADER: traceparent}),
+            attributes=attributes,
+        )
+        return Hop(span, _format_traceparent(span))
+
+    def stop(self) -> None:
+        """Sends what waits and ends."""
+        self._provider.shutdown()
+
+
+def _format_traceparent(span: Span) -> str:
+    context = span.get_span_context()
+    trace_id = format_trace_id(context.trace_id)
+    span_id = format_span_id(context.span_id)
+    return f'00-{trace_id}-{span_id}-{context.trace_flags:02x}'
+
+
+def _format(span: ReadableSpan) -> str:
+    return f'{span.to_json(indent=None)}\n'
