--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -24,6 +24,10 @@
 from almonddock_core.scatter import ScatterSettings
 from almonddock_core.truth import VersionTable, pin_snapshot
 from almonddock_daemon._clock import MonotonicClock
+from almonddock_daemon._descriptions import (
+    describe_load,
+    describe_services,
+)
 from almonddock_daemon._routing import Router
 from almonddock_daemon.adapters import StoreClient
 from almonddock_daemon.adapters import StoreSettings as StoreLimits
@@ -43,6 +47,7 @@
     build_deadline_filter,
     build_scatter_filter,
     build_snapshot_filter,
+    build_trace_filter,
 )
 from almonddock_daemon.http import (
     HttpPorts,
@@ -54,7 +59,7 @@
 )
 from almonddock_daemon.links import LinkMesh
 from almonddock_daemon.settings import HostSettings
-from almonddock_daemon.telemetry import LOG, Metrics
+from almonddock_daemon.telemetry import LOG, Metrics, Tracing
 from almonddock_wire import Hello
 
 SEED_BITS = 64
@@ -72,6 +77,7 @@
         self._clock = MonotonicClock()
         source = random.Random(_choose_seed(settings))
         self._metrics = Metrics()
+        self._tracing = Tracing(settings.traces, settings.host)
         self._running = RunningQueries()
         self._stopping = asyncio.Event()
         own = _describe_self(settings)
@@ -79,8 +85,17 @@
         self._versions = VersionTable()
         self._owners: Mapping[TargetId, HostId] = {}
         self._mesh = LinkMesh(_build_hello(own), self._clock)
-        self._targets = TargetController(OwnerSettings(), self._clock)
-        self._router = Router(own.host, self._mesh, self._targets)
+        self._targets = TargetController(
+            OwnerSettings(),
+            self._clock,
+            self._tracing,
+        )
+        self._router = Router(
+            own.host,
+            self._mesh,
+            self._targets,
+            self._tracing,
+        )
         self._scatters = ScatterController(
             ScatterSettings(),
             self._clock,
@@ -130,6 +145,7 @@
         self._targets.close()
         await self._mesh.stop()
         await self._store.close()
+        self._tracing.stop()
         LOG.info('host_stopped')
 
     def stop(self) -> None:
@@ -146,6 +162,7 @@
         clock = self._clock
         return build_chain(
             [
+                build_trace_filter(self._tracing),
                 build_deadline_filter(clock),
                 build_admission_filter(
                     self._settings.limits,
@@ -164,6 +181,9 @@
             ask=self._ask,
             explain_unready=self._explain_unready,
             describe_status=self._describe_status,
+            describe_services=lambda: describe_services(
+                self._configuration.view,
+            ),
             render_metrics=self._render_metrics,
         )
 
@@ -241,15 +261,9 @@
                 host: member.state.value
                 for host, member in sorted(view.members.items())
             },
+            'unready': self._explain_unready(),
             'targets': [
-                {
-                    'target': load.target,
-                    'queued': load.queued,
-                    'in_flight': load.in_flight,
-                    'allowed': load.allowed,
-                    'open': load.open,
-                }
-                for load in self._targets.measure_loads()
+                describe_load(load) for load in self._targets.measure_loads()
             ],
         }
 
