Carry probes, heads and documents over the links

Cause: hosts exchange membership and configuration over their links. Change: six messages added to the schema with their codecs.

--- a/packages/core/almonddock_core/tests/state_fleet.py
+++ b/packages/core/almonddock_core/tests/state_fleet.py
@@ -133,10 +133,6 @@
         self.now = event[0]
         event[2]()
 
-    def _step(self, event: tuple[timedelta, int, Callable[[], None]]) -> None:
-        self.now = event[0]
-        event[2]()
-
     def pause(self, host: HostId, seconds: float) -> None:
         """Stops a host; it then reads what waited, in order."""
         one = self.hosts[host]
--- a/packages/core/almonddock_core/tests/test_membership.py
+++ b/packages/core/almonddock_core/tests/test_membership.py
@@ -1,3 +1,4 @@
+import functools
 import unittest
 from collections.abc import Iterable
 from dataclasses import replace
@@ -52,6 +53,10 @@
     return None if member is None else member.state
 
 
+def collect_sender(sent: list[str], host: str, message: object) -> None:
+    sent.append(host)
+
+
 class MembershipTest(unittest.TestCase):
     def assert_alive(self, fleet: Fleet, names: Iterable[str]) -> None:
         for name in names:
@@ -160,7 +165,7 @@
                 fleet.add(member.host, 'd0')
             fleet.run(SUSPECTED)
             sent: list[str] = []
-            fleet.observe = lambda host, message, to=sent: to.append(host)
+            fleet.observe = functools.partial(collect_sender, sent)
             fleet.run(10)
             counts.append(round(len(sent) / size))
         self.assertEqual(counts, [40, 40])
--- a/packages/wire/almonddock_wire/_codec.py
+++ b/packages/wire/almonddock_wire/_codec.py
@@ -11,6 +11,14 @@
 
 import capnp
 
+from almonddock_core.configuration import (
+    ConfigurationHead,
+    DocumentReply,
+    DocumentRequest,
+)
+from almonddock_core.membership import Probe, ProbeReply, ProbeRequest
+from almonddock_wire import _configuration as configuration
+from almonddock_wire import _membership as membership
 from almonddock_wire._errors import BadFrameError
 from almonddock_wire._links import (
     read_hello,
@@ -37,7 +45,18 @@
 )
 from almonddock_wire._sub_replies import read_sub_replies, write_sub_replies
 
-Message = Hello | Ping | Pong | SubQueryBatch | SubReplyBatch | CancelBatch
+MembershipMessage = Probe | ProbeReply | ProbeRequest
+ConfigurationMessage = ConfigurationHead | DocumentRequest | DocumentReply
+Message = (
+    Hello
+    | Ping
+    | Pong
+    | SubQueryBatch
+    | SubReplyBatch
+    | CancelBatch
+    | MembershipMessage
+    | ConfigurationMessage
+)
 
 _WRITERS: Mapping[
     type[Any],
@@ -50,6 +69,12 @@
         SubQueryBatch: write_sub_queries,
         SubReplyBatch: write_sub_replies,
         CancelBatch: write_cancel,
+        Probe: membership.write_probe,
+        ProbeReply: membership.write_probe_reply,
+        ProbeRequest: membership.write_probe_request,
+        ConfigurationHead: configuration.write_head,
+        DocumentRequest: configuration.write_document_request,
+        DocumentReply: configuration.write_document_reply,
     }
 )
 
@@ -64,6 +89,12 @@
         'subQueries': read_sub_queries,
         'subReplies': read_sub_replies,
         'cancel': read_cancel,
+        'probe': membership.read_probe,
+        'probeReply': membership.read_probe_reply,
+        'probeRequest': membership.read_probe_request,
+        'configurationHead': configuration.read_head,
+        'documentRequest': configuration.read_document_request,
+        'documentReply': configuration.read_document_reply,
     }
 )
 
--- a/packages/wire/almonddock_wire/messages.capnp
+++ b/packages/wire/almonddock_wire/messages.capnp
@@ -9,6 +9,12 @@
     subQueries @3 :SubQueryBatch;
     subReplies @4 :SubReplyBatch;
     cancel @5 :CancelBatch;
+    probe @6 :Probe;
+    probeReply @7 :Probe;
+    probeRequest @8 :Probe;
+    configurationHead @9 :ConfigurationHead;
+    documentRequest @10 :List(Text);
+    documentReply @11 :DocumentReply;
   }
 }
 
@@ -66,3 +72,32 @@
 struct CancelBatch {
   attempts @0 :List(Text);
 }
+
+struct Probe {
+  number @0 :UInt64;
+  sender @1 :Text;
+  target @2 :Text;
+  full @3 :Bool;
+  head @4 :ConfigurationHead;
+  news @5 :List(Member);
+}
+
+struct Member {
+  host @0 :Text;
+  dataCentre @1 :Text;
+  address @2 :Text;
+  incarnation @3 :UInt64;
+  state @4 :UInt8;
+}
+
+struct ConfigurationHead {
+  revision @0 :UInt64;
+  digest @1 :Text;
+  # Microseconds since the store was known to agree; -1 if never.
+  confirmed @2 :Int64 = -1;
+}
+
+struct DocumentReply {
+  documents @0 :List(Data);
+  missing @1 :List(Text);
+}
