Grant each idempotency key once through a partitioned log

Cause: a caller that retries a charge through another host must not run it twice, and one store record a request would cost a write each. Change: almonddock_core.idempotency: segments chained by compare-and-swap, group commit, a claim client for entry hosts, expiry by the partition's own age. Reasons key_mismatch and not_recorded join the shared messages. Conclusion: a failed swap fences the old owner, so no lease is needed.

--- /dev/null
+++ b/packages/core/almonddock_core/idempotency/__init__.py
@@ -0,0 +1,82 @@
+"""At most one run for each idempotency key, through the platform's store.
+
+The key space is cut into partitions (:func:`find_partition`). The owner
+host of a partition runs a :class:`PartitionLog`. An entry host has one
+:class:`ClaimClient`, which sends a :class:`Claim` before any sub-query, lets
+the request run only on a :class:`Grant`, and reports its end.
+
+A key is remembered for at least ``LogSettings.retention`` after its claim;
+a repeat that comes later may run again.
+"""
+
+from almonddock_core.idempotency._answers import (
+    decode_answer,
+    encode_answer,
+)
+from almonddock_core.idempotency._client import (
+    ClaimClient,
+    ClientAction,
+    SendClaim,
+    SendFinish,
+    Settle,
+)
+from almonddock_core.idempotency._entries import Recorded
+from almonddock_core.idempotency._keys import (
+    KeyDigest,
+    PartitionId,
+    digest_key,
+    find_partition,
+    fingerprint_body,
+)
+from almonddock_core.idempotency._log import PartitionLog
+from almonddock_core.idempotency._messages import (
+    CallLost,
+    Claim,
+    Decision,
+    Finish,
+    Grant,
+    LogAction,
+    Read,
+    ReadDone,
+    Refuse,
+    Repeat,
+    StoreEntry,
+    StoreReply,
+    Write,
+    WriteConflict,
+    WriteDone,
+)
+from almonddock_core.idempotency._settings import LogSettings
+
+__all__ = [
+    'CallLost',
+    'Claim',
+    'ClaimClient',
+    'ClientAction',
+    'Decision',
+    'Finish',
+    'Grant',
+    'KeyDigest',
+    'LogAction',
+    'LogSettings',
+    'PartitionId',
+    'PartitionLog',
+    'Read',
+    'ReadDone',
+    'Recorded',
+    'Refuse',
+    'Repeat',
+    'SendClaim',
+    'SendFinish',
+    'Settle',
+    'StoreEntry',
+    'StoreReply',
+    'Write',
+    'WriteConflict',
+    'WriteDone',
+    'decode_answer',
+    'digest_key',
+    'encode_answer',
+    'find_partition',
+    'fingerprint_body',
+]
--- a/packages/core/almonddock_core/model/_query.py
+++ b/packages/core/almonddock_core/model/_query.py
@@ -117,6 +117,10 @@
     IN_PROGRESS = 'in_progress'
     #: The reached coverage is below what the caller asked for.
     LOW_COVERAGE = 'low_coverage'
+    #: The idempotency key was used before with another request body.
+    KEY_MISMATCH = 'key_mismatch'
+    #: A request with the same key started; what came of it is not on record.
+    NOT_RECORDED = 'not_recorded'
 
 
 @dataclass(frozen=True, slots=True)
