Answer every fault over HTTP with a code

Cause: an unexpected exception gave litestar's own page, and the OpenAPI page did not show the body. Change: a last handler that says the request may have run, and the body's schema.

--- a/packages/daemon/almonddock_daemon/http/_application.py
+++ b/packages/daemon/almonddock_daemon/http/_application.py
@@ -9,12 +9,6 @@
 from litestar.exceptions import HTTPException
 from litestar.openapi.config import OpenAPIConfig
 from litestar.openapi.datastructures import ResponseSpec
-from litestar.openapi.spec import (
-    OpenAPIMediaType,
-    Operation,
-    RequestBody,
-    Schema,
-)
 
 from almonddock_core.model import (
     AlmonddockError,
@@ -22,9 +16,10 @@
     InvalidRequestError,
     UnknownWorkloadError,
 )
-from almonddock_daemon.http._requests import describe_request
+from almonddock_daemon.http._openapi import JSON_TYPE, QueryOperation
 from almonddock_daemon.http._responses import (
     STATUS_BAD_REQUEST,
+    STATUS_INTERNAL,
     STATUS_NOT_FOUND,
     STATUS_OK,
     STATUS_UNAVAILABLE,
@@ -32,8 +27,8 @@
     format_answer,
     format_error,
 )
+from almonddock_daemon.telemetry import LOG
 
-JSON_TYPE = 'application/json'
 METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 
 
@@ -53,26 +48,6 @@
     render_metrics: Callable[[], bytes]
 
 
-@dataclass
-class QueryOperation(Operation):
-    """Describes the query's body on the OpenAPI page."""
-
-    def __post_init__(self) -> None:
-        """Adds the JSON Schema of the body."""
-        schema = describe_request()
-        self.request_body = RequestBody(
-            content={
-                JSON_TYPE: OpenAPIMediaType(
-                    schema=Schema(
-                        description=schema.get('description'),
-                        examples=[{'workload': 'parts-desk', 'query': {}}],
-                    ),
-                ),
-            },
-            required=True,
-        )
-
-
 def build_application(ports: HttpPorts, body_bytes: int) -> Litestar:
     """Returns the application; bodies above ``body_bytes`` are refused."""
 
@@ -124,6 +99,7 @@
         exception_handlers={
             AlmonddockError: _handle_error,
             HTTPException: _handle_http_error,
+            Exception: _handle_fault,
         },
         logging_config=None,
     )
@@ -150,3 +126,12 @@
 ) -> Response[bytes]:
     fault = InvalidRequestError(str(error.detail))
     return _respond(format_error(fault), error.status_code)
+
+
+def _handle_fault(
+    request: Request[Any, Any, Any],
+    error: Exception,
+) -> Response[bytes]:
+    LOG.error('internal', path=request.url.path, message=repr(error))
+    fault = AlmonddockError('the host failed; its log names the request')
+    return _respond(format_error(fault, ran=True), STATUS_INTERNAL)
