--- a/packages/core/almonddock_core/owners/__init__.py
+++ b/packages/core/almonddock_core/owners/__init__.py
@@ -10,7 +10,11 @@
     OwnerAction,
     Reply,
 )
-from almonddock_core.owners._placement import compute_score, place_targets
+from almonddock_core.owners._placement import (
+    Placement,
+    compute_score,
+    place_targets,
+)
 from almonddock_core.owners._settings import OwnerSettings
 from almonddock_core.owners._target import OwnedTarget
 
@@ -20,6 +24,7 @@
     'OwnedTarget',
     'OwnerAction',
     'OwnerSettings',
+    'Placement',
     'Reply',
     'compute_score',
     'place_targets',
