Guard each target with leases that other hosts vote on

Cause: two hosts that disagree about the owner both send to a target that is cold. Change: an owner needs grants of a majority of the target's voters, asks its lease at every dispatch, and ends work before the lease ends. A handover waits until running work has ended and passes the allowance on.

--- a/packages/core/almonddock_core/owners/__init__.py
+++ b/packages/core/almonddock_core/owners/__init__.py
@@ -2,6 +2,8 @@
 
 :func:`place_targets` says which host owns which target. The owner runs one
 :class:`OwnedTarget` for each, which queues, paces and answers sub-queries.
+:class:`OwnershipGuard` keeps two hosts that disagree about the owner from
+sending to the same target, with leases that other hosts vote on.
 """
 
 from almonddock_core.owners._actions import (
@@ -10,6 +12,21 @@
     OwnerAction,
     Reply,
 )
+from almonddock_core.owners._guard import OwnershipGuard
+from almonddock_core.owners._health import TargetHealth
+from almonddock_core.owners._leases import (
+    Acquire,
+    GuardAction,
+    GuardMessage,
+    Handover,
+    Holder,
+    LeaseRelease,
+    LeaseReply,
+    LeaseRequest,
+    LeaseSettings,
+    SendToHost,
+    Yield,
+)
 from almonddock_core.owners._placement import (
     Placement,
     compute_score,
@@ -19,13 +36,26 @@
 from almonddock_core.owners._target import OwnedTarget
 
 __all__ = [
+    'Acquire',
     'CancelAtTarget',
     'Dispatch',
+    'GuardAction',
+    'GuardMessage',
+    'Handover',
+    'Holder',
+    'LeaseRelease',
+    'LeaseReply',
+    'LeaseRequest',
+    'LeaseSettings',
     'OwnedTarget',
     'OwnerAction',
     'OwnerSettings',
+    'OwnershipGuard',
     'Placement',
     'Reply',
+    'SendToHost',
+    'TargetHealth',
+    'Yield',
     'compute_score',
     'place_targets',
 ]
--- a/packages/core/almonddock_core/owners/_ramp.py
+++ b/packages/core/almonddock_core/owners/_ramp.py
@@ -46,9 +46,10 @@
         """The service times of the last successes."""
         return self._times
 
-    def restart(self, now: timedelta) -> None:
-        """Treats the target as cold from now on."""
-        self._step_back(self._cold_slots, now)
+    def restart(self, now: timedelta, allowed: int | None = None) -> None:
+        """Treats the target as cold, or as bearing what was handed over."""
+        start = self._cold_slots if allowed is None else allowed
+        self._step_back(min(start, self._slots), now)
 
     def shed(self, now: timedelta) -> None:
         """Learns that the target refused work because of its load."""
--- a/packages/core/almonddock_core/owners/_running.py
+++ b/packages/core/almonddock_core/owners/_running.py
@@ -11,7 +11,6 @@
     SubReply,
 )
 from almonddock_core.owners._actions import CancelAtTarget, OwnerAction
-from almonddock_core.owners._queue import Waiting
 from almonddock_core.owners._replies import give_up
 
 
@@ -23,6 +22,8 @@
     sent_at: timedelta
     #: How long it waited in the queue.
     queued: timedelta
+    #: The most slots in use at a time since it was sent.
+    peak: int
     #: Whether the entry host has got its reply.
     answered: bool = False
     #: Whether the target has been asked to stop it.
@@ -48,14 +49,19 @@
         """Returns whether the try takes a slot."""
         return attempt_id in self._tries
 
-    def start(self, waiting: Waiting, now: timedelta) -> None:
+    def start(
+        self,
+        sub: SubQuery,
+        queued: timedelta,
+        now: timedelta,
+    ) -> None:
         """Takes a slot for a try that is sent now."""
-        sub = waiting.sub
-        self._tries[sub.attempt_id] = RunningTry(
-            sub,
-            now,
-            now - waiting.since,
-        )
+        used = len(self._tries) + 1
+        for attempt_id, other in self._tries.items():
+            if other.peak < used:
+                raised = dataclasses.replace(other, peak=used)
+                self._tries[attempt_id] = raised
+        self._tries[sub.attempt_id] = RunningTry(sub, now, queued, used)
 
     def settle(self, reply: SubReply, now: timedelta) -> RunningTry | None:
         """Frees the slot unless the try may still run; None if unknown."""
--- a/packages/core/almonddock_core/owners/_target.py
+++ b/packages/core/almonddock_core/owners/_target.py
@@ -8,7 +8,6 @@
 from almonddock_core.model import (
     AttemptId,
     Reason,
-    ReplyStatus,
     SubQuery,
     SubReply,
     TargetLoad,
@@ -19,17 +18,18 @@
     OwnerAction,
     Reply,
 )
+from almonddock_core.owners._health import TargetHealth
 from almonddock_core.owners._queue import TargetQueue, Waiting
-from almonddock_core.owners._ramp import Ramp
 from almonddock_core.owners._replies import refuse
 from almonddock_core.owners._running import RunningTries
 from almonddock_core.owners._settings import OwnerSettings
 from almonddock_core.owners._shedding import find_hopeless
+from almonddock_core.owners._state import TargetState
 
 
-def always_permit(now: timedelta) -> bool:
-    """Permits every dispatch; for hosts without peers."""
-    return True
+def hold_forever(now: timedelta) -> timedelta:
+    """Returns the end of a lease that never ends, for hosts without peers."""
+    return timedelta.max
 
 
 class OwnedTarget:
@@ -43,6 +43,10 @@
 
     A slot is free again once the target has confirmed the end of a try, or
     once the deadline of the try and a grace time have passed.
+
+    ``lease_end`` returns until when this host may use the target, see
+    :meth:`OwnershipGuard.find_lease_end`. Work is sent only before that
+    time, with a deadline that ends it by then.
     """
 
     def __init__(
@@ -52,17 +56,15 @@
         now: timedelta,
         *,
         inherited: bool,
-        permit: Callable[[timedelta], bool] = always_permit,
+        lease_end: Callable[[timedelta], timedelta] = hold_forever,
     ) -> None:
         self._target = target
         self._settings = settings
-        self._permit = permit
-        self._ramp = Ramp(target.entry, settings)
+        self._lease_end = lease_end
         self._queue = TargetQueue()
         self._running = RunningTries(settings.deadline_grace)
-        self._closed = Reason.NONE
         quiet = settings.quiet_period if inherited else timedelta()
-        self._quiet_until = now + quiet
+        self._state = TargetState(target.entry, settings, now + quiet)
 
     def offer(self, sub: SubQuery, now: timedelta) -> list[OwnerAction]:
         """Queues a sub-query, or refuses it as not run."""
@@ -77,7 +79,7 @@
         ended = self._running.settle(reply, now)
         if ended is None:
             return []
-        self._learn(reply, ended.sent_at, now)
+        self._state.learn(reply, ended, now)
         actions: list[OwnerAction] = []
         if not ended.answered:
             timed = dataclasses.replace(
@@ -111,14 +113,30 @@
 
     def close(self, reason: Reason, now: timedelta) -> list[OwnerAction]:
         """Takes no new work; waiting tries are refused, running ones end."""
-        self._closed = reason
+        self._state.close(reason, now)
         return self._pump(now)
 
-    def reopen(self, now: timedelta) -> None:
-        """Takes work again; the target is treated as cold."""
-        if self._closed is not Reason.NONE:
-            self._closed = Reason.NONE
-            self._ramp.restart(now)
+    def reopen(self, reason: Reason, now: timedelta) -> None:
+        """Ends one reason to be closed; the target is treated as cold."""
+        self._state.reopen(reason, now)
+
+    def resume(self, allowed: int | None, now: timedelta) -> None:
+        """Starts anew after the target was acquired.
+
+        ``allowed`` is what the owner before handed over; without it the
+        target is treated as cold.
+        """
+        self._state.reopen(Reason.NOT_OWNER, now)
+        self._state.ramp.restart(now, allowed)
+
+    def observe_health(
+        self,
+        health: TargetHealth,
+        now: timedelta,
+    ) -> list[OwnerAction]:
+        """Learns from a health endpoint, which may lag behind replies."""
+        self._state.observe_health(health, now)
+        return self._pump(now)
 
     def measure(self, now: timedelta) -> TargetLoad:
         """Returns the load for entry hosts to choose by."""
@@ -126,44 +144,52 @@
             target=self._target.target,
             queued=len(self._queue),
             in_flight=len(self._running),
-            allowed=self._ramp.allowed,
-            service_time=self._ramp.times.mean,
-            open=self._closed is Reason.NONE and self._permit(now),
+            allowed=self._state.ramp.allowed,
+            service_time=self._state.ramp.times.mean,
+            open=self._state.closed is Reason.NONE
+            and now < self._lease_end(now),
         )
 
     def next_wake(self, now: timedelta) -> timedelta | None:
         """Returns the time at which :meth:`tick` is due; None for never."""
         times = [waiting.sub.deadline for waiting in self._queue]
-        if times and self._quiet_until > now:
-            times.append(self._quiet_until)
+        if times and self._state.quiet_until > now:
+            times.append(self._state.quiet_until)
         running = self._running.next_expiry()
         if running is not None:
             times.append(running)
         return min(times, default=None)
 
     def _pump(self, now: timedelta) -> list[OwnerAction]:
-        if self._closed is not Reason.NONE:
-            return self._refuse_all(self._closed, now)
-        if not self._permit(now):
+        if self._state.closed is not Reason.NONE:
+            return self._refuse_all(self._state.closed, now)
+        lease_end = self._lease_end(now)
+        if now >= lease_end:
             return self._refuse_all(Reason.NOT_OWNER, now)
         actions = self._shed(now)
-        while self._queue and self._has_slot(now):
+        latest = lease_end - self._settings.deadline_grace
+        while self._queue and self._has_slot(now, latest):
             first = self._queue.take_first()
-            self._running.start(first, now)
-            actions.append(Dispatch(first.sub))
+            due = min(first.sub.deadline, latest)
+            sub = dataclasses.replace(first.sub, deadline=due)
+            self._running.start(sub, now - first.since, now)
+            actions.append(Dispatch(sub))
         return actions
 
-    def _has_slot(self, now: timedelta) -> bool:
-        if now < self._quiet_until:
+    def _has_slot(self, now: timedelta, latest: timedelta) -> bool:
+        """Returns whether work may start that must end by ``latest``."""
+        if now < self._state.quiet_until:
+            return False
+        if now + self._state.finish_time >= latest:
             return False
-        return len(self._running) < self._ramp.allowed
+        return len(self._running) < self._state.ramp.allowed
 
     def _shed(self, now: timedelta) -> list[OwnerAction]:
         hopeless = find_hopeless(
             tuple(self._queue),
             self.measure(now),
             self._settings,
-            self._ramp.times.compute_quantile(self._settings.finish_quantile),
+            self._state.finish_time,
             now,
         )
         for shed in hopeless:
@@ -183,18 +209,3 @@
             first = self._queue.take_first()
             actions.append(refuse(first.sub, reason, now - first.since))
         return actions
-
-    def _learn(
-        self,
-        reply: SubReply,
-        sent_at: timedelta,
-        now: timedelta,
-    ) -> None:
-        if reply.mark.draining or reply.reason is Reason.DRAINING:
-            self._closed = Reason.DRAINING
-        if reply.mark.cold or reply.reason is Reason.COLD:
-            self._ramp.restart(now)
-        elif reply.status is ReplyStatus.OK:
-            self._ramp.succeed(now - sent_at, sent_at, now)
-        elif reply.reason is Reason.OVERLOADED:
-            self._ramp.shed(now)
--- /dev/null
+++ b/packages/core/almonddock_core/tests/owner_fleet.py
@@ -0,0 +1,332 @@
+"""A few hosts with guards around one fake target, in virtual time."""
+
+import functools
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from datetime import timedelta
+
+from almonddock_core.model import (
+    AttemptId,
+    HostId,
+    Incarnation,
+    LoadMark,
+    Member,
+    MemberState,
+    Reason,
+    ReplyStatus,
+    SubQuery,
+    SubReply,
+)
+from almonddock_core.owners import (
+    Acquire,
+    CancelAtTarget,
+    Dispatch,
+    GuardAction,
+    GuardMessage,
+    Holder,
+    LeaseSettings,
+    OwnedTarget,
+    OwnerAction,
+    OwnerSettings,
+    OwnershipGuard,
+    SendToHost,
+    Yield,
+    place_targets,
+)
+from almonddock_core.tests.owner_cases import (
+    TARGET,
+    make_deployment,
+    make_members,
+    make_reply,
+    make_sub,
+    millis,
+)
+
+ARRIVALS = millis(15)
+PULSE = millis(50)
+SERVICE = millis(20)
+DEADLINE = millis(900)
+
+Event = tuple[timedelta, int, Callable[[], None]]
+
+
+class FakeTarget:
+    """Counts what it runs; bears ``cold_slots`` until it is warm."""
+
+    def __init__(self, fleet: 'Fleet', slots: int, cold_slots: int) -> None:
+        self._fleet = fleet
+        self._running: dict[AttemptId, FakeHost] = {}
+        self.slots = slots
+        self.bears = cold_slots
+        self.served = 0
+        self.excess = 0
+        self.peak = 0
+
+    def receive(self, sub: SubQuery, left: timedelta, host: 'FakeHost') -> None:
+        self._running[sub.attempt_id] = host
+        self.peak = max(self.peak, len(self._running))
+        self.excess += len(self._running) > self.bears
+        hangs = self._fleet.random.random() < self._fleet.hang_share
+        lasts = left if hangs else min(left, SERVICE)
+        status = ReplyStatus.FAILED if hangs else ReplyStatus.OK
+        self._fleet.after(lasts, lambda: self.end(sub, status))
+
+    def end(
+        self,
+        sub: SubQuery,
+        status: ReplyStatus,
+        reason: Reason = Reason.NONE,
+    ) -> None:
+        mark = LoadMark(self.bears < self.slots, in_flight=len(self._running))
+        host = self._running.pop(sub.attempt_id, None)
+        if host is None:
+            return
+        self.served += 1
+        reply = make_reply(sub, status, reason, mark)
+        self._fleet.deliver(host, lambda: host.settle(reply))
+
+
+class FakeHost:
+    """A guard, the owned target and its share of the load."""
+
+    def __init__(
+        self,
+        fleet: 'Fleet',
+        member: Member,
+        members: list[Member],
+    ) -> None:
+        self.host = member.host
+        self.paused = False
+        self.dead = False
+        self.backlog: list[Callable[[], None]] = []
+        self.owned: OwnedTarget | None = None
+        self._fleet = fleet
+        self._guard = OwnershipGuard(
+            Holder(member.host, Incarnation(fleet.number())),
+            fleet.leases,
+            fleet.now,
+            random.Random(fleet.number()),
+        )
+        self.take_view(members)
+        self.pulse()
+
+    def take_view(self, members: list[Member]) -> None:
+        owners = place_targets(self._fleet.deployment, members)
+        deployment = self._fleet.deployment
+        now = self._fleet.now
+        actions = self._guard.update_view(deployment, members, owners, now)
+        if not self._fleet.guarded:
+            mine = owners.get(TARGET) == self.host
+            actions += [Acquire(TARGET) if mine else Yield(TARGET)]
+        self._act(actions)
+
+    def pulse(self) -> None:
+        now = self._fleet.now
+        self._act(self._guard.tick(now))
+        if self.owned is not None:
+            self._run(self.owned.tick(now))
+        self._fleet.after(PULSE, lambda: self._fleet.wake(self, self.pulse))
+
+    def arrive(self, sub: SubQuery) -> None:
+        if self.owned is not None:
+            self._run(self.owned.offer(sub, self._fleet.now))
+
+    def settle(self, reply: SubReply) -> None:
+        if self.owned is not None:
+            self._run(self.owned.settle(reply, self._fleet.now))
+
+    def receive(self, sender: HostId, message: GuardMessage) -> None:
+        self._act(self._guard.receive(sender, message, self._fleet.now))
+
+    def _act(self, actions: list[GuardAction]) -> None:
+        for action in actions:
+            match action:
+                case SendToHost():
+                    self._fleet.send(self, action)
+                case Acquire():
+                    self._acquire(action)
+                case Yield():
+                    self._yield()
+
+    def _acquire(self, action: Acquire) -> None:
+        now = self._fleet.now
+        if self.owned is None:
+            self.owned = OwnedTarget(
+                self._fleet.deployment.targets[TARGET],
+                OwnerSettings(),
+                now,
+                inherited=False,
+                **self._fleet.options(self._guard),
+            )
+        self.owned.resume(action.allowed, now)
+
+    def _yield(self) -> None:
+        if self.owned is not None:
+            now = self._fleet.now
+            self._run(self.owned.close(Reason.NOT_OWNER, now))
+            self._release()
+
+    def _release(self) -> None:
+        load = self.owned and self.owned.measure(self._fleet.now)
+        if load and not load.open and not load.in_flight:
+            now = self._fleet.now
+            self._act(self._guard.release(TARGET, load.allowed, now))
+
+    def _run(self, actions: list[OwnerAction]) -> None:
+        target = self._fleet.target
+        now = self._fleet.now
+        for action in actions:
+            if isinstance(action, Dispatch):
+                sub = action.sub
+                self._fleet.call(target.receive, sub, sub.deadline - now, self)
+            elif isinstance(action, CancelAtTarget):
+                found = self._fleet.subs[action.attempt_id]
+                self._fleet.call(
+                    target.end,
+                    found,
+                    ReplyStatus.FAILED,
+                    Reason.CANCELLED,
+                )
+        self._release()
+
+
+class Fleet:
+    """The hosts, the links between them and the clock."""
+
+    def __init__(
+        self,
+        seed: int,
+        hosts: int = 4,
+        *,
+        guarded: bool = True,
+        slots: int = 3,
+        cold_slots: int = 1,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.guarded = guarded
+        self.hang_share = 0.05
+        self.leases = LeaseSettings()
+        self.deployment = make_deployment(1, 1, slots, cold_slots)
+        self.now = timedelta(seconds=100)
+        self.subs: dict[AttemptId, SubQuery] = {}
+        self.target = FakeTarget(self, slots, cold_slots)
+        self._count = itertools.count(1)
+        self._events: list[Event] = []
+        self._cut: set[frozenset[HostId]] = set()
+        self.members = make_members(hosts)
+        self.hosts = {
+            member.host: FakeHost(self, member, self.members)
+            for member in self.members
+        }
+        self._offer()
+
+    def number(self) -> int:
+        return next(self._count)
+
+    def options(
+        self,
+        guard: OwnershipGuard,
+    ) -> dict[str, Callable[[timedelta], timedelta]]:
+        if not self.guarded:
+            return {}
+        return {'lease_end': lambda now: guard.find_lease_end(TARGET, now)}
+
+    def after(self, wait: timedelta, call: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (self.now + wait, self.number(), call))
+
+    def call(self, function: Callable[..., None], *args: object) -> None:
+        self.after(self._delay(), lambda: function(*args))
+
+    def send(self, host: FakeHost, action: SendToHost) -> None:
+        if frozenset((host.host, action.host)) not in self._cut:
+            self.call(self._hand_in, host.host, action)
+
+    def deliver(self, host: FakeHost, call: Callable[[], None]) -> None:
+        self.after(self._delay(), lambda: self.wake(host, call))
+
+    def wake(self, host: FakeHost, call: Callable[[], None]) -> None:
+        if host.paused:
+            host.backlog.append(call)
+        elif not host.dead:
+            call()
+
+    def run(self, seconds: float) -> None:
+        end = self.now + timedelta(seconds=seconds)
+        while self._events and self._events[0][0] <= end:
+            event = heapq.heappop(self._events)
+            self.now = event[0]
+            event[2]()
+        self.now = end
+
+    def pause(self, host: HostId) -> None:
+        self.hosts[host].paused = True
+
+    def resume(self, host: HostId) -> None:
+        found = self.hosts[host]
+        found.paused = False
+        backlog = list(found.backlog)
+        found.backlog.clear()
+        for call in backlog:
+            call()
+
+    def restart(self, host: HostId) -> None:
+        """Loses all that the host knows, as a new process does."""
+        self.hosts[host].dead = True
+        member = next(one for one in self.members if one.host == host)
+        self.hosts[host] = FakeHost(self, member, self.members)
+
+    def split(self, side: Iterable[HostId]) -> None:
+        """Cuts the links between the hosts of one side and the others."""
+        near = set(side)
+        self._cut = {
+            frozenset((one, other))
+            for one in near
+            for other in self.hosts
+            if other not in near
+        }
+
+    def show(self, host: HostId, dead: Iterable[HostId]) -> None:
+        """Gives a host the view that some others are dead."""
+        gone = set(dead) - {host}
+        view = [
+            replace(one, state=MemberState.DEAD) if one.host in gone else one
+            for one in self.members
+        ]
+        found = self.hosts[host]
+        self.wake(found, lambda: found.take_view(view))
+
+    def leave(self, host: HostId) -> None:
+        """Tells every host that one is leaving."""
+        view = [
+            replace(one, state=MemberState.LEAVING) if one.host == host else one
+            for one in self.members
+        ]
+        for found in self.hosts.values():
+            found.take_view(view)
+
+    def find_owner(self) -> HostId | None:
+        """Returns the host that may send to the target now."""
+        open_at = [
+            name
+            for name, host in self.hosts.items()
+            if host.owned and host.owned.measure(self.now).open
+        ]
+        return open_at[0] if open_at else None
+
+    def _hand_in(self, sender: HostId, action: SendToHost) -> None:
+        host = self.hosts[action.host]
+        self.wake(host, lambda: host.receive(sender, action.message))
+
+    def _delay(self) -> timedelta:
+        return millis(self.random.uniform(0.3, 3))
+
+    def _offer(self) -> None:
+        for host in tuple(self.hosts.values()):
+            sub = make_sub(self.number())
+            sub = replace(sub, deadline=self.now + DEADLINE)
+            self.subs[sub.attempt_id] = sub
+            self.wake(host, functools.partial(host.arrive, sub))
+        self.after(ARRIVALS, self._offer)
--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_owners_guard.py
@@ -0,0 +1,192 @@
+import unittest
+from collections.abc import Callable
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from almonddock_core.model import HostId
+from almonddock_core.tests.owner_fleet import Fleet
+
+HOSTS = tuple(HostId(f'host-{number:04}') for number in range(4))
+PROFILE = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    phases=(Phase.explicit, Phase.generate),
+    max_examples=15,
+    stateful_step_count=12,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def start_fleet(seed: int, *, guarded: bool = True) -> tuple[Fleet, HostId]:
+    fleet = Fleet(seed, guarded=guarded)
+    fleet.run(4)
+    owner = fleet.find_owner()
+    assert owner is not None, 'no host acquired the target'
+    return fleet, owner
+
+
+def fail_owner(fleet: Fleet, owner: HostId) -> None:
+    """The owner dies and the others notice."""
+    fleet.hosts[owner].dead = True
+    for host in HOSTS:
+        fleet.show(host, [owner])
+
+
+def pause_owner(fleet: Fleet, owner: HostId) -> None:
+    """The owner is stopped for 30 s; the others take over meanwhile."""
+    fleet.pause(owner)
+    fleet.run(1)
+    for host in HOSTS:
+        fleet.show(host, [owner] if host != owner else [])
+    fleet.run(29)
+    fleet.resume(owner)
+
+
+def split_owner(fleet: Fleet, owner: HostId) -> None:
+    """The owner is cut off; each side believes the other dead."""
+    others = [host for host in HOSTS if host != owner]
+    fleet.split([owner])
+    fleet.show(owner, others)
+    for host in others:
+        fleet.show(host, [owner])
+
+
+def mislead_hosts(fleet: Fleet, owner: HostId) -> None:
+    """Every host believes that it is the only one left."""
+    for host in HOSTS:
+        fleet.show(host, [other for other in HOSTS if other != host])
+
+
+def restart_owner(fleet: Fleet, owner: HostId) -> None:
+    """The owner starts anew without its memory."""
+    fleet.restart(owner)
+
+
+def restart_voters(fleet: Fleet, owner: HostId) -> None:
+    """The owner is cut off and all others start without their memory."""
+    split_owner(fleet, owner)
+    for host in HOSTS:
+        if host != owner:
+            fleet.restart(host)
+            fleet.show(host, [owner])
+
+
+class GuardTest(unittest.TestCase):
+    def test_a_cold_target_gets_no_more_than_it_bears(self) -> None:
+        faults: tuple[Callable[[Fleet, HostId], None], ...] = (
+            fail_owner,
+            pause_owner,
+            split_owner,
+            mislead_hosts,
+            restart_owner,
+            restart_voters,
+        )
+        for fault in faults:
+            with self.subTest(fault=fault.__name__):
+                fleet, owner = start_fleet(7)
+                fault(fleet, owner)
+                fleet.run(5)
+                served = fleet.target.served
+                fleet.run(1)
+                self.assertGreater(fleet.target.served, served)
+                self.assertEqual(fleet.target.excess, 0)
+
+    def test_without_the_guard_the_same_faults_are_seen(self) -> None:
+        for fault in (pause_owner, split_owner, mislead_hosts):
+            with self.subTest(fault=fault.__name__):
+                fleet, owner = start_fleet(7, guarded=False)
+                fault(fleet, owner)
+                fleet.run(6)
+                self.assertGreater(fleet.target.excess, 0)
+
+    def test_in_an_even_split_the_side_of_the_owner_goes_on(self) -> None:
+        fleet, owner = start_fleet(7)
+        others = [host for host in HOSTS if host != owner]
+        near, far = [owner, others[0]], others[1:]
+        fleet.split(near)
+        for side, other in ((near, far), (far, near)):
+            for host in side:
+                fleet.show(host, other)
+        fleet.run(10)
+        self.assertEqual(fleet.find_owner(), owner)
+        self.assertEqual(fleet.target.excess, 0)
+
+    def test_a_handover_is_quick_and_keeps_the_allowance(self) -> None:
+        fleet, owner = start_fleet(7)
+        fleet.target.bears = 3
+        fleet.hang_share = 0
+        fleet.run(1)
+        fleet.leave(owner)
+        served = fleet.target.served
+        fleet.run(1.2)
+        successor = fleet.find_owner()
+        self.assertNotIn(successor, (None, owner))
+        self.assertGreater(fleet.target.served - served, 60)
+        owned = fleet.hosts[successor or owner].owned
+        self.assertEqual(owned and owned.measure(fleet.now).allowed, 3)
+
+
+class FaultyFleet(RuleBasedStateMachine):
+    """Any faults at any moment, over hosts that disagree about the dead."""
+
+    guarded = True
+    hosts = st.sampled_from(HOSTS)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = Fleet(1, guarded=self.guarded)
+        self.fleet.run(4)
+
+    @rule(seconds=st.sampled_from((0.05, 0.5, 1.5, 2.2, 5)))
+    def run_on(self, seconds: float) -> None:
+        self.fleet.run(seconds)
+
+    @rule(host=hosts)
+    def pause_host(self, host: HostId) -> None:
+        self.fleet.pause(host)
+
+    @rule(host=hosts)
+    def resume_host(self, host: HostId) -> None:
+        self.fleet.resume(host)
+
+    @rule(host=hosts)
+    def restart_host(self, host: HostId) -> None:
+        self.fleet.restart(host)
+
+    @rule(side=st.sets(hosts))
+    def split_hosts(self, side: set[HostId]) -> None:
+        self.fleet.split(side)
+
+    @rule(host=hosts, dead=st.sets(hosts))
+    def show_view(self, host: HostId, dead: set[HostId]) -> None:
+        self.fleet.show(host, dead)
+
+    @invariant()
+    def check_target(self) -> None:
+        excess = self.fleet.target.excess
+        assert not excess, f'{excess} requests above what the target bears'
+
+
+class UnguardedFleet(FaultyFleet):
+    guarded = False
+
+
+class GuardPropertyTest(unittest.TestCase):
+    def test_no_faults_exceed_what_a_cold_target_bears(self) -> None:
+        run_state_machine_as_test(FaultyFleet, settings=PROFILE)
+
+    def test_the_check_fails_without_the_guard(self) -> None:
+        with self.assertRaises(AssertionError):
+            run_state_machine_as_test(UnguardedFleet, settings=PROFILE)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/packages/core/almonddock_core/tests/test_owners_target.py
+++ b/packages/core/almonddock_core/tests/test_owners_target.py
@@ -224,7 +224,7 @@
             [(number, Reason.DRAINING) for number in '129'],
         )
         self.assertFalse(self.owned.measure(START).open)
-        self.owned.reopen(START)
+        self.owned.reopen(Reason.DRAINING, START)
         self.assertEqual(list_sent(self.owned.offer(make_sub(9), START)), ['9'])
 
 
