--- a/packages/daemon/almonddock_daemon/http/_openapi.py
+++ b/packages/daemon/almonddock_daemon/http/_openapi.py
@@ -44,8 +44,9 @@
 
 
 def _convert(node: dict[str, Any]) -> Schema:
-    if 'anyOf' in node:
-        return Schema(one_of=[_convert(one) for one in node['anyOf']])
+    options = node.get('anyOf')
+    if options:
+        return Schema(one_of=[_convert(one) for one in options])
     kind = node.get('type')
     return Schema(
         type=OpenAPIType(kind) if kind else None,
