Run requests with an idempotency key once in the daemon

Cause: the key was accepted and ignored. Change: claims, decisions and reports travel between hosts; a controller serves the log partitions with a store client of its own; a filter lets a key pass once and turns hedging and retries off for it. StoreClient gains read_all.

--- /dev/null
+++ b/bench/truth/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on snapshots, coverage and at-most-once."""
--- /dev/null
+++ b/bench/truth/soak.py
@@ -0,0 +1,28 @@
+"""Long runs of random fault schedules."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from almonddock_core.tests.test_idempotency_schedules import run_schedule
+from bench import Measurement, Subject, experiment, limit_value, note_value
+
+SCHEDULES = 50_000
+
+#: The test run plays the seeds below.
+FIRST_SEED = 1_000_000
+
+
+@experiment('soak_log', seconds=600)
+def soak_log() -> Iterator[Measurement]:
+    """Plays 50,000 fault schedules over the idempotency log."""
+    counts: Counter[str] = Counter()
+    violations = 0
+    for seed in range(FIRST_SEED, FIRST_SEED + SCHEDULES):
+        world = run_schedule(seed)
+        violations += len(world.violations)
+        counts += world.counts
+    subject = Subject('soak_log.violations', 'log', FIRST_SEED)
+    yield limit_value(subject, violations, 'violations', bound=0)
+    for kind, count in sorted(counts.items()):
+        name = f'soak_log.{kind.lower()}'
+        yield note_value(Subject(name, 'log', FIRST_SEED), count, 'decisions')
--- a/packages/core/almonddock_core/idempotency/__init__.py
+++ b/packages/core/almonddock_core/idempotency/__init__.py
@@ -25,6 +25,7 @@
     KeyDigest,
     PartitionId,
     digest_key,
+    find_log_owner,
     find_partition,
     fingerprint_body,
 )
@@ -77,6 +78,7 @@
     'decode_answer',
     'digest_key',
     'encode_answer',
+    'find_log_owner',
     'find_partition',
     'fingerprint_body',
 ]
--- a/packages/core/almonddock_core/idempotency/_keys.py
+++ b/packages/core/almonddock_core/idempotency/_keys.py
@@ -1,9 +1,12 @@
 """Digests of idempotency keys and the partition each belongs to."""
 
 import hashlib
+from collections.abc import Iterable
 from typing import NewType
 
-from almonddock_core.model import WorkloadId
+import xxhash
+
+from almonddock_core.model import HostId, WorkloadId
 
 #: A caller's key within its workload, as 32 hexadecimal digits.
 KeyDigest = NewType('KeyDigest', str)
@@ -32,3 +35,17 @@
 def find_partition(key: KeyDigest, partitions: int) -> PartitionId:
     """Returns the partition that the key belongs to."""
     return PartitionId(int(key, _HEX) % partitions)
+
+
+def find_log_owner(
+    partition: PartitionId,
+    hosts: Iterable[HostId],
+) -> HostId | None:
+    """Returns the host that serves the partition (rendezvous hash)."""
+    return max(
+        hosts,
+        key=lambda host: xxhash.xxh3_64_intdigest(
+            f'log {partition}\0{host}'.encode(),
+        ),
+        default=None,
+    )
--- a/packages/core/almonddock_core/idempotency/_settings.py
+++ b/packages/core/almonddock_core/idempotency/_settings.py
@@ -11,7 +11,7 @@
     #: Partitions of the key space; each has one owner host at a time.
     partitions: int = 1
     #: Store keys of the log start with this.
-    prefix: str = 'almonddock/idempotency/'
+    prefix: str = 'idempotency/'
     #: A key is remembered at least this long after its last record.
     retention: timedelta = timedelta(minutes=5)
     #: A segment of this many bytes is sealed and the next one opened.
--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -33,7 +33,9 @@
 from almonddock_daemon.adapters import StoreSettings as StoreLimits
 from almonddock_daemon.controllers import (
     ConfigurationController,
+    IdempotencyController,
     MembershipController,
+    Reach,
     ScatterController,
     TargetController,
 )
@@ -42,6 +44,7 @@
     Handler,
     RunningQueries,
     build_admission_filter,
+    build_at_most_once_filter,
     build_chain,
     build_coverage_handler,
     build_deadline_filter,
@@ -65,6 +68,9 @@
 SEED_BITS = 64
 REQUEST_ID_BYTES = 16
 
+#: Store calls a second for the idempotency log, apart from the others.
+LOG_CALLS = 200
+
 #: How often a stopping host looks whether accepted queries are done.
 DRAIN_POLL_S = 0.02
 
@@ -119,6 +125,27 @@
             own,
             self._apply_membership,
         )
+        self._log_store = StoreClient(
+            StoreLimits(
+                endpoints=settings.store.endpoints,
+                prefix=settings.store.prefix,
+                calls_per_second=LOG_CALLS,
+                burst=LOG_CALLS,
+            ),
+            self._clock,
+            source,
+        )
+        self._idempotency = IdempotencyController(
+            own.host,
+            f'{own.host}.{own.incarnation}',
+            self._log_store,
+            self._clock,
+            Reach(self._mesh.send, self._mesh.connect),
+        )
+        self._mesh.subscribe(
+            self._idempotency.receive,
+            self._idempotency.lose_owner,
+        )
         self._chain = self._build_chain()
 
     async def run(self) -> None:
@@ -142,10 +169,7 @@
         await serving
         for task in tasks:
             task.cancel()
-        self._targets.close()
-        await self._mesh.stop()
-        await self._store.close()
-        self._tracing.stop()
+        await self._close()
         LOG.info('host_stopped')
 
     def stop(self) -> None:
@@ -153,6 +177,14 @@
         LOG.info('host_stopping')
         self._stopping.set()
 
+    async def _close(self) -> None:
+        self._targets.close()
+        await self._idempotency.close()
+        await self._mesh.stop()
+        await self._log_store.close()
+        await self._store.close()
+        self._tracing.stop()
+
     async def _drain(self, server: HttpServer) -> None:
         while self._running.count or self._targets.outstanding:
             await asyncio.sleep(DRAIN_POLL_S)
@@ -170,6 +202,11 @@
                     self._stopping.is_set,
                     clock,
                 ),
+                build_at_most_once_filter(
+                    self._idempotency.claim,
+                    self._idempotency.finish,
+                    clock,
+                ),
                 build_snapshot_filter(self._pin),
                 build_scatter_filter(self._scatters.run),
             ],
@@ -232,6 +269,9 @@
         self._mesh.update_addresses(
             {host: member.address for host, member in view.members.items()},
         )
+        self._idempotency.update_hosts(
+            member.host for member in view.list_owners()
+        )
         self._place(self._configuration.view, view)
 
     def _place(self, deployment: Deployment, view: MembershipView) -> None:
@@ -273,6 +313,7 @@
         state.set({'name': 'queries_running'}, self._running.count)
         state.set({'name': 'revision'}, self._configuration.view.revision)
         state.set({'name': 'store_calls'}, self._store.calls)
+        state.set({'name': 'log_store_calls'}, self._log_store.calls)
         return self._metrics.render()
 
 
--- a/packages/daemon/almonddock_daemon/adapters/_store_client.py
+++ b/packages/daemon/almonddock_daemon/adapters/_store_client.py
@@ -76,10 +76,23 @@
             'range_end': codec.find_prefix_end(self._settings.prefix + prefix),
             'keys_only': True,
         }
-        found = codec.parse_revisions(await self._read(_RANGE, request))
+        found = codec.parse_entries(await self._read(_RANGE, request))
         return {
-            key.removeprefix(self._settings.prefix): revision
-            for key, revision in found.items()
+            key.removeprefix(self._settings.prefix): stored.revision
+            for key, stored in found.items()
+        }
+
+    async def read_all(self, prefix: str) -> dict[str, StoredValue]:
+        """Returns all keys with the prefix and what they hold."""
+        full = self._settings.prefix + prefix
+        request = {
+            'key': codec.encode_text(full),
+            'range_end': codec.find_prefix_end(full),
+        }
+        found = codec.parse_entries(await self._read(_RANGE, request))
+        return {
+            key.removeprefix(self._settings.prefix): stored
+            for key, stored in found.items()
         }
 
     async def put(self, key: str, content: bytes) -> None:
--- a/packages/daemon/almonddock_daemon/adapters/_store_codec.py
+++ b/packages/daemon/almonddock_daemon/adapters/_store_codec.py
@@ -96,10 +96,10 @@
         yield _parse_value(entry)
 
 
-def parse_revisions(reply: JsonObject) -> dict[str, int]:
-    """Returns the keys of a range reply with their revisions."""
+def parse_entries(reply: JsonObject) -> dict[str, StoredValue]:
+    """Returns the keys of a range reply; values may be left out."""
     return {
-        base64.b64decode(entry[_KEY]).decode(): int(entry['mod_revision'])
+        base64.b64decode(entry[_KEY]).decode(): _parse_value(entry)
         for entry in reply.get('kvs', ())
     }
 
--- a/packages/daemon/almonddock_daemon/controllers/__init__.py
+++ b/packages/daemon/almonddock_daemon/controllers/__init__.py
@@ -6,13 +6,19 @@
 from almonddock_daemon.controllers._configuration import (
     ConfigurationController,
 )
+from almonddock_daemon.controllers._idempotency import (
+    IdempotencyController,
+    Reach,
+)
 from almonddock_daemon.controllers._membership import MembershipController
 from almonddock_daemon.controllers._scatters import ScatterController
 from almonddock_daemon.controllers._targets import TargetController
 
 __all__ = [
     'ConfigurationController',
+    'IdempotencyController',
     'MembershipController',
+    'Reach',
     'ScatterController',
     'TargetController',
 ]
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/controllers/_log_server.py
@@ -0,0 +1,122 @@
+"""Runs one partition of the idempotency log against the store."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+from almonddock_core.idempotency import (
+    CallLost,
+    Claim,
+    Decision,
+    Finish,
+    LogAction,
+    PartitionLog,
+    Read,
+    ReadDone,
+    StoreEntry,
+    StoreReply,
+    Write,
+    WriteConflict,
+    WriteDone,
+)
+from almonddock_core.model import Clock, StoreUnavailableError
+from almonddock_core.store import Conflict, Swapped
+from almonddock_daemon.adapters import StoreClient
+
+#: How often a closing log looks whether it is idle.
+IDLE_POLL_S = 0.02
+
+#: Takes the decision on a claim.
+Decide = Callable[[Decision], None]
+
+
+class LogServer:
+    """A :class:`PartitionLog` with its timer and its store calls."""
+
+    def __init__(
+        self,
+        log: PartitionLog,
+        store: StoreClient,
+        clock: Clock,
+        decide: Decide,
+    ) -> None:
+        self._log = log
+        self._store = store
+        self._clock = clock
+        self._decide = decide
+        self._timer: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._tick()
+
+    def claim(self, claim: Claim) -> None:
+        """Passes on a claim."""
+        self._carry_out(self._log.claim(claim, self._clock.now()))
+
+    def finish(self, finish: Finish) -> None:
+        """Passes on a report."""
+        self._carry_out(self._log.finish(finish, self._clock.now()))
+
+    async def close(self, patience: timedelta) -> None:
+        """Writes what is left, but waits no longer than ``patience``."""
+        self._carry_out(self._log.close(self._clock.now()))
+        latest = self._clock.now() + patience
+        while not self._log.is_idle and self._clock.now() < latest:
+            await asyncio.sleep(IDLE_POLL_S)
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in self._tasks:
+            task.cancel()
+
+    def _carry_out(self, actions: Iterable[LogAction]) -> None:
+        for action in actions:
+            if isinstance(action, (Read, Write)):
+                task = asyncio.create_task(self._call(action))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            else:
+                self._decide(action)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        wake = self._log.next_wake()
+        if wake is not None:
+            wait = max(wake - self._clock.now(), timedelta())
+            self._timer = asyncio.get_running_loop().call_later(
+                wait.total_seconds(),
+                self._tick,
+            )
+
+    def _tick(self) -> None:
+        self._carry_out(self._log.tick(self._clock.now()))
+
+    async def _call(self, call: Read | Write) -> None:
+        try:
+            reply = await self._send(call)
+        except StoreUnavailableError:
+            reply = CallLost(call.call)
+        actions = self._log.store_replied(reply, self._clock.now())
+        self._carry_out(actions)
+
+    async def _send(self, call: Read | Write) -> StoreReply:
+        if isinstance(call, Read):
+            found = await self._store.read_all(call.prefix)
+            return ReadDone(
+                call.call,
+                tuple(
+                    StoreEntry(key, stored.value, stored.revision)
+                    for key, stored in sorted(found.items())
+                ),
+            )
+        swapped = await self._store.swap(
+            call.key,
+            call.value,
+            call.expected or None,
+        )
+        if isinstance(swapped, Swapped):
+            return WriteDone(call.call, swapped.revision)
+        if isinstance(swapped, Conflict):
+            return WriteConflict(call.call)
+        return CallLost(call.call)
--- a/packages/daemon/almonddock_daemon/filters/__init__.py
+++ b/packages/daemon/almonddock_daemon/filters/__init__.py
@@ -8,6 +8,7 @@
     RunningQueries,
     build_admission_filter,
 )
+from almonddock_daemon.filters._at_most_once import build_at_most_once_filter
 from almonddock_daemon.filters._chain import (
     Exchange,
     Filter,
@@ -26,6 +27,7 @@
     'Handler',
     'RunningQueries',
     'build_admission_filter',
+    'build_at_most_once_filter',
     'build_chain',
     'build_coverage_handler',
     'build_deadline_filter',
--- a/packages/wire/almonddock_wire/_codec.py
+++ b/packages/wire/almonddock_wire/_codec.py
@@ -16,7 +16,16 @@
     DocumentReply,
     DocumentRequest,
 )
+from almonddock_core.idempotency import (
+    Claim,
+    Decision,
+    Finish,
+    Grant,
+    Refuse,
+    Repeat,
+)
 from almonddock_core.membership import Probe, ProbeReply, ProbeRequest
+from almonddock_wire import _claims as claims
 from almonddock_wire import _configuration as configuration
 from almonddock_wire import _membership as membership
 from almonddock_wire._errors import BadFrameError
@@ -46,6 +55,7 @@
 from almonddock_wire._sub_replies import read_sub_replies, write_sub_replies
 
 MembershipMessage = Probe | ProbeReply | ProbeRequest
+ClaimMessage = Claim | Finish | Decision
 ConfigurationMessage = ConfigurationHead | DocumentRequest | DocumentReply
 Message = (
     Hello
@@ -56,6 +66,7 @@
     | CancelBatch
     | MembershipMessage
     | ConfigurationMessage
+    | ClaimMessage
 )
 
 _WRITERS: Mapping[
@@ -75,6 +86,11 @@
         ConfigurationHead: configuration.write_head,
         DocumentRequest: configuration.write_document_request,
         DocumentReply: configuration.write_document_reply,
+        Claim: claims.write_claim,
+        Finish: claims.write_finish,
+        Grant: claims.write_decision,
+        Refuse: claims.write_decision,
+        Repeat: claims.write_decision,
     }
 )
 
@@ -95,6 +111,9 @@
         'configurationHead': configuration.read_head,
         'documentRequest': configuration.read_document_request,
         'documentReply': configuration.read_document_reply,
+        'claim': claims.read_claim,
+        'finish': claims.read_finish,
+        'decision': claims.read_decision,
     }
 )
 
--- a/packages/wire/almonddock_wire/messages.capnp
+++ b/packages/wire/almonddock_wire/messages.capnp
@@ -15,6 +15,9 @@
     configurationHead @9 :ConfigurationHead;
     documentRequest @10 :List(Text);
     documentReply @11 :DocumentReply;
+    claim @12 :Claim;
+    finish @13 :Finish;
+    decision @14 :Decision;
   }
 }
 
@@ -101,3 +104,28 @@
   documents @0 :List(Data);
   missing @1 :List(Text);
 }
+
+struct Claim {
+  key @0 :Text;
+  requestId @1 :Text;
+  fingerprint @2 :Text;
+  remaining @3 :Int64;
+}
+
+struct Recorded {
+  outcome @0 :Int8 = -1;
+  answer @1 :Data;
+}
+
+struct Finish {
+  key @0 :Text;
+  requestId @1 :Text;
+  recorded @2 :Recorded;
+}
+
+struct Decision {
+  claim @0 :Claim;
+  refused @1 :Int8 = -1;
+  reason @2 :UInt8;
+  recorded @3 :Recorded;
+}
--- a/packages/wire/almonddock_wire/tests/test_codec.py
+++ b/packages/wire/almonddock_wire/tests/test_codec.py
@@ -4,6 +4,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from almonddock_core.idempotency import (
+    Claim,
+    Finish,
+    Grant,
+    KeyDigest,
+    Recorded,
+    Refuse,
+    Repeat,
+)
 from almonddock_core.model import (
     AttemptId,
     DataCentreId,
@@ -11,6 +20,7 @@
     Incarnation,
     IndexVersion,
     LoadMark,
+    Outcome,
     Reason,
     ReplyStatus,
     RequestId,
@@ -72,7 +82,20 @@
     service_time=timedelta(milliseconds=9),
     open=False,
 )
+CLAIM = Claim(
+    KeyDigest('0' * 32),
+    RequestId('r1'),
+    'f' * 16,
+    SENT_AT + timedelta(milliseconds=40),
+)
+RECORDED = Recorded(Outcome.PARTIAL, b'{}')
 MESSAGES = (
+    CLAIM,
+    Finish(CLAIM.key, CLAIM.request_id, RECORDED),
+    Finish(CLAIM.key, CLAIM.request_id, recorded=None),
+    Grant(CLAIM),
+    Refuse(CLAIM, Outcome.OUTCOME_UNKNOWN, Reason.IN_PROGRESS),
+    Repeat(CLAIM, RECORDED),
     Hello(HostId('h1'), DataCentreId('north'), Incarnation(3), '127.0.0.1:1'),
     Ping(7),
     Pong(8),
