--- a/packages/daemon/almonddock_daemon/telemetry/_traces.py
+++ b/packages/daemon/almonddock_daemon/telemetry/_traces.py
@@ -3,15 +3,13 @@
 import sys
 from collections.abc import Mapping
 
-from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
-    OTLPSpanExporter,
-)
 from opentelemetry.sdk.resources import Resource
 from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
 from opentelemetry.sdk.trace.export import (
     BatchSpanProcessor,
     ConsoleSpanExporter,
     SimpleSpanProcessor,
+    SpanExporter,
 )
 from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
 from opentelemetry.trace import Span, format_span_id, format_trace_id
@@ -56,9 +54,7 @@
         )
         if settings.export == 'otlp':
             self._provider.add_span_processor(
-                BatchSpanProcessor(
-                    OTLPSpanExporter(f'{settings.endpoint}/v1/traces'),
-                ),
+                BatchSpanProcessor(_build_exporter(str(settings.endpoint))),
             )
         elif settings.export == 'lines':
             self._provider.add_span_processor(
@@ -96,6 +92,15 @@
         self._provider.shutdown()
 
 
+def _build_exporter(endpoint: str) -> SpanExporter:
+    # Imported on use: with what it needs, the exporter takes 10 MB.
+    from opentelemetry.exporter.otlp.proto.http.trace_exporter import (  # noqa: WPS433
+        OTLPSpanExporter,
+    )
+
+    return OTLPSpanExporter(f'{endpoint}/v1/traces')
+
+
 def _format_traceparent(span: Span) -> str:
     context = span.get_span_context()
     trace_id = format_trace_id(context.trace_id)
