Run the configuration and membership state machines in the daemon

Cause: the thin path read every body from the store on every host and believed the host list. Conclusion: a request that comes in the notice phase is still answered.

--- a/packages/core/almonddock_core/configuration/__init__.py
+++ b/packages/core/almonddock_core/configuration/__init__.py
@@ -54,6 +54,7 @@
     compute_digests,
     publish,
 )
+from almonddock_core.configuration._repair import repair
 from almonddock_core.configuration._state import (
     ConfigurationSettings,
     ConfigurationState,
@@ -120,4 +121,5 @@
     'publish',
     'read_documents',
     'read_head',
+    'repair',
 ]
--- a/packages/core/almonddock_core/configuration/_state.py
+++ b/packages/core/almonddock_core/configuration/_state.py
@@ -72,6 +72,8 @@
     confirmed: timedelta | None
     #: Why the host is not ready; empty when it is.
     unready: str
+    #: The revision that this host last found in the store.
+    stored: Revision
     #: Alarms raised so far, by code.
     alarms: Mapping[str, int]
 
@@ -111,6 +113,7 @@
         self._builder = DeploymentBuilder()
         self._documents: dict[Digest, bytes] = {}
         self._digest = Digest('')
+        self._stored = Revision(0)
         self._fetch: DocumentFetch | None = None
         self._rejected: dict[Digest, None] = {}
         self._alarms: dict[str, int] = {}
@@ -147,6 +150,7 @@
             heard,
             head.confirmed,
             unready,
+            self._stored,
             dict(self._alarms),
         )
 
@@ -173,6 +177,7 @@
             root = decode_root(content) if content else Root(Revision(0), '')
         except ValueError as error:
             return [self._alarm('invalid', str(error))]
+        self._stored = root.revision
         if root.revision < self.deployment.revision:
             return self._refuse_older(root, now)
         if content is None:
--- a/packages/core/almonddock_core/membership/__init__.py
+++ b/packages/core/almonddock_core/membership/__init__.py
@@ -20,6 +20,11 @@
     Send,
     ViewChanged,
 )
+from almonddock_core.membership._shutdown import (
+    ShutdownPhase,
+    ShutdownPlan,
+    ShutdownSettings,
+)
 
 __all__ = [
     'DescribeHead',
@@ -32,5 +37,8 @@
     'ProbeReply',
     'ProbeRequest',
     'Send',
+    'ShutdownPhase',
+    'ShutdownPlan',
+    'ShutdownSettings',
     'ViewChanged',
 ]
--- a/packages/core/almonddock_core/tests/test_configuration_state.py
+++ b/packages/core/almonddock_core/tests/test_configuration_state.py
@@ -17,6 +17,7 @@
     RaiseAlarm,
     RepairStore,
     publish,
+    repair,
 )
 from almonddock_core.model import DataCentreId, HostId, Revision
 from almonddock_core.tests.configuration_store import FakeStore
@@ -171,3 +172,11 @@
         self.tell(self.state, late)
         self.assertEqual(self.state.measure(late).unready, '')
         self.assertEqual(make_state().measure(NOW).unready, 'no_configuration')
+
+    def test_writes_to_a_store_that_lost_everything(self) -> None:
+        digest = self.state.describe_head(NOW).digest
+        documents = self.state.list_documents()
+        empty = FakeStore()
+        self.assertTrue(drive(empty, repair(digest, documents)))
+        self.assertEqual(empty.check_head(), self.store.check_head())
+        self.assertFalse(drive(empty, repair(digest, documents)))
--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -8,6 +8,11 @@
 from typing import Any
 
 from almonddock_core.deployment import Deployment, MergeRule
+from almonddock_core.membership import (
+    ShutdownPhase,
+    ShutdownPlan,
+    ShutdownSettings,
+)
 from almonddock_core.model import (
     Answer,
     DataCentreId,
@@ -29,11 +34,13 @@
     describe_services,
 )
 from almonddock_daemon._routing import Router
+from almonddock_daemon._state_routing import StateRouter, describe_configuration
 from almonddock_daemon.adapters import StoreClient
 from almonddock_daemon.adapters import StoreSettings as StoreLimits
 from almonddock_daemon.controllers import (
     ConfigurationController,
     MembershipController,
+    PeerSender,
     ScatterController,
     TargetController,
 )
@@ -105,20 +112,35 @@
         )
         self._router.attach(self._scatters)
         self._store = StoreClient(
-            StoreLimits(endpoints=settings.store.endpoints),
+            StoreLimits(
+                endpoints=settings.store.endpoints,
+                prefix=settings.store.prefix,
+                call_timeout=settings.store.timeout,
+            ),
             self._clock,
             source,
         )
+        peers = PeerSender(self._mesh)
         self._configuration = ConfigurationController(
+            own,
             self._store,
-            settings.store.prefix,
+            self._clock,
+            source,
+            peers,
             self._apply_deployment,
         )
         self._membership = MembershipController(
             settings.host_list,
             own,
-            self._apply_membership,
+            self._clock,
+            source,
+            peers,
+            self._configuration.describe_head,
         )
+        self._membership.subscribe(self._configuration.see_members)
+        self._membership.subscribe(self._apply_membership)
+        self._shutdown = ShutdownPlan(ShutdownSettings())
+        StateRouter(self._mesh, self._membership, self._configuration)
         self._chain = self._build_chain()
 
     async def run(self) -> None:
@@ -150,14 +172,25 @@
 
     def stop(self) -> None:
         """Begins a graceful shutdown."""
-        LOG.info('host_stopping')
-        self._stopping.set()
+        if self._shutdown.begin(self._clock.now()):
+            LOG.info('host_stopping')
+            self._membership.leave()
+            self._stopping.set()
 
     async def _drain(self, server: HttpServer) -> None:
-        while self._running.count or self._targets.outstanding:
+        phase = self._shutdown.phase
+        while phase is not ShutdownPhase.DONE:
             await asyncio.sleep(DRAIN_POLL_S)
+            outstanding = self._running.count + self._targets.outstanding
+            phase = self._shutdown.advance(outstanding, self._clock.now())
         server.should_exit = True
 
+    def _refuses_work(self) -> bool:
+        return self._shutdown.phase in {
+            ShutdownPhase.DRAINING,
+            ShutdownPhase.DONE,
+        }
+
     def _build_chain(self) -> Handler:
         clock = self._clock
         return build_chain(
@@ -167,7 +200,7 @@
                 build_admission_filter(
                     self._settings.limits,
                     self._running,
-                    self._stopping.is_set,
+                    self._refuses_work,
                     clock,
                 ),
                 build_snapshot_filter(self._pin),
@@ -229,9 +262,6 @@
         self._place(deployment, self._membership.view)
 
     def _apply_membership(self, view: MembershipView) -> None:
-        self._mesh.update_addresses(
-            {host: member.address for host, member in view.members.items()},
-        )
         self._place(self._configuration.view, view)
 
     def _place(self, deployment: Deployment, view: MembershipView) -> None:
@@ -246,9 +276,7 @@
     def _explain_unready(self) -> str:
         if self._stopping.is_set():
             return 'shutting_down'
-        if not self._configuration.view.revision:
-            return 'no_configuration'
-        return ''
+        return self._configuration.measure().unready
 
     def _describe_status(self) -> dict[str, Any]:
         view = self._membership.view
@@ -262,6 +290,9 @@
                 for host, member in sorted(view.members.items())
             },
             'unready': self._explain_unready(),
+            'configuration': describe_configuration(
+                self._configuration.measure(),
+            ),
             'targets': [
                 describe_load(load) for load in self._targets.measure_loads()
             ],
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/_state_routing.py
@@ -0,0 +1,57 @@
+"""Carries control messages between this host's controllers and others."""
+
+from typing import Any
+
+from almonddock_core.configuration import (
+    ConfigurationHead,
+    ConfigurationStatus,
+    DocumentReply,
+    DocumentRequest,
+)
+from almonddock_core.membership import Probe, ProbeReply, ProbeRequest
+from almonddock_daemon.controllers import (
+    ConfigurationController,
+    MembershipController,
+)
+from almonddock_daemon.links import Link, LinkMesh
+from almonddock_wire import Message
+
+
+class StateRouter:
+    """Hands probes and configuration messages to their controllers."""
+
+    def __init__(
+        self,
+        mesh: LinkMesh,
+        membership: MembershipController,
+        configuration: ConfigurationController,
+    ) -> None:
+        self._membership = membership
+        self._configuration = configuration
+        mesh.subscribe(self._receive, membership.lose_link)
+
+    def _receive(self, link: Link, message: Message) -> None:
+        match message:
+            case Probe() | ProbeReply() | ProbeRequest():
+                self._membership.receive(link, message)
+                self._configuration.hear_peer(
+                    message.sender,
+                    message.head,
+                    link,
+                )
+            case ConfigurationHead() | DocumentRequest() | DocumentReply():
+                self._configuration.receive(link, message)
+
+
+def describe_configuration(status: ConfigurationStatus) -> dict[str, Any]:
+    """Returns the state of the configuration as operators read it."""
+    confirmed = status.confirmed
+    return {
+        'revision': status.revision,
+        'digest': status.digest,
+        'heard_seconds_ago': status.heard.total_seconds(),
+        'confirmed_seconds_ago': (
+            None if confirmed is None else confirmed.total_seconds()
+        ),
+        'alarms': status.alarms,
+    }
--- a/packages/daemon/almonddock_daemon/adapters/_store_client.py
+++ b/packages/daemon/almonddock_daemon/adapters/_store_client.py
@@ -62,6 +62,9 @@
         )
         self._endpoints = itertools.cycle(settings.endpoints)
         self._endpoint = next(self._endpoints)
+        self._clock = clock
+        #: When the store last answered; the start before the first answer.
+        self.answered_at = clock.now()
         #: Calls sent since the start, watches included.
         self.calls = 0
 
@@ -169,6 +172,7 @@
             response.raise_for_status()
             async for line in _read_lines(response):
                 reply = codec.parse_watch(orjson.loads(line))
+                self.answered_at = self._clock.now()
                 if watch.needs_reset(reply):
                     current = await self._read_key(watch.key)
                     yield watch.reset(reply, current)
@@ -212,6 +216,7 @@
             except _LOST:
                 self._endpoint = next(self._endpoints)
                 raise
+            self.answered_at = self._clock.now()
             return _parse_object(response.content)
 
     async def _send(self, path: str, content: bytes) -> httpx.Response:
--- a/packages/daemon/almonddock_daemon/controllers/__init__.py
+++ b/packages/daemon/almonddock_daemon/controllers/__init__.py
@@ -7,12 +7,14 @@
     ConfigurationController,
 )
 from almonddock_daemon.controllers._membership import MembershipController
+from almonddock_daemon.controllers._peers import PeerSender
 from almonddock_daemon.controllers._scatters import ScatterController
 from almonddock_daemon.controllers._targets import TargetController
 
 __all__ = [
     'ConfigurationController',
     'MembershipController',
+    'PeerSender',
     'ScatterController',
     'TargetController',
 ]
--- a/packages/daemon/almonddock_daemon/controllers/_membership.py
+++ b/packages/daemon/almonddock_daemon/controllers/_membership.py
@@ -1,65 +1,159 @@
 """Keeps the view of the tier's hosts."""
 
 import asyncio
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Iterable
+from datetime import timedelta
 from typing import Any
 
 import httpx
 
+from almonddock_core.membership import (
+    DescribeHead,
+    Membership,
+    MembershipAction,
+    MembershipMessage,
+    MembershipSettings,
+    Paused,
+    Send,
+    ViewChanged,
+)
 from almonddock_core.model import (
+    Clock,
     DataCentreId,
     HostId,
     Member,
     MembershipView,
     MemberState,
 )
+from almonddock_daemon.controllers._peers import PeerSender
+from almonddock_daemon.links import Link
 from almonddock_daemon.settings import HostListSettings
 from almonddock_daemon.telemetry import LOG
 
+#: How often the state machine is woken.
+TICK = timedelta(milliseconds=100)
+
+# What a host list that cannot be read raises.
+_BAD_LIST = (httpx.HTTPError, LookupError, TypeError, ValueError)
+
 
 class MembershipController:
-    """Reads the host list and publishes immutable views."""
+    """Probes other hosts, reads the host list and publishes views."""
 
     def __init__(
         self,
         settings: HostListSettings,
         own: Member,
-        publish: Callable[[MembershipView], None],
+        clock: Clock,
+        source: random.Random,
+        peers: PeerSender,
+        describe_head: DescribeHead,
     ) -> None:
         self._settings = settings
-        self._own = own
-        self._publish = publish
-        #: The hosts known now; at first only this one.
-        self.view = MembershipView(own.host, {own.host: own})
+        self._clock = clock
+        self._peers = peers
+        self._state = Membership(
+            own,
+            MembershipSettings(),
+            source,
+            clock.now(),
+            describe_head,
+        )
+        self._listeners: list[Callable[[MembershipView], None]] = []
+        #: How often this host found that it had been paused.
+        self.pauses = 0
+
+    @property
+    def view(self) -> MembershipView:
+        """The hosts known now; at first only this one."""
+        return self._state.view
+
+    @property
+    def validated(self) -> bool:
+        """Whether the view was checked since the start or a pause."""
+        return self._state.validated
+
+    def subscribe(self, listener: Callable[[MembershipView], None]) -> None:
+        """Calls a function with each new view."""
+        self._listeners.append(listener)
 
     async def run(self) -> None:
-        """Reads the list again and again until cancelled."""
+        """Probes and reads the host list until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._tick())
+            group.create_task(self._read_lists())
+
+    def receive(self, link: Link, message: MembershipMessage) -> None:
+        """Takes a message of another host; answers go back on its link."""
+        actions = self._state.receive(message, self._clock.now())
+        self._carry_out(actions, link)
+
+    def lose_link(self, host: HostId) -> None:
+        """Probes a host at once, because a link to it was lost."""
+        self._carry_out(
+            self._state.report_unreachable(host, self._clock.now()),
+        )
+
+    def leave(self) -> None:
+        """Tells other hosts that this one takes no new work."""
+        self._carry_out(self._state.leave(self._clock.now()))
+
+    async def _tick(self) -> None:
+        while True:
+            self._carry_out(self._state.tick(self._clock.now()))
+            await asyncio.sleep(TICK.total_seconds())
+
+    async def _read_lists(self) -> None:
         async with httpx.AsyncClient(trust_env=False) as client:
             while True:
-                await self._read(client)
+                await self._read_list(client)
                 await asyncio.sleep(self._settings.period.total_seconds())
 
-    async def _read(self, client: httpx.AsyncClient) -> None:
+    async def _read_list(self, client: httpx.AsyncClient) -> None:
         try:
             response = await client.get(f'{self._settings.url}/v1/hosts')
-            listed = response.raise_for_status().json()['hosts']
-        except (httpx.HTTPError, ValueError, KeyError) as error:
+            entries = response.raise_for_status().json()['hosts']
+            listed = [_read_member(one) for one in entries]
+        except _BAD_LIST as error:
             LOG.warning('host_list_unavailable', message=repr(error))
             return
-        members = {HostId(one['host']): _read_member(one) for one in listed}
-        members[self._own.host] = self._own
-        view = MembershipView(self._own.host, members)
-        if view != self.view:
-            self.view = view
-            LOG.info('membership_changed', hosts=sorted(members))
-            self._publish(view)
+        self._peers.update_listed(
+            {member.host: member.address for member in listed},
+        )
+        now = self._clock.now()
+        self._carry_out(self._state.read_host_list(listed, now))
+
+    def _carry_out(
+        self,
+        actions: Iterable[MembershipAction],
+        link: Link | None = None,
+    ) -> None:
+        for action in actions:
+            match action:
+                case Send(host, message):
+                    self._peers.send(host, message, link)
+                case ViewChanged(view):
+                    self._publish(view)
+                case Paused(gap):
+                    self.pauses += 1
+                    LOG.warning('host_was_paused', seconds=gap.total_seconds())
+
+    def _publish(self, view: MembershipView) -> None:
+        self._peers.update_members(
+            {host: member.address for host, member in view.members.items()},
+        )
+        states = {host: one.state.value for host, one in view.members.items()}
+        LOG.info('membership_changed', hosts=states)
+        for listener in self._listeners:
+            listener(view)
 
 
 def _read_member(entry: dict[str, Any]) -> Member:
-    leaving = entry['state'] == 'leaving'
+    # Whether it is leaving is the host's own to say; the list may lag.
     return Member(
         host=HostId(entry['host']),
         data_centre=DataCentreId(entry['data_centre']),
-        address=entry['address'],
-        state=MemberState.LEAVING if leaving else MemberState.ALIVE,
+        address=str(entry['address']),
+        state=MemberState.ALIVE,
     )
--- a/packages/daemon/almonddock_daemon/settings/_settings.py
+++ b/packages/daemon/almonddock_daemon/settings/_settings.py
@@ -41,6 +41,11 @@
     prefix: str = '/almonddock/'
     timeout_ms: PeriodMs = 1000
 
+    @property
+    def timeout(self) -> timedelta:
+        """How long one call to the store may take."""
+        return timedelta(milliseconds=self.timeout_ms)
+
 
 @dataclass(frozen=True, slots=True, config=SETTINGS_CONFIG)
 class HostListSettings:
--- a/packages/standins/almonddock_standins/demo.py
+++ b/packages/standins/almonddock_standins/demo.py
@@ -5,9 +5,8 @@
 """
 
 import asyncio
-import base64
-import hashlib
 import pathlib
+import random
 import sys
 import tempfile
 from collections.abc import Iterable
@@ -17,7 +16,15 @@
 import orjson
 from pydantic import TypeAdapter
 
+from almonddock_core.configuration import (
+    CheckedFiles,
+    Published,
+    build_request,
+    publish,
+)
 from almonddock_core.deployment import DataCentresFile, ServiceFile
+from almonddock_daemon import MonotonicClock
+from almonddock_daemon.adapters import StoreClient, StoreSettings, run_steps
 from almonddock_standins._host_list import HostEntry, StandInHostList
 from almonddock_standins.deployments import DeploymentFiles, build_kyushu
 from almonddock_standins.store import StandInStore
@@ -34,6 +41,7 @@
 HOST_LIST_ADDRESS = '127.0.0.1:23201'
 READY_TIMEOUT_S = 20
 QUERIES_EACH = 20
+PUBLISH_CALLS_PER_SECOND = 500
 
 
 def list_hosts() -> list[HostEntry]:
@@ -72,32 +80,28 @@
     return paths
 
 
-async def publish(files: DeploymentFiles) -> None:
-    """Writes the bodies and the head document to the store."""
-    texts = {
-        service.service: TypeAdapter(ServiceFile).dump_json(service)
-        for service in files.services
-    }
-    texts['data-centres.json'] = TypeAdapter(DataCentresFile).dump_json(
+async def publish_files(files: DeploymentFiles) -> None:
+    """Brings the files into force, as ``almonddock publish`` does."""
+    checked = CheckedFiles(
+        files.services,
         files.data_centres,
+        {
+            service.service: TypeAdapter(ServiceFile).dump_json(service)
+            for service in files.services
+        },
+        TypeAdapter(DataCentresFile).dump_json(files.data_centres),
     )
-    digests = {
-        name: hashlib.sha256(text).hexdigest() for name, text in texts.items()
-    }
-    async with httpx.AsyncClient(trust_env=False) as client:
-        for name, text in texts.items():
-            await _put(client, f'/almonddock/bodies/{digests[name]}', text)
-        head = orjson.dumps({'revision': 1, 'bodies': digests})
-        await _put(client, '/almonddock/head', head)
-
-
-async def _put(client: httpx.AsyncClient, key: str, text: bytes) -> None:
-    body = {
-        'key': base64.b64encode(key.encode()).decode(),
-        'value': base64.b64encode(text).decode(),
-    }
-    response = await client.post(f'http://{STORE_ADDRESS}/v3/kv/put', json=body)
-    response.raise_for_status()
+    settings = StoreSettings(
+        (f'http://{STORE_ADDRESS}',),
+        prefix='/almonddock/',
+        calls_per_second=PUBLISH_CALLS_PER_SECOND,
+    )
+    store = StoreClient(settings, MonotonicClock(), random.Random(0))
+    request = build_request(checked, 'demonstration')
+    published = await run_steps(store, publish(request))
+    await store.close()
+    if not isinstance(published, Published):
+        raise TypeError(f'the files were not published: {published}')
 
 
 async def wait_ready(urls: Iterable[str]) -> None:
@@ -142,7 +146,7 @@
     for service in files.services:
         for entry in service.targets:
             await StandInTarget(build_settings(service, entry, times)).start()
-    await publish(files)
+    await publish_files(files)
 
 
 async def start_daemon(path: pathlib.Path) -> asyncio.subprocess.Process:
