--- a/packages/daemon/almonddock_daemon/controllers/__init__.py
+++ b/packages/daemon/almonddock_daemon/controllers/__init__.py
@@ -11,6 +11,7 @@
     Reach,
 )
 from almonddock_daemon.controllers._membership import MembershipController
+from almonddock_daemon.controllers._peers import PeerSender
 from almonddock_daemon.controllers._scatters import ScatterController
 from almonddock_daemon.controllers._targets import TargetController
 
@@ -18,6 +19,7 @@
     'ConfigurationController',
     'IdempotencyController',
     'MembershipController',
+    'PeerSender',
     'Reach',
     'ScatterController',
     'TargetController',
