--- a/bench/truth/soak.py
+++ b/bench/truth/soak.py
@@ -4,6 +4,9 @@
 from collections.abc import Iterator
 
 from almonddock_core.tests.test_idempotency_schedules import run_schedule
+from almonddock_core.tests.test_truth_schedules import (
+    run_schedule as run_query_schedule,
+)
 from bench import Measurement, Subject, experiment, limit_value, note_value
 
 SCHEDULES = 50_000
@@ -26,3 +29,20 @@
     for kind, count in sorted(counts.items()):
         name = f'soak_log.{kind.lower()}'
         yield note_value(Subject(name, 'log', FIRST_SEED), count, 'decisions')
+
+
+@experiment('soak_answers', seconds=600)
+def soak_answers() -> Iterator[Measurement]:
+    """Plays 50,000 fault schedules of whole queries."""
+    seen: Counter[str] = Counter()
+    violations = 0
+    for seed in range(FIRST_SEED, FIRST_SEED + SCHEDULES):
+        found, kinds = run_query_schedule(seed)
+        violations += len(found)
+        seen += kinds
+    subject = Subject('soak_answers.violations', 'queries', FIRST_SEED)
+    yield limit_value(subject, violations, 'violations', bound=0)
+    for kind, count in sorted(seen.items()):
+        name = f'soak_answers.{kind.replace(" ", "_")}'
+        figure = Subject(name, 'queries', FIRST_SEED)
+        yield note_value(figure, count, 'queries')
--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_truth_schedules.py
@@ -0,0 +1,361 @@
+"""Random fault schedules of whole queries; ``bench/truth`` runs more."""
+
+import heapq
+import random
+import unittest
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+from functools import cache, partial
+
+import orjson
+
+from almonddock_core.deployment import (
+    DataCentreEntry,
+    DataCentresFile,
+    Deployment,
+    MergeRule,
+    ServiceFile,
+    TargetEntry,
+    VersionEntry,
+    build_deployment,
+)
+from almonddock_core.model import (
+    Answer,
+    AttemptId,
+    HostId,
+    IndexVersion,
+    Outcome,
+    Plan,
+    Query,
+    Reason,
+    ReplyStatus,
+    RequestId,
+    Revision,
+    ShardId,
+    SubQuery,
+    SubReply,
+    TargetId,
+    WorkloadId,
+)
+from almonddock_core.scatter import (
+    Finish,
+    LatencyTable,
+    Scatter,
+    ScatterAction,
+    ScatterContext,
+    ScatterSettings,
+    Send,
+    TryBudget,
+)
+from almonddock_core.truth import (
+    VersionTable,
+    build_answer,
+    choose_result,
+    pin_snapshot,
+    plan_again,
+)
+
+MS = timedelta(milliseconds=1)
+DESK = WorkloadId('desk')
+SCHEDULES = 2000
+Event = tuple[timedelta, int, Callable[[], None]]
+
+
+@cache
+def make_deployment(replicas: int) -> Deployment:
+    """Two services; each version splits the shards in another way."""
+    maps = {1: ('all',), 2: ('left', 'right'), 3: ('a', 'b', 'c')}
+    shards = tuple(sorted(one for every in maps.values() for one in every))
+    services = [
+        ServiceFile(
+            service=name,
+            workload='desk',
+            index_versions=tuple(
+                VersionEntry(version=version, shards=every)
+                for version, every in maps.items()
+            ),
+            targets=tuple(
+                TargetEntry(
+                    name=f't{number}',
+                    address='127.0.0.1:9001',
+                    data_centre='north',
+                    shards=shards,
+                    slots=2,
+                    connections=5,
+                )
+                for number in range(replicas)
+            ),
+        )
+        for name in ('one', 'two')
+    ]
+    return build_deployment(
+        Revision(1),
+        services,
+        DataCentresFile(data_centres=(DataCentreEntry('north', 'kyushu'),)),
+    )
+
+
+@dataclass(slots=True)
+class World:
+    """One query against targets that fail, lag, lie and lose messages."""
+
+    dice: random.Random
+    deployment: Deployment
+    query: Query
+    held: dict[TargetId, set[int]]
+    #: Which faults happen, and to which share of the tries.
+    faults: tuple[str, ...]
+    severity: float
+    now: timedelta = timedelta()
+    events: list[Event] = field(default_factory=list)
+    number: int = 0
+    versions: VersionTable = field(default_factory=VersionTable)
+    #: What ran, as the targets know it.
+    ran: Counter[tuple[IndexVersion, ShardId]] = field(default_factory=Counter)
+    answer: Answer | None = None
+    plans: int = 0
+
+    def after(self, wait: timedelta, event: Callable[[], None]) -> None:
+        self.number += 1
+        heapq.heappush(self.events, (self.now + wait, self.number, event))
+
+    def run(self) -> Answer:
+        self.start(self.pin(), None)
+        while self.events:
+            at, _number, event = heapq.heappop(self.events)
+            self.now = at
+            event()
+        assert self.answer is not None
+        return self.answer
+
+    def pin(self) -> Plan:
+        owners = {
+            name: HostId(f'h{index % 3}')
+            for index, name in enumerate(sorted(self.deployment.targets))
+        }
+        return pin_snapshot(self.deployment, DESK, self.versions, owners)
+
+    def start(self, plan: Plan, earlier: Finish | None) -> None:
+        self.plans += 1
+        context = ScatterContext(
+            TryBudget(), {}, random.Random(1), LatencyTable()
+        )
+        scatter = Scatter(
+            self.query,
+            plan,
+            ScatterSettings(),
+            context,
+            first_attempt=self.plans * 1000,
+        )
+        step = partial(self.act, scatter, plan, earlier)
+        step(scatter.start(self.now))
+        if self.dice.randrange(4) == 0:
+            lost = HostId(self.dice.choice(('h0', 'h1', 'h2')))
+            self.after(
+                self.dice.randint(1, 90) * MS,
+                lambda: step(scatter.lose_owner(lost, self.now)),
+            )
+
+    def act(
+        self,
+        scatter: Scatter,
+        plan: Plan,
+        earlier: Finish | None,
+        actions: list[ScatterAction],
+    ) -> None:
+        step = partial(self.act, scatter, plan, earlier)
+        for action in actions:
+            if isinstance(action, Send):
+                for reply in self.ask(action.sub):
+                    arrive = partial(self.observe, scatter, reply, plan, step)
+                    self.after(self.dice.randint(1, 120) * MS, arrive)
+            elif isinstance(action, Finish):
+                self.end(plan, earlier, action)
+        wake = scatter.next_wake()
+        if wake is not None:
+            wait = max(wake - self.now, MS)
+            self.after(wait, lambda: self.tick(scatter, step))
+
+    def tick(
+        self, scatter: Scatter, step: Callable[[list[ScatterAction]], None]
+    ) -> None:
+        wake = scatter.next_wake()
+        if wake is not None and wake <= self.now:
+            step(scatter.tick(self.now))
+
+    def observe(
+        self,
+        scatter: Scatter,
+        reply: SubReply,
+        plan: Plan,
+        step: Callable[[list[ScatterAction]], None],
+    ) -> None:
+        if reply.reason is Reason.WRONG_VERSION:
+            self.versions.learn_gone(reply.target, plan.version, self.now)
+        step(scatter.receive(reply, self.now))
+
+    def ask(self, sub: SubQuery) -> list[SubReply]:
+        """Returns the replies of the target to one try."""
+        reply = SubReply(
+            attempt_id=sub.attempt_id,
+            request_id=sub.request_id,
+            shard=sub.shard,
+            target=sub.target,
+            status=ReplyStatus.OK,
+            version=sub.version,
+            rows=make_rows(sub.request_id, sub.shard, sub.version),
+        )
+        hit = self.dice.random() < self.severity
+        fault = self.dice.choice(self.faults) if hit else ''
+        if fault == 'drops_version':
+            self.held[sub.target].discard(sub.version)
+        if sub.version not in self.held[sub.target]:
+            reason = Reason.WRONG_VERSION
+            return [refuse(reply, ReplyStatus.NOT_RUN, reason)]
+        if fault == 'refuses':
+            return [refuse(reply, ReplyStatus.NOT_RUN, Reason.COLD)]
+        self.ran[sub.version, sub.shard] += 1
+        return self.spoil(reply, fault)
+
+    def spoil(self, reply: SubReply, fault: str) -> list[SubReply]:
+        """Returns what arrives of a reply that was sent."""
+        other = IndexVersion(9)
+        crossed = RequestId('other')
+        shard = ShardId('one/other')
+        lies = {
+            'fails': refuse(reply, ReplyStatus.FAILED, Reason.TARGET_FAILED),
+            'breaks': refuse(
+                reply, ReplyStatus.UNKNOWN, Reason.TARGET_UNREACHABLE
+            ),
+            'other_version': replace(
+                reply,
+                version=other,
+                rows=make_rows(reply.request_id, reply.shard, other),
+            ),
+            'other_request': replace(
+                reply,
+                request_id=crossed,
+                rows=make_rows(crossed, reply.shard, self.pin().version),
+            ),
+            'other_shard': replace(
+                reply,
+                shard=shard,
+                rows=make_rows(reply.request_id, shard, self.pin().version),
+            ),
+            'other_try': replace(reply, attempt_id=AttemptId('r:7')),
+            'bad_rows': replace(reply, rows=b'[{"shard"'),
+        }
+        if fault == 'silent':
+            return []
+        if fault == 'doubled':
+            return [reply, reply]
+        return [lies.get(fault, reply)]
+
+    def end(self, plan: Plan, earlier: Finish | None, last: Finish) -> None:
+        result = last.result
+        if earlier is None:
+            fresh = plan_again(self.query, plan, result, self.pin, self.now)
+            if fresh is not None:
+                self.start(fresh, last)
+                return
+        else:
+            result = choose_result(earlier.result, result)
+        assert self.answer is None, 'a query ends once'
+        self.answer = build_answer(
+            self.query, plan, result, MergeRule(), self.now
+        )
+
+
+FAULTS = (
+    'refuses',
+    'fails',
+    'breaks',
+    'silent',
+    'doubled',
+    'drops_version',
+    'other_version',
+    'other_request',
+    'other_shard',
+    'other_try',
+    'bad_rows',
+)
+
+
+def make_rows(
+    request_id: RequestId, shard: ShardId, version: IndexVersion
+) -> bytes:
+    return orjson.dumps([[request_id, shard, version]])
+
+
+def refuse(reply: SubReply, status: ReplyStatus, reason: Reason) -> SubReply:
+    return replace(reply, status=status, reason=reason, version=None, rows=b'')
+
+
+def find_violations(world: World, answer: Answer) -> list[str]:
+    """Compares an answer with what the targets know."""
+    found = []
+    version = answer.version
+    rows = orjson.loads(answer.rows)
+    if any(row[2] != version for row in rows):
+        found.append('mixed snapshot')
+    if any(row[0] != world.query.request_id for row in rows):
+        found.append('crossed answer')
+    missing = {one.shard for one in answer.coverage.missing}
+    if version is not None:
+        shards = set(world.deployment.list_shards(DESK, version))
+        claimed = sorted(shards - missing)
+        if sorted(row[1] for row in rows) != claimed:
+            found.append('false coverage')
+        if any(not world.ran[version, shard] for shard in claimed):
+            found.append('covered without a run')
+        if answer.coverage.total != len(shards):
+            found.append('false total')
+    if answer.outcome is Outcome.NOT_RUN and world.ran:
+        found.append('false not run')
+    if not world.query.idempotent:
+        if any(count > 1 for count in world.ran.values()):
+            found.append('doubled run')
+        if len({ran_version for ran_version, _ in world.ran}) > 1:
+            found.append('doubled run on another version')
+    return found
+
+
+def run_schedule(seed: int) -> tuple[list[str], Counter[str]]:
+    """Runs one query under one random schedule."""
+    dice = random.Random(seed)
+    deployment = make_deployment(dice.randint(1, 3))
+    query = Query(
+        request_id=RequestId('r'),
+        workload=DESK,
+        body=b'{}',
+        deadline=300 * MS,
+        idempotent=dice.choice((True, False)),
+    )
+    held = {
+        name: set(dice.sample((1, 2, 3), dice.randint(1, 3)))
+        for name in sorted(deployment.targets)
+    }
+    if dice.choice((True, False)):
+        held = {name: {1, 2, 3} for name in held}
+    faults = tuple(dice.sample(FAULTS, dice.randint(1, len(FAULTS))))
+    if dice.randrange(4) == 0:
+        faults = ('refuses', 'drops_version')
+    severity = dice.choice((0.02, 0.3, 1))
+    world = World(dice, deployment, query, held, faults, severity)
+    answer = world.run()
+    seen = Counter({answer.outcome.value: 1})
+    seen['planned again'] += world.plans > 1
+    return find_violations(world, answer), seen
+
+
+class ScheduleTest(unittest.TestCase):
+    def test_no_schedule_breaks_an_answer(self) -> None:
+        seen: Counter[str] = Counter()
+        for seed in range(SCHEDULES):
+            violations, kinds = run_schedule(seed)
+            self.assertEqual(violations, [], f'seed {seed}')
+            seen += kinds
+        for kind in (*(one.value for one in Outcome), 'planned again'):
+            self.assertGreater(seen[kind], SCHEDULES // 50, seen)
--- a/packages/core/almonddock_core/truth/__init__.py
+++ b/packages/core/almonddock_core/truth/__init__.py
@@ -7,7 +7,9 @@
 """
 
 from almonddock_core.truth._answer import build_answer
+from almonddock_core.truth._failures import TryEvent, Verdict, classify_try
 from almonddock_core.truth._merge import check_rows, merge_partial, merge_rows
+from almonddock_core.truth._replan import choose_result, plan_again
 from almonddock_core.truth._rows import BadRowsError
 from almonddock_core.truth._snapshot import SnapshotCache, pin_snapshot
 from almonddock_core.truth._versions import VersionTable
@@ -15,10 +17,15 @@
 __all__ = [
     'BadRowsError',
     'SnapshotCache',
+    'TryEvent',
+    'Verdict',
     'VersionTable',
     'build_answer',
     'check_rows',
+    'choose_result',
+    'classify_try',
     'merge_partial',
     'merge_rows',
     'pin_snapshot',
+    'plan_again',
 ]
--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -27,7 +27,6 @@
 )
 from almonddock_core.owners import OwnerSettings, place_targets
 from almonddock_core.scatter import ScatterSettings
-from almonddock_core.truth import VersionTable, pin_snapshot
 from almonddock_daemon._clock import MonotonicClock
 from almonddock_daemon._descriptions import (
     describe_load,
@@ -44,6 +43,7 @@
     PeerSender,
     Reach,
     ScatterController,
+    SnapshotController,
     TargetController,
 )
 from almonddock_daemon.filters import (
@@ -95,7 +95,7 @@
         self._stopping = asyncio.Event()
         own = _describe_self(settings)
         self._own = own
-        self._versions = VersionTable()
+        self._snapshots = SnapshotController(self._clock)
         self._owners: Mapping[TargetId, HostId] = {}
         self._mesh = LinkMesh(_build_hello(own), self._clock)
         self._targets = TargetController(
@@ -115,6 +115,7 @@
             source,
             self._router.send,
             self._router.connect,
+            self._snapshots.observe,
         )
         self._router.attach(self._scatters)
         self._store = StoreClient(
@@ -177,6 +178,7 @@
         tasks = [
             asyncio.create_task(self._configuration.run()),
             asyncio.create_task(self._membership.run()),
+            asyncio.create_task(self._snapshots.run()),
         ]
         server = build_server(
             build_application(
@@ -242,7 +244,7 @@
                     clock,
                 ),
                 build_snapshot_filter(self._pin),
-                build_scatter_filter(self._scatters.run),
+                build_scatter_filter(self._scatters.run, self._pin, clock),
             ],
             build_coverage_handler(self._find_rule, clock),
         )
@@ -284,10 +286,9 @@
         metrics.extra_tries.add(labels, answer.extra_tries)
 
     def _pin(self, workload: WorkloadId) -> Plan:
-        return pin_snapshot(
+        return self._snapshots.pin(
             self._configuration.view,
             workload,
-            self._versions,
             self._owners,
         )
 
--- a/packages/daemon/almonddock_daemon/controllers/__init__.py
+++ b/packages/daemon/almonddock_daemon/controllers/__init__.py
@@ -13,6 +13,7 @@
 from almonddock_daemon.controllers._membership import MembershipController
 from almonddock_daemon.controllers._peers import PeerSender
 from almonddock_daemon.controllers._scatters import ScatterController
+from almonddock_daemon.controllers._snapshots import SnapshotController
 from almonddock_daemon.controllers._targets import TargetController
 
 __all__ = [
@@ -22,5 +23,6 @@
     'PeerSender',
     'Reach',
     'ScatterController',
+    'SnapshotController',
     'TargetController',
 ]
--- a/packages/daemon/almonddock_daemon/controllers/_scatters.py
+++ b/packages/daemon/almonddock_daemon/controllers/_scatters.py
@@ -10,11 +10,13 @@
     AttemptId,
     Clock,
     HostId,
+    IndexVersion,
     Plan,
     Query,
     RequestId,
     ScatterResult,
     SubQuery,
+    SubReply,
     TargetId,
     TargetLoad,
 )
@@ -37,12 +39,17 @@
 #: Opens a link to an owner; returns whether one is open.
 Connect = Callable[[HostId], Awaitable[bool]]
 
+#: Learns from a reply to a sub-query with a pinned version.
+Observe = Callable[[SubReply, IndexVersion], None]
+
 
 class _Running:
     """A scatter, the future of its result and its timer."""
 
-    def __init__(self, scatter: Scatter) -> None:
+    def __init__(self, scatter: Scatter, version: IndexVersion) -> None:
         self.scatter = scatter
+        #: The pinned version.
+        self.version = version
         self.done: asyncio.Future[ScatterResult] = (
             asyncio.get_running_loop().create_future()
         )
@@ -65,8 +72,10 @@
         source: random.Random,
         send: SendMessage,
         connect: Connect,
+        observe: Observe,
     ) -> None:
         self._settings = settings
+        self._observe = observe
         self._clock = clock
         self._send = send
         self._connect = connect
@@ -85,10 +94,21 @@
         """Scatters that have no result yet."""
         return len(self._running)
 
-    async def run(self, query: Query, plan: Plan) -> ScatterResult:
+    async def run(
+        self,
+        query: Query,
+        plan: Plan,
+        first_attempt: int = 0,
+    ) -> ScatterResult:
         """Returns the result, at the latest at the query's deadline."""
-        scatter = Scatter(query, plan, self._settings, self._context)
-        running = _Running(scatter)
+        scatter = Scatter(
+            query,
+            plan,
+            self._settings,
+            self._context,
+            first_attempt=first_attempt,
+        )
+        running = _Running(scatter, plan.version)
         self._running[query.request_id] = running
         try:
             self._carry_out(running, scatter.start(self._clock.now()))
@@ -105,6 +125,7 @@
         for reply in batch.replies:
             running = self._running.get(reply.request_id)
             if running is not None:
+                self._observe(reply, running.version)
                 actions = running.scatter.receive(reply, now)
                 self._carry_out(running, actions)
 
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/controllers/_snapshots.py
@@ -0,0 +1,55 @@
+"""Keeps what each target holds and pins snapshots for queries."""
+
+import asyncio
+from collections.abc import Mapping
+
+from almonddock_core.deployment import Deployment
+from almonddock_core.model import (
+    Clock,
+    HostId,
+    IndexVersion,
+    Plan,
+    Reason,
+    ReplyStatus,
+    SubReply,
+    TargetId,
+    WorkloadId,
+)
+from almonddock_core.truth import SnapshotCache, VersionTable
+
+TICK_S = 1
+
+
+class SnapshotController:
+    """Owns the table of versions and the plans made from it."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._versions = VersionTable()
+        self._cache = SnapshotCache(self._versions)
+
+    async def run(self) -> None:
+        """Forgets old evidence until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._versions.tick(self._clock.now())
+
+    def pin(
+        self,
+        deployment: Deployment,
+        workload: WorkloadId,
+        owners: Mapping[TargetId, HostId],
+    ) -> Plan:
+        """Returns the snapshot for a query that starts now."""
+        return self._cache.pin(deployment, workload, owners)
+
+    def observe(self, reply: SubReply, pinned: IndexVersion) -> None:
+        """Learns which version a target read or refused."""
+        now = self._clock.now()
+        read = reply.version
+        answered = reply.status is ReplyStatus.OK
+        if answered and read is not None:
+            self._versions.learn(reply.target, read, now)
+        refused = reply.reason is Reason.WRONG_VERSION
+        if refused or (answered and read != pinned):
+            self._versions.learn_gone(reply.target, pinned, now)
--- a/packages/daemon/almonddock_daemon/filters/_scatter.py
+++ b/packages/daemon/almonddock_daemon/filters/_scatter.py
@@ -1,21 +1,63 @@
 """Sends the sub-queries of each query and collects the replies."""
 
 import dataclasses
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
+from functools import partial
+from typing import Protocol
 
-from almonddock_core.model import Answer, Plan, Query, ScatterResult
+from almonddock_core.model import Answer, Clock, Plan, Query, ScatterResult
+from almonddock_core.truth import choose_result, plan_again
 from almonddock_daemon.filters._chain import Exchange, Filter, Handler
+from almonddock_daemon.filters._snapshot import Pin
 
-#: Runs the sub-queries of a plan until they are in or out of time.
-RunScatter = Callable[[Query, Plan], Awaitable[ScatterResult]]
+#: Each plan of a query numbers its tries from a multiple of this.
+ATTEMPTS_EACH = 65_536
 
 
-def build_scatter_filter(run_scatter: RunScatter) -> Filter:
-    """Returns a filter that adds the collected replies."""
+class RunScatter(Protocol):
+    """Runs the sub-queries of a plan until they are in or out of time."""
+
+    async def __call__(
+        self,
+        query: Query,
+        plan: Plan,
+        first_attempt: int = 0,
+    ) -> ScatterResult:
+        """Returns what was collected."""
+        ...
+
+
+def build_scatter_filter(
+    run_scatter: RunScatter,
+    pin: Pin,
+    clock: Clock,
+) -> Filter:
+    """Returns a filter that adds the collected replies.
+
+    A query whose snapshot is gone is run once more, whole, on another one.
+    """
 
     async def scatter(exchange: Exchange, following: Handler) -> Answer:
         assert exchange.plan is not None
-        result = await run_scatter(exchange.query, exchange.plan)
-        return await following(dataclasses.replace(exchange, result=result))
+        query = exchange.query
+        result = await run_scatter(query, exchange.plan)
+        pin_again: Callable[[], Plan] = partial(pin, query.workload)
+        fresh = plan_again(
+            query,
+            exchange.plan,
+            result,
+            pin_again,
+            clock.now(),
+        )
+        if fresh is not None:
+            second = await run_scatter(query, fresh, ATTEMPTS_EACH)
+            result = choose_result(result, second)
+        return await following(
+            dataclasses.replace(
+                exchange,
+                plan=fresh or exchange.plan,
+                result=result,
+            ),
+        )
 
     return scatter
