--- /dev/null
+++ b/packages/cli/almonddock_cli/_files.py
@@ -0,0 +1,71 @@
+"""Reads the operators' folder."""
+
+import pathlib
+from typing import Annotated
+
+import orjson
+import typer
+
+from almonddock_cli._exits import Exit
+from almonddock_cli._output import fail, print_json
+from almonddock_core.configuration import CheckedFiles, check_files
+from almonddock_core.model import FindingsError, Revision
+
+#: Remembers the revision that a folder was published as. Its name starts
+#: with a dot, as no service file does.
+BASE_FILE = '.almonddock.json'
+
+Folder = Annotated[
+    pathlib.Path,
+    typer.Argument(
+        metavar='DIR',
+        exists=True,
+        file_okay=False,
+        help='Folder with data-centres.json and one JSON file a service.',
+    ),
+]
+
+
+def load_folder(folder: pathlib.Path, *, as_json: bool) -> CheckedFiles:
+    """Returns the checked files, or prints every fault and exits."""
+    try:
+        return check_files(read_files(folder))
+    except FindingsError as error:
+        report_findings(error, as_json=as_json)
+        raise typer.Exit(Exit.INVALID) from error
+
+
+def read_files(folder: pathlib.Path) -> dict[str, bytes]:
+    """Returns the bytes of every JSON file by name."""
+    return {
+        path.name: path.read_bytes()
+        for path in sorted(folder.glob('*.json'))
+        if not path.name.startswith('.')
+    }
+
+
+def report_findings(error: FindingsError, *, as_json: bool) -> None:
+    """Prints every fault with its place."""
+    if as_json:
+        print_json({'code': error.code, 'findings': error.findings})
+        return
+    for finding in error.findings:
+        typer.echo(str(finding))
+    typer.echo(f'{len(error.findings)} faults found')
+
+
+def read_base(folder: pathlib.Path) -> Revision | None:
+    """Returns the revision that the folder was last published as."""
+    path = folder / BASE_FILE
+    if not path.exists():
+        return None
+    try:
+        return Revision(int(orjson.loads(path.read_bytes())['revision']))
+    except (ValueError, LookupError, TypeError) as error:
+        fail(f'{path} cannot be read: {error!r}', Exit.INVALID)
+
+
+def write_base(folder: pathlib.Path, revision: Revision) -> None:
+    """Remembers the revision that the folder was published as."""
+    path = folder / BASE_FILE
+    path.write_bytes(orjson.dumps({'revision': revision}))
--- /dev/null
+++ b/packages/cli/almonddock_cli/_publish.py
@@ -0,0 +1,191 @@
+"""The command ``almonddock publish``."""
+
+import secrets
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from typing import Annotated
+
+import typer
+
+from almonddock_cli._exits import Exit
+from almonddock_cli._files import (
+    Folder,
+    load_folder,
+    read_base,
+    report_findings,
+    write_base,
+)
+from almonddock_cli._hosts import call_host
+from almonddock_cli._output import JsonFlag, fail, print_json
+from almonddock_cli._store import (
+    DEFAULT_PREFIX,
+    StorePrefix,
+    StoreUrls,
+    use_store,
+)
+from almonddock_core.configuration import (
+    CleanRequest,
+    NotPublished,
+    Published,
+    PublishRequest,
+    PublishResult,
+    PublishUnknown,
+    Refused,
+    Unchanged,
+    build_request,
+    clean,
+    publish,
+)
+from almonddock_core.model import FindingsError, Revision
+
+CHANGE_BYTES = 8
+POLL_S = 0.2
+
+OptionalHosts = Annotated[
+    list[str],
+    typer.Option(
+        '--host',
+        envvar='ALMONDDOCK_HOSTS',
+        default_factory=list,
+        help='Base URL of a host; may be given several times.',
+    ),
+]
+
+BaseOption = Annotated[
+    int | None,
+    typer.Option(
+        '--base',
+        help='The revision that the files were edited from; by default the '
+        'one that the folder was last published as.',
+    ),
+]
+
+
+@dataclass(frozen=True, slots=True)
+class HostRevision:
+    """The revision that one host has in force; 0 if it did not answer."""
+
+    url: str
+    revision: Revision
+
+
+# Each option of the command is one argument.
+def publish_folder(  # noqa: WPS211
+    folder: Folder,
+    store: StoreUrls,
+    host: OptionalHosts,
+    base: BaseOption = None,
+    prefix: StorePrefix = DEFAULT_PREFIX,
+    wait: Annotated[
+        float,
+        typer.Option('--wait', help='Seconds to wait for every named host.'),
+    ] = 0,
+    as_json: JsonFlag = False,
+) -> None:
+    """Bring all files of the folder into force together, or none.
+
+    Exit code 2: the files have faults. 3: another operator changed the same
+    services. 1: nothing was published, or a host does not have it in time.
+    5: it is not known whether it was published; publish again to find out.
+    """
+    checked = load_folder(folder, as_json=as_json)
+    request = build_request(checked, secrets.token_hex(CHANGE_BYTES))
+    started = Revision(base) if base is not None else read_base(folder)
+    floor = max(
+        (one.revision for one in _read_revisions(host)),
+        default=Revision(0),
+    )
+    request = replace(request, base=started, floor=floor)
+    accepted = _publish(store, prefix, request, as_json=as_json)
+    write_base(folder, accepted.revision)
+    use_store(store, prefix, clean(CleanRequest(request.change)))
+    hosts = _await_hosts(host, accepted.revision, wait)
+    _report(accepted, hosts, as_json=as_json)
+    behind = [one for one in hosts if one.revision < accepted.revision]
+    if wait and behind:
+        raise typer.Exit(Exit.UNAVAILABLE)
+
+
+def _publish(
+    store: list[str],
+    prefix: str,
+    request: PublishRequest,
+    *,
+    as_json: bool,
+) -> Published | Unchanged:
+    try:
+        published = use_store(store, prefix, publish(request))
+    except FindingsError as error:
+        report_findings(error, as_json=as_json)
+        raise typer.Exit(Exit.INVALID) from error
+    if isinstance(published, Published | Unchanged):
+        return published
+    if as_json:
+        print_json(
+            {'outcome': type(published).__name__, 'result': published},
+        )
+    fail(*_explain(published))
+
+
+def _explain(failed: PublishResult) -> tuple[str, Exit]:
+    match failed:
+        case Refused(revision, differences):
+            names = ', '.join(one.service for one in differences)
+            return (
+                f'not published: revision {revision} changes {names} too; '
+                'see "almonddock diff"',
+                Exit.CONFLICT,
+            )
+        case PublishUnknown(change):
+            return f'outcome unknown of change {change}', Exit.UNKNOWN
+        case NotPublished(message):
+            return f'not published: {message}', Exit.UNAVAILABLE
+    raise TypeError(f'expected a failure, found {failed}')
+
+
+def _read_revisions(urls: Sequence[str]) -> list[HostRevision]:
+    replies = [call_host('GET', url, '/v1/status') for url in urls]
+    return [
+        HostRevision(one.url, Revision(one.body.get('revision', 0)))
+        for one in replies
+    ]
+
+
+def _await_hosts(
+    urls: Sequence[str],
+    revision: Revision,
+    wait: float,
+) -> list[HostRevision]:
+    end = time.monotonic() + wait
+    found = _read_revisions(urls)
+    while any(one.revision < revision for one in found):
+        if time.monotonic() >= end:
+            break
+        time.sleep(POLL_S)
+        found = _read_revisions(urls)
+    return found
+
+
+def _report(
+    accepted: Published | Unchanged,
+    hosts: Sequence[HostRevision],
+    *,
+    as_json: bool,
+) -> None:
+    changed: Sequence[str] = ()
+    if isinstance(accepted, Published):
+        changed = tuple(accepted.changes.digests)
+    if as_json:
+        print_json(
+            {
+                'outcome': type(accepted).__name__,
+                'revision': accepted.revision,
+                'changed': changed,
+                'hosts': hosts,
+            },
+        )
+        return
+    typer.echo(f'revision {accepted.revision}, {len(changed)} changed')
+    for one in hosts:
+        typer.echo(f'{one.url}: revision {one.revision}')
--- a/packages/cli/almonddock_cli/program.py
+++ b/packages/cli/almonddock_cli/program.py
@@ -2,6 +2,9 @@
 
 import typer
 
+from almonddock_cli._check import check_folder
+from almonddock_cli._diff import show_difference
+from almonddock_cli._publish import publish_folder
 from almonddock_cli._query import ask_query
 from almonddock_cli._services import list_services
 from almonddock_cli._status import show_status
@@ -14,6 +17,9 @@
     no_args_is_help=True,
 )
 
+APPLICATION.command('check')(check_folder)
+APPLICATION.command('publish')(publish_folder)
+APPLICATION.command('diff')(show_difference)
 APPLICATION.command('query')(ask_query)
 APPLICATION.command('status')(show_status)
 APPLICATION.command('services')(list_services)
