Tell a query that was not sent from one without a reply

Cause: the command line had no tests, and a refused connection exited as 'unknown' although nothing had been sent.

--- a/packages/cli/almonddock_cli/_hosts.py
+++ b/packages/cli/almonddock_cli/_hosts.py
@@ -20,6 +20,8 @@
     status: int = 0
     #: Why there is no answer; empty when there is one.
     error: str = ''
+    #: Whether the host may have received the request.
+    sent: bool = True
 
 
 def call_host(
@@ -38,6 +40,8 @@
             trust_env=False,
         )
         return HostReply(url, response.json(), response.status_code)
+    except (httpx.ConnectError, httpx.ConnectTimeout) as refused:
+        return HostReply(url, {}, error=repr(refused), sent=False)
     except (httpx.HTTPError, ValueError) as error:
         return HostReply(url, {}, error=repr(error))
 
--- a/packages/cli/almonddock_cli/_query.py
+++ b/packages/cli/almonddock_cli/_query.py
@@ -71,7 +71,8 @@
         document['idempotency_key'] = key
     reply = call_host('POST', host[0], '/v1/query', document)
     if not reply.status:
-        fail(f'{reply.url}: {reply.error}', Exit.UNKNOWN)
+        code = Exit.UNKNOWN if reply.sent else Exit.UNAVAILABLE
+        fail(f'{reply.url}: {reply.error}', code)
     if as_json:
         print_json(reply.body)
     elif 'error' not in reply.body:
