--- /dev/null
+++ b/tests/scenarios/hosts.py
@@ -0,0 +1,257 @@
+"""A fake host: the core's state machines joined by virtual messages."""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from functools import partial
+
+from almonddock_core import model, owners, scatter, truth
+from almonddock_core.deployment import Deployment
+from tests.scenarios.targets import FakeTarget, build_reply
+from tests.scenarios.world import DISTANT_DELAY, LOCAL_DELAY, World
+
+Act = Callable[[], None]
+Finished = Callable[[model.Answer], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Running:
+    """A query at its entry host."""
+
+    query: model.Query
+    plan: model.Plan
+    state: scatter.Scatter
+    finished: Finished
+    began: timedelta
+
+
+class FakeHost:
+    """One run of a host; ``hosts`` and ``targets`` are the whole network."""
+
+    def __init__(
+        self,
+        world: World,
+        member: model.Member,
+        hosts: Mapping[model.HostId, 'FakeHost'],
+        targets: Mapping[model.TargetId, FakeTarget],
+    ) -> None:
+        self.member = member
+        self.name = member.host
+        self.deployment = Deployment()
+        self.running: dict[model.RequestId, Running] = {}
+        self.alive = True
+        #: Whether the balancer sends queries here.
+        self.ready = True
+        #: Messages and timers that wait for the end of a pause.
+        self.waiting: list[Act] | None = None
+        self._world = world
+        self._hosts = hosts
+        self._targets = targets
+        self._members: tuple[model.Member, ...] = ()
+        self._owners: Mapping[model.TargetId, model.HostId] = {}
+        self._owned: dict[model.TargetId, owners.OwnedTarget] = {}
+        self._origins: dict[model.AttemptId, model.HostId] = {}
+        self._versions = truth.VersionTable()
+        self._loads: dict[model.TargetId, model.TargetLoad] = {}
+        self._context = scatter.ScatterContext(
+            budget=scatter.TryBudget(),
+            loads=self._loads,
+            random=world.random,
+            latencies=scatter.LatencyTable(),
+        )
+
+    def apply(
+        self,
+        deployment: Deployment | None = None,
+        members: tuple[model.Member, ...] | None = None,
+    ) -> None:
+        """Takes a new configuration or a new view of the hosts."""
+        if deployment is not None:
+            self._log(f'revision {deployment.revision}')
+            self.deployment = deployment
+        self._members = members or self._members
+        self._owners = owners.place_targets(self.deployment, self._members)
+        for name in set(self._owned) | set(self._owners):
+            self._place(name)
+
+    def lose(self, host: model.HostId) -> None:
+        """The link to another host has closed."""
+        for running in list(self.running.values()):
+            lost = running.state.lose_owner(host, self._world.now)
+            self._carry_out(running, lost)
+
+    def pause(self, span: timedelta) -> None:
+        self._log('pauses')
+        self.waiting = []
+        self._world.after(span, self._resume)
+
+    def ask(self, query: model.Query, finished: Finished) -> None:
+        """Receives a query from a caller."""
+        plan = truth.pin_snapshot(
+            self.deployment, query.workload, self._versions, self._owners
+        )
+        self._log(f'pins {plan.version} for {query.request_id}')
+        state = scatter.Scatter(
+            query, plan, scatter.ScatterSettings(), self._context
+        )
+        now = self._world.now
+        running = Running(query, plan, state, finished, now)
+        self.running[query.request_id] = running
+        self._carry_out(running, state.start(now))
+
+    def receive_reply(
+        self, reply: model.SubReply, load: model.TargetLoad | None
+    ) -> None:
+        now = self._world.now
+        if load is not None:
+            self._loads[load.target] = load
+        running = self.running.get(reply.request_id)
+        if running is None:
+            return
+        if reply.reason is model.Reason.WRONG_VERSION:
+            version = running.plan.version
+            self._versions.learn_gone(reply.target, version, now)
+        self._carry_out(running, running.state.receive(reply, now))
+
+    def receive_try(self, sub: model.SubQuery, entry: model.HostId) -> None:
+        self._origins[sub.attempt_id] = entry
+        if sub.target in self._owned:
+            self._drive(sub.target, lambda one, now: one.offer(sub, now))
+        else:
+            reason = model.Reason.NOT_OWNER
+            self._reply(build_reply(sub, model.ReplyStatus.NOT_RUN, reason))
+
+    def withdraw(self, attempt: model.AttemptId) -> None:
+        cancel = partial(owners.OwnedTarget.cancel, attempt_id=attempt)
+        for name in self._owned:
+            self._drive(name, lambda one, now: cancel(one, now=now))
+
+    def settle(self, name: model.TargetId, reply: model.SubReply) -> None:
+        self._drive(name, lambda one, now: one.settle(reply, now))
+
+    def guard(self, act: Act) -> None:
+        """Drops an act of a dead host and keeps one of a paused host."""
+        if self.waiting is not None:
+            self.waiting.append(act)
+        elif self.alive:
+            act()
+
+    def _carry_out(
+        self, running: Running, actions: Iterable[scatter.ScatterAction]
+    ) -> None:
+        for action in actions:
+            match action:
+                case scatter.Send(sub, owner):
+                    self._log(f'{sub.attempt_id} {sub.shard} to {sub.target}')
+                    self._send(owner, FakeHost.receive_try, sub, self.name)
+                case scatter.Cancel(attempt, owner):
+                    self._send(owner, FakeHost.withdraw, attempt)
+                case scatter.Finish(result):
+                    self._finish(running, result)
+        wake = running.state.next_wake()
+        if wake is not None:
+            self._schedule(wake, partial(self._tick, running))
+
+    def _finish(self, running: Running, result: model.ScatterResult) -> None:
+        query = self.running.pop(running.query.request_id).query
+        service = self.deployment.workloads[query.workload][0]
+        answer = truth.build_answer(
+            query,
+            running.plan,
+            result,
+            self.deployment.services[service].merge,
+            self._world.now - running.began,
+        )
+        self._log(f'{answer.request_id} {answer.outcome.value}')
+        running.finished(answer)
+
+    def _tick(self, running: Running) -> None:
+        if running.query.request_id in self.running:
+            self._carry_out(running, running.state.tick(self._world.now))
+
+    def _place(self, name: model.TargetId) -> None:
+        if self._owners.get(name) != self.name:
+            self._owned.pop(name, None)
+            return
+        target = self.deployment.targets[name]
+        now = self._world.now
+        if name not in self._owned:
+            self._log(f'owns {name}')
+            self._owned[name] = owners.OwnedTarget(
+                target, owners.OwnerSettings(), now, inherited=True
+            )
+        if self.deployment.is_out(target.data_centre):
+            reason = model.Reason.DATA_CENTRE_OUT
+            self._drive(name, lambda one, now: one.close(reason, now))
+        else:
+            self._owned[name].reopen(now)
+
+    def _drive(
+        self,
+        name: model.TargetId,
+        step: Callable[
+            [owners.OwnedTarget, timedelta], list[owners.OwnerAction]
+        ],
+    ) -> None:
+        """Takes one step of an owned target and carries out its actions."""
+        owned = self._owned.get(name)
+        if owned is None:
+            return
+        target = self._targets[name]
+        for action in step(owned, self._world.now):
+            match action:
+                case owners.Dispatch(sub):
+                    self._log(f'{sub.attempt_id} dispatched to {name}')
+                    deliver = partial(self._deliver, name)
+                    receive = partial(target.receive, sub, deliver)
+                    self._world.after(LOCAL_DELAY, receive)
+                case owners.CancelAtTarget(attempt):
+                    cancel = partial(target.cancel, attempt)
+                    self._world.after(LOCAL_DELAY, cancel)
+                case owners.Reply(reply):
+                    self._reply(reply)
+        wake = owned.next_wake(self._world.now)
+        if wake is not None:
+            tick = partial(self._drive, name, owners.OwnedTarget.tick)
+            self._schedule(wake, tick)
+
+    def _deliver(self, name: model.TargetId, reply: model.SubReply) -> None:
+        settle = partial(self.settle, name, reply)
+        self._schedule(self._world.now + LOCAL_DELAY, settle)
+
+    def _reply(self, reply: model.SubReply) -> None:
+        entry = self._origins.pop(reply.attempt_id, None)
+        if entry is None:
+            return
+        self._log(f'{reply.attempt_id} {reply.status.value} {reply.reason}')
+        owned = self._owned.get(reply.target)
+        load = owned.measure(self._world.now) if owned else None
+        self._send(entry, FakeHost.receive_reply, reply, load)
+
+    def _send(
+        self, name: model.HostId, act: Callable[..., None], *needs: object
+    ) -> None:
+        host = self._hosts[name]
+        if frozenset((self.name, name)) in self._world.cut:
+            return
+        same = host.member.data_centre == self.member.data_centre
+        delay = LOCAL_DELAY if same else DISTANT_DELAY
+        if host.alive:
+            arrive = partial(host.guard, partial(act, host, *needs))
+            self._world.after(delay, arrive)
+        else:
+            lost = partial(self.lose, name)
+            self._schedule(self._world.now + delay, lost)
+
+    def _schedule(self, time: timedelta, act: Act) -> None:
+        self._world.schedule(time, partial(self.guard, act))
+
+    def _resume(self) -> None:
+        self._log('resumes')
+        waiting = self.waiting or []
+        self.waiting = None
+        for act in waiting:
+            act()
+
+    def _log(self, what: object) -> None:
+        self._world.note(self.name, what)
