--- a/packages/daemon/almonddock_daemon/adapters/__init__.py
+++ b/packages/daemon/almonddock_daemon/adapters/__init__.py
@@ -1,20 +1,22 @@
 """Clients of the platform's services."""
 
-from almonddock_daemon.adapters._store_client import StoreClient
-from almonddock_daemon.adapters._store_values import (
+from almonddock_core.store import (
     Conflict,
+    Guard,
     StoredValue,
-    StoreSettings,
     Swapped,
     SwapResult,
     Unknown,
-    WatchEvent,
 )
+from almonddock_daemon.adapters._store_client import StoreClient
+from almonddock_daemon.adapters._store_steps import perform_call, run_steps
+from almonddock_daemon.adapters._store_values import StoreSettings, WatchEvent
 from almonddock_daemon.adapters._target_client import TargetClient
 from almonddock_daemon.adapters._target_messages import build_reply
 
 __all__ = [
     'Conflict',
+    'Guard',
     'StoreClient',
     'StoreSettings',
     'StoredValue',
@@ -24,4 +26,6 @@
     'Unknown',
     'WatchEvent',
     'build_reply',
+    'perform_call',
+    'run_steps',
 ]
