Run scripted scenarios over the core under a virtual clock

Every scenario also checks that answers match their coverage, that nothing non-idempotent runs twice, that not run is true and that cold targets and data centres that are out get no more than they may.

--- a/tests/scenarios/checks.py
+++ b/tests/scenarios/checks.py
@@ -2,12 +2,12 @@
 
 import math
 import operator
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator, Mapping
 from datetime import timedelta
 from types import MappingProxyType
 
-from almonddock_core.model import Answer, Outcome
+from almonddock_core.model import Answer, IndexVersion, Outcome, TargetId
 from almonddock_core.truth import merge_rows
 from almonddock_standins import build_rows
 from tests.scenarios.runner import Asked, Runner
@@ -19,9 +19,13 @@
 def find_faults(runner: Runner) -> Iterator[str]:
     """Yields one line for each thing that did not hold."""
     yield from _check_targets(runner)
+    runs: dict[str, Counter[str]] = defaultdict(Counter)
+    for target in runner.targets.values():
+        for (request, shard), count in target.runs.items():
+            runs[request][shard] += count
     for every in runner.asked.values():
         for asked in every:
-            yield from _check_answer(runner, asked)
+            yield from _check_answer(asked, runs[asked.query.request_id])
     for expected in runner.scenario.expectations:
         if fault := _CHECKS[expected.kind](runner, *expected.needs):
             yield f'line {expected.line}: {fault}'
@@ -36,12 +40,8 @@
             yield f'{name} got work after its data centre was out'
 
 
-def _check_answer(runner: Runner, asked: Asked) -> Iterator[str]:
+def _check_answer(asked: Asked, runs: Counter[str]) -> Iterator[str]:
     name = asked.query.request_id
-    runs = Counter[str]()
-    for target in runner.targets.values():
-        for (request, shard), count in target.runs.items():
-            runs[shard] += count if request == name else 0
     if not asked.query.idempotent and max(runs.values(), default=0) > 1:
         yield f'{name} ran twice although it is not idempotent'
     if len(asked.answers) > 1:
@@ -57,13 +57,14 @@
 
 def _build_expected_rows(asked: Asked, answer: Answer) -> bytes:
     deployment = asked.deployment
-    shards = deployment.list_shards(asked.query.workload, answer.version)
+    version = answer.version or IndexVersion(0)
+    shards = deployment.list_shards(asked.query.workload, version)
     missing = {one.shard for one in answer.coverage.missing}
     service = deployment.workloads[asked.query.workload][0]
     return merge_rows(
         deployment.services[service].merge,
         {
-            shard: build_rows(shard, answer.version or 0)
+            shard: build_rows(shard, version)
             for shard in shards
             if shard not in missing
         },
@@ -137,7 +138,9 @@
     runner: Runner, name: str, counter: str, sign: str, number: int
 ) -> str:
     compare = operator.le if sign == '<=' else operator.ge
-    found = getattr(runner.targets[name].counts, counter.replace('-', '_'))
+    found = getattr(
+        runner.targets[TargetId(name)].counts, counter.replace('-', '_')
+    )
     return '' if compare(found, number) else f'{name} {counter} is {found}'
 
 
--- a/tests/scenarios/hosts.py
+++ b/tests/scenarios/hosts.py
@@ -8,7 +8,12 @@
 from almonddock_core import model, owners, scatter, truth
 from almonddock_core.deployment import Deployment
 from tests.scenarios.targets import FakeTarget, build_reply
-from tests.scenarios.world import DISTANT_DELAY, LOCAL_DELAY, World
+from tests.scenarios.world import (
+    DISTANT_DELAY,
+    LOCAL_DELAY,
+    TIMER_STEP,
+    World,
+)
 
 Act = Callable[[], None]
 Finished = Callable[[model.Answer], None]
@@ -25,6 +30,14 @@
     began: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """Who awaits the reply to a try."""
+
+    entry: model.HostId
+    target: model.TargetId
+
+
 class FakeHost:
     """One run of a host; ``hosts`` and ``targets`` are the whole network."""
 
@@ -50,7 +63,7 @@
         self._members: tuple[model.Member, ...] = ()
         self._owners: Mapping[model.TargetId, model.HostId] = {}
         self._owned: dict[model.TargetId, owners.OwnedTarget] = {}
-        self._origins: dict[model.AttemptId, model.HostId] = {}
+        self._origins: dict[model.AttemptId, Origin] = {}
         self._versions = truth.VersionTable()
         self._loads: dict[model.TargetId, model.TargetLoad] = {}
         self._context = scatter.ScatterContext(
@@ -108,13 +121,13 @@
         running = self.running.get(reply.request_id)
         if running is None:
             return
-        if reply.reason is model.Reason.WRONG_VERSION:
-            version = running.plan.version
+        version = running.plan.version
+        if reply.version not in {None, version}:
             self._versions.learn_gone(reply.target, version, now)
         self._carry_out(running, running.state.receive(reply, now))
 
     def receive_try(self, sub: model.SubQuery, entry: model.HostId) -> None:
-        self._origins[sub.attempt_id] = entry
+        self._origins[sub.attempt_id] = Origin(entry, sub.target)
         if sub.target in self._owned:
             self._drive(sub.target, lambda one, now: one.offer(sub, now))
         else:
@@ -122,9 +135,10 @@
             self._reply(build_reply(sub, model.ReplyStatus.NOT_RUN, reason))
 
     def withdraw(self, attempt: model.AttemptId) -> None:
-        cancel = partial(owners.OwnedTarget.cancel, attempt_id=attempt)
-        for name in self._owned:
-            self._drive(name, lambda one, now: cancel(one, now=now))
+        origin = self._origins.get(attempt)
+        if origin is not None:
+            name = origin.target
+            self._drive(name, lambda one, now: one.cancel(attempt, now))
 
     def settle(self, name: model.TargetId, reply: model.SubReply) -> None:
         self._drive(name, lambda one, now: one.settle(reply, now))
@@ -184,7 +198,8 @@
             reason = model.Reason.DATA_CENTRE_OUT
             self._drive(name, lambda one, now: one.close(reason, now))
         else:
-            self._owned[name].reopen(now)
+            out = model.Reason.DATA_CENTRE_OUT
+            self._owned[name].reopen(out, now)
 
     def _drive(
         self,
@@ -220,13 +235,13 @@
         self._schedule(self._world.now + LOCAL_DELAY, settle)
 
     def _reply(self, reply: model.SubReply) -> None:
-        entry = self._origins.pop(reply.attempt_id, None)
-        if entry is None:
+        origin = self._origins.pop(reply.attempt_id, None)
+        if origin is None:
             return
         self._log(f'{reply.attempt_id} {reply.status.value} {reply.reason}')
         owned = self._owned.get(reply.target)
         load = owned.measure(self._world.now) if owned else None
-        self._send(entry, FakeHost.receive_reply, reply, load)
+        self._send(origin.entry, FakeHost.receive_reply, reply, load)
 
     def _send(
         self, name: model.HostId, act: Callable[..., None], *needs: object
@@ -244,6 +259,7 @@
             self._schedule(self._world.now + delay, lost)
 
     def _schedule(self, time: timedelta, act: Act) -> None:
+        time = max(time, self._world.now + TIMER_STEP)
         self._world.schedule(time, partial(self.guard, act))
 
     def _resume(self) -> None:
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -10,6 +10,8 @@
 
 LOCAL_DELAY = timedelta(microseconds=100)
 DISTANT_DELAY = timedelta(milliseconds=1)
+#: No timer fires sooner than this after it was set.
+TIMER_STEP = timedelta(microseconds=50)
 #: More events than any scenario has at one time.
 MAX_REPEATED = 100_000
 
