Let a host use only the targets that it holds leases on

Cause: the daemon sent to every target that its own view placed here, so two views meant two senders. Change: an ownership controller runs the guard over the links, a target given up ends its running work before it is released, a changed target is replaced once idle, and a target in a data centre that is out is closed.

--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 import time
-from collections.abc import Mapping
 from typing import Any
 
 from almonddock_core.deployment import Deployment, MergeRule
@@ -17,10 +16,9 @@
     MembershipView,
     Plan,
     RequestId,
-    TargetId,
     WorkloadId,
 )
-from almonddock_core.owners import OwnerSettings, place_targets
+from almonddock_core.owners import OwnerSettings
 from almonddock_core.scatter import ScatterSettings
 from almonddock_core.truth import VersionTable, pin_snapshot
 from almonddock_daemon._clock import MonotonicClock
@@ -34,6 +32,7 @@
 from almonddock_daemon.controllers import (
     ConfigurationController,
     MembershipController,
+    OwnershipController,
     ScatterController,
     TargetController,
 )
@@ -83,7 +82,6 @@
         own = _describe_self(settings)
         self._own = own
         self._versions = VersionTable()
-        self._owners: Mapping[TargetId, HostId] = {}
         self._mesh = LinkMesh(_build_hello(own), self._clock)
         self._targets = TargetController(
             OwnerSettings(),
@@ -103,7 +101,14 @@
             self._router.send,
             self._router.connect,
         )
-        self._router.attach(self._scatters)
+        self._ownership = OwnershipController(
+            own,
+            self._clock,
+            source,
+            self._targets,
+            self._router.send_guard,
+        )
+        self._router.attach(self._scatters, self._ownership)
         self._store = StoreClient(
             StoreLimits(endpoints=settings.store.endpoints),
             self._clock,
@@ -142,10 +147,7 @@
         await serving
         for task in tasks:
             task.cancel()
-        self._targets.close()
-        await self._mesh.stop()
-        await self._store.close()
-        self._tracing.stop()
+        await self._close()
         LOG.info('host_stopped')
 
     def stop(self) -> None:
@@ -153,6 +155,13 @@
         LOG.info('host_stopping')
         self._stopping.set()
 
+    async def _close(self) -> None:
+        self._ownership.close()
+        self._targets.close()
+        await self._mesh.stop()
+        await self._store.close()
+        self._tracing.stop()
+
     async def _drain(self, server: HttpServer) -> None:
         while self._running.count or self._targets.outstanding:
             await asyncio.sleep(DRAIN_POLL_S)
@@ -217,7 +226,7 @@
             self._configuration.view,
             workload,
             self._versions,
-            self._owners,
+            self._ownership.owners,
         )
 
     def _find_rule(self, workload: WorkloadId) -> MergeRule:
@@ -226,29 +235,20 @@
         return deployment.services[name].merge
 
     def _apply_deployment(self, deployment: Deployment) -> None:
-        self._place(deployment, self._membership.view)
+        self._ownership.update(deployment, self._membership.view)
 
     def _apply_membership(self, view: MembershipView) -> None:
         self._mesh.update_addresses(
             {host: member.address for host, member in view.members.items()},
         )
-        self._place(self._configuration.view, view)
-
-    def _place(self, deployment: Deployment, view: MembershipView) -> None:
-        self._owners = place_targets(deployment, view.list_owners())
-        own = [
-            target
-            for target, owner in self._owners.items()
-            if owner == self._own.host
-        ]
-        self._targets.update(deployment, dict.fromkeys(own, False))
+        self._ownership.update(self._configuration.view, view)
 
     def _explain_unready(self) -> str:
         if self._stopping.is_set():
             return 'shutting_down'
         if not self._configuration.view.revision:
             return 'no_configuration'
-        return ''
+        return '' if self._ownership.settled else 'targets_not_acquired'
 
     def _describe_status(self) -> dict[str, Any]:
         view = self._membership.view
--- a/packages/daemon/almonddock_daemon/_routing.py
+++ b/packages/daemon/almonddock_daemon/_routing.py
@@ -1,10 +1,22 @@
 """Carries messages between this host's parts and other hosts."""
 
+import asyncio
 import dataclasses
 from collections.abc import Callable
 
 from almonddock_core.model import HostId
-from almonddock_daemon.controllers import ScatterController, TargetController
+from almonddock_core.owners import (
+    GuardMessage,
+    Handover,
+    LeaseRelease,
+    LeaseReply,
+    LeaseRequest,
+)
+from almonddock_daemon.controllers import (
+    OwnershipController,
+    ScatterController,
+    TargetController,
+)
 from almonddock_daemon.links import Link, LinkMesh
 from almonddock_daemon.telemetry import Tracing
 from almonddock_wire import (
@@ -30,12 +42,19 @@
         self._targets = targets
         self._tracing = tracing
         self._scatters: ScatterController | None = None
+        self._ownership: OwnershipController | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
         # One function for each link, so that replies to it are batched.
         self._answers: dict[Link, Callable[[SubReplyBatch], None]] = {}
 
-    def attach(self, scatters: ScatterController) -> None:
-        """Names the controller that takes replies and lost owners."""
+    def attach(
+        self,
+        scatters: ScatterController,
+        ownership: OwnershipController,
+    ) -> None:
+        """Names the controllers that take replies, lost owners and leases."""
         self._scatters = scatters
+        self._ownership = ownership
         self._mesh.subscribe(self._receive, scatters.lose_owner)
 
     def send(self, owner: HostId, message: SubQueryBatch | CancelBatch) -> bool:
@@ -52,6 +71,21 @@
         """Opens a link to an owner; returns whether one is open."""
         return owner == self._own or await self._mesh.connect(owner)
 
+    def send_guard(self, host: HostId, message: GuardMessage) -> None:
+        """Sends about leases, over a new link if none is open."""
+        if not self._mesh.send(host, message):
+            task = asyncio.create_task(self._connect_and_send(host, message))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _connect_and_send(
+        self,
+        host: HostId,
+        message: GuardMessage,
+    ) -> None:
+        if await self._mesh.connect(host):
+            self._mesh.send(host, message)
+
     def _receive(self, link: Link, message: Message) -> None:
         match message:
             case SubQueryBatch():
@@ -60,6 +94,12 @@
                 self._targets.cancel(message)
             case SubReplyBatch():
                 self._answer_locally(message)
+            case LeaseRequest() | LeaseReply() | LeaseRelease() | Handover():
+                self._receive_guard(link, message)
+
+    def _receive_guard(self, link: Link, message: GuardMessage) -> None:
+        if self._ownership is not None and link.peer is not None:
+            self._ownership.receive(link.peer.host, message)
 
     def _receive_batch(self, link: Link, batch: SubQueryBatch) -> None:
         answer = self._find_answer(link)
--- a/packages/daemon/almonddock_daemon/adapters/_target_client.py
+++ b/packages/daemon/almonddock_daemon/adapters/_target_client.py
@@ -85,6 +85,12 @@
         handle: HandleReply,
     ) -> None:
         now = self._clock.now()
+        if now >= sub.deadline:
+            # A paused host must not send what its lease no longer covers.
+            self._idle.append(connection)
+            late = build_reply(sub, ReplyStatus.NOT_RUN, Reason.TIMED_OUT)
+            handle(late)
+            return
         wait = sub.deadline - now + REPLY_GRACE
         timer = asyncio.get_running_loop().call_later(
             max(0, wait.total_seconds()),
--- a/packages/daemon/almonddock_daemon/controllers/__init__.py
+++ b/packages/daemon/almonddock_daemon/controllers/__init__.py
@@ -7,12 +7,14 @@
     ConfigurationController,
 )
 from almonddock_daemon.controllers._membership import MembershipController
+from almonddock_daemon.controllers._ownership import OwnershipController
 from almonddock_daemon.controllers._scatters import ScatterController
 from almonddock_daemon.controllers._targets import TargetController
 
 __all__ = [
     'ConfigurationController',
     'MembershipController',
+    'OwnershipController',
     'ScatterController',
     'TargetController',
 ]
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/controllers/_owned.py
@@ -0,0 +1,150 @@
+"""Runs one owned target: its queue, its connections and its timer."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from datetime import timedelta
+
+from almonddock_core.deployment import Target
+from almonddock_core.model import (
+    AttemptId,
+    Clock,
+    Reason,
+    SubQuery,
+    SubReply,
+    TargetLoad,
+)
+from almonddock_core.owners import (
+    CancelAtTarget,
+    Dispatch,
+    OwnedTarget,
+    OwnerAction,
+    OwnerSettings,
+    Reply,
+)
+from almonddock_daemon.adapters import TargetClient
+from almonddock_daemon.telemetry import Tracing
+
+#: Returns until when a target may be used.
+LeaseEnd = Callable[[timedelta], timedelta]
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedPorts:
+    """What an owned target needs of its host."""
+
+    settings: OwnerSettings
+    clock: Clock
+    tracing: Tracing
+    #: Takes each reply, once.
+    answer: Callable[[SubReply], None]
+    #: Hears of each change, after its actions are carried out.
+    settle: 'Callable[[OwnedRunner], None]'
+
+
+class OwnedRunner:
+    """Carries out the actions of one :class:`OwnedTarget`."""
+
+    def __init__(
+        self,
+        target: Target,
+        lease_end: LeaseEnd,
+        ports: OwnedPorts,
+    ) -> None:
+        self.target = target
+        self.lease_end = lease_end
+        #: Whether it is given up once nothing runs there.
+        self.leaving = False
+        #: The changed target that takes its place then.
+        self.changed: Target | None = None
+        self._ports = ports
+        self._state = OwnedTarget(
+            target,
+            ports.settings,
+            ports.clock.now(),
+            inherited=False,
+            lease_end=lease_end,
+        )
+        self._client = TargetClient(target, ports.clock)
+        self._timer: asyncio.TimerHandle | None = None
+
+    def measure(self) -> TargetLoad:
+        """Returns the load of the target."""
+        return self._state.measure(self._ports.clock.now())
+
+    def offer(self, sub: SubQuery) -> None:
+        """Queues a sub-query."""
+        self._carry_out(self._state.offer(sub, self._ports.clock.now()))
+
+    def cancel(self, attempt_id: AttemptId) -> None:
+        """Takes a try out of the queue or cancels it at the target."""
+        now = self._ports.clock.now()
+        self._carry_out(self._state.cancel(attempt_id, now))
+
+    def resume(self, allowed: int | None) -> None:
+        """Serves the target from an allowance, or as a cold one."""
+        now = self._ports.clock.now()
+        self.leaving = False
+        self._state.resume(allowed, now)
+        self._carry_out(self._state.tick(now))
+
+    def close(self, reason: Reason) -> None:
+        """Takes no new work; what runs ends first."""
+        now = self._ports.clock.now()
+        self._carry_out(self._state.close(reason, now))
+
+    def reopen(self, reason: Reason) -> None:
+        """Ends one reason to be closed."""
+        self._state.reopen(reason, self._ports.clock.now())
+
+    def stop(self) -> None:
+        """Ends the timer and the idle connections."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._client.close()
+
+    def _carry_out(self, actions: Iterable[OwnerAction]) -> None:
+        for action in actions:
+            match action:
+                case Dispatch(sub):
+                    self._dispatch(sub)
+                case Reply(reply):
+                    self._ports.answer(reply)
+                case CancelAtTarget(attempt_id):
+                    self._client.cancel(attempt_id)
+        self._set_timer()
+        self._ports.settle(self)
+
+    def _dispatch(self, sub: SubQuery) -> None:
+        hop = self._ports.tracing.begin(
+            'target',
+            sub.traceparent,
+            {'target': sub.target, 'shard': sub.shard},
+        )
+
+        def settle(reply: SubReply) -> None:
+            hop.end({'status': reply.status.value})
+            now = self._ports.clock.now()
+            self._carry_out(self._state.settle(reply, now))
+
+        if hop.traceparent != sub.traceparent:
+            sub = replace(sub, traceparent=hop.traceparent)
+        self._client.send(sub, settle)
+
+    def _set_timer(self) -> None:
+        now = self._ports.clock.now()
+        wake = self._state.next_wake(now)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if wake is None:
+            return
+        wait = max(timedelta(), wake - now)
+        self._timer = asyncio.get_running_loop().call_later(
+            wait.total_seconds(),
+            self._tick,
+        )
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._carry_out(self._state.tick(self._ports.clock.now()))
--- /dev/null
+++ b/packages/daemon/almonddock_daemon/controllers/_ownership.py
@@ -0,0 +1,132 @@
+"""Keeps the leases on the targets placed on this host."""
+
+import asyncio
+import functools
+import random
+from collections.abc import Callable, Iterable, Mapping
+from datetime import timedelta
+
+from almonddock_core.deployment import Deployment
+from almonddock_core.model import (
+    Clock,
+    HostId,
+    Member,
+    MembershipView,
+    TargetId,
+)
+from almonddock_core.owners import (
+    Acquire,
+    GuardAction,
+    GuardMessage,
+    Holder,
+    LeaseSettings,
+    OwnershipGuard,
+    Placement,
+    SendToHost,
+    Yield,
+)
+from almonddock_daemon.controllers._targets import TargetController
+
+#: Delivers a message to another host, or loses it.
+SendGuardMessage = Callable[[HostId, GuardMessage], None]
+
+#: Leases that a starting host waits for its targets before it is ready.
+READY_LEASES = 3
+
+
+class OwnershipController:
+    """Places targets, and lets this host use those it holds leases on."""
+
+    def __init__(
+        self,
+        own: Member,
+        clock: Clock,
+        source: random.Random,
+        targets: TargetController,
+        send: SendGuardMessage,
+    ) -> None:
+        settings = LeaseSettings()
+        self._own = own.host
+        self._clock = clock
+        self._targets = targets
+        self._send = send
+        self._guard = OwnershipGuard(
+            Holder(own.host, own.incarnation),
+            settings,
+            clock.now(),
+            source,
+        )
+        self._placement = Placement()
+        self._deployment = Deployment()
+        self._ready_at = clock.now() + settings.duration * READY_LEASES
+        self._timer: asyncio.TimerHandle | None = None
+        #: The owner of every target, as this host sees it.
+        self.owners: Mapping[TargetId, HostId] = {}
+        targets.subscribe_idle(self._release)
+
+    @property
+    def settled(self) -> bool:
+        """Whether this host serves its targets, or has waited enough."""
+        wanted = {
+            target
+            for target, owner in self.owners.items()
+            if owner == self._own
+        }
+        return (
+            wanted <= self._targets.owned or self._clock.now() >= self._ready_at
+        )
+
+    def update(self, deployment: Deployment, view: MembershipView) -> None:
+        """Follows the configuration and the hosts."""
+        self._deployment = deployment
+        self.owners = self._placement.update(deployment, view.list_owners())
+        self._targets.update(deployment)
+        members = tuple(view.members.values())
+        now = self._clock.now()
+        self._carry_out(
+            self._guard.update_view(deployment, members, self.owners, now),
+        )
+        self._set_timer()
+
+    def receive(self, sender: HostId, message: GuardMessage) -> None:
+        """Takes a message of another host."""
+        now = self._clock.now()
+        self._carry_out(self._guard.receive(sender, message, now))
+
+    def close(self) -> None:
+        """Stops to renew the leases."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _tick(self) -> None:
+        self._carry_out(self._guard.tick(self._clock.now()))
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        wait = max(timedelta(), self._guard.next_wake() - self._clock.now())
+        self._timer = asyncio.get_running_loop().call_later(
+            wait.total_seconds(),
+            self._tick,
+        )
+
+    def _carry_out(self, actions: Iterable[GuardAction]) -> None:
+        for action in actions:
+            match action:
+                case SendToHost(host, message):
+                    self._send(host, message)
+                case Acquire(target, allowed):
+                    self._acquire(target, allowed)
+                case Yield(target):
+                    self._targets.give_up(target)
+
+    def _acquire(self, name: TargetId, allowed: int | None) -> None:
+        target = self._deployment.targets.get(name)
+        if target is not None:
+            lease_end = functools.partial(self._guard.find_lease_end, name)
+            self._targets.acquire(target, allowed, lease_end)
+
+    def _release(self, name: TargetId, allowed: int) -> None:
+        now = self._clock.now()
+        self._carry_out(self._guard.release(name, allowed, now))
--- a/packages/daemon/almonddock_daemon/controllers/_targets.py
+++ b/packages/daemon/almonddock_daemon/controllers/_targets.py
@@ -1,10 +1,7 @@
 """Runs the targets that this host owns."""
 
-import asyncio
-from collections import defaultdict
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, replace
-from datetime import timedelta
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from almonddock_core.deployment import Deployment, Target
 from almonddock_core.model import (
@@ -12,25 +9,23 @@
     Clock,
     Reason,
     ReplyStatus,
-    SubQuery,
     SubReply,
     TargetId,
     TargetLoad,
 )
-from almonddock_core.owners import (
-    CancelAtTarget,
-    Dispatch,
-    OwnedTarget,
-    OwnerAction,
-    OwnerSettings,
-    Reply,
+from almonddock_core.owners import OwnerSettings
+from almonddock_daemon.adapters import build_reply
+from almonddock_daemon.controllers._outbox import Answer, ReplyOutbox
+from almonddock_daemon.controllers._owned import (
+    LeaseEnd,
+    OwnedPorts,
+    OwnedRunner,
 )
-from almonddock_daemon.adapters import TargetClient, build_reply
 from almonddock_daemon.telemetry import Tracing
-from almonddock_wire import CancelBatch, SubQueryBatch, SubReplyBatch
+from almonddock_wire import CancelBatch, SubQueryBatch
 
-#: Takes the replies for one entry host.
-Answer = Callable[[SubReplyBatch], None]
+#: Learns that nothing runs at a target given up, and what it bears.
+ReportIdle = Callable[[TargetId, int], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,15 +36,6 @@
     target: TargetId
 
 
-class _Owned:
-    """An owned target with its connections and timer."""
-
-    def __init__(self, state: OwnedTarget, client: TargetClient) -> None:
-        self.state = state
-        self.client = client
-        self.timer: asyncio.TimerHandle | None = None
-
-
 class TargetController:
     """Owns the queues of this host's targets.
 
@@ -63,13 +49,18 @@
         clock: Clock,
         tracing: Tracing,
     ) -> None:
-        self._settings = settings
-        self._tracing = tracing
-        self._clock = clock
-        self._owned: dict[TargetId, _Owned] = {}
+        self._ports = OwnedPorts(
+            settings,
+            clock,
+            tracing,
+            self._answer,
+            self._finish_if_idle,
+        )
+        self._owned: dict[TargetId, OwnedRunner] = {}
         self._origins: dict[AttemptId, _Origin] = {}
-        self._outgoing: dict[Answer, list[SubReply]] = defaultdict(list)
-        self._flushing = False
+        self._outbox = ReplyOutbox(self._measure)
+        self._report_idle: ReportIdle = _ignore_idle
+        self._deployment = Deployment()
 
     @property
     def owned(self) -> frozenset[TargetId]:
@@ -83,145 +74,109 @@
 
     def measure_loads(self) -> tuple[TargetLoad, ...]:
         """Returns the load of every owned target, sorted by name."""
-        now = self._clock.now()
-        return tuple(
-            owned.state.measure(now) for _, owned in sorted(self._owned.items())
-        )
+        return self._measure(self._owned)
 
-    def update(
-        self,
-        deployment: Deployment,
-        targets: Mapping[TargetId, bool],
-    ) -> None:
-        """Takes on and gives up targets.
+    def subscribe_idle(self, report: ReportIdle) -> None:
+        """Names the function that hears of idle targets given up."""
+        self._report_idle = report
+
+    def update(self, deployment: Deployment) -> None:
+        """Follows changed targets and data centres taken out or in.
 
-        Args:
-            deployment: The configuration in force.
-            targets: The targets to own, each with whether another host may
-                have used it until now.
+        Work that runs at a changed target ends first.
         """
-        for gone in self._owned.keys() - targets.keys():
-            self._release(gone)
-        for name, inherited in targets.items():
-            target = deployment.targets[name]
-            known = self._owned.get(name)
-            if known is None or known.client.target != target:
-                self._acquire(target, inherited)
+        self._deployment = deployment
+        for name, owned in tuple(self._owned.items()):
+            target = deployment.targets.get(name)
+            if target is not None and target != owned.target:
+                owned.changed = target
+                owned.close(Reason.DRAINING)
+            self._follow_data_centre(owned)
+
+    def acquire(
+        self,
+        target: Target,
+        allowed: int | None,
+        lease_end: LeaseEnd,
+    ) -> None:
+        """Serves a target, from an allowance if one was handed over."""
+        if target.target not in self._owned:
+            self._create(target, lease_end)
+        owned = self._owned[target.target]
+        self._follow_data_centre(owned)
+        owned.resume(allowed)
+
+    def give_up(self, name: TargetId) -> None:
+        """Takes no new work for a target; what runs there ends first."""
+        owned = self._owned.get(name)
+        if owned is not None:
+            owned.leaving = True
+            owned.close(Reason.NOT_OWNER)
 
     def receive(self, batch: SubQueryBatch, answer: Answer) -> None:
         """Queues sub-queries; ``answer`` gets a reply to each."""
-        now = self._clock.now()
         for sub in batch.subs:
             owned = self._owned.get(sub.target)
             if owned is None:
                 reply = build_reply(sub, ReplyStatus.NOT_RUN, Reason.NOT_OWNER)
-                self._queue_reply(answer, reply)
+                self._outbox.add(answer, reply)
             elif sub.attempt_id not in self._origins:
                 self._origins[sub.attempt_id] = _Origin(answer, sub.target)
-                self._carry_out(owned, owned.state.offer(sub, now))
+                owned.offer(sub)
 
     def cancel(self, batch: CancelBatch) -> None:
         """Takes tries out of the queues or cancels them at the target."""
-        now = self._clock.now()
         for attempt_id in batch.attempts:
             origin = self._origins.get(attempt_id)
             owned = self._owned.get(origin.target) if origin else None
             if owned is not None:
-                self._carry_out(owned, owned.state.cancel(attempt_id, now))
+                owned.cancel(attempt_id)
 
     def close(self) -> None:
-        """Gives up every target."""
+        """Ends every target at once."""
         for name in list(self._owned):
-            self._release(name)
-
-    def _acquire(self, target: Target, inherited: bool) -> None:
-        self._release(target.target)
-        state = OwnedTarget(
-            target,
-            self._settings,
-            self._clock.now(),
-            inherited=inherited,
-        )
-        client = TargetClient(target, self._clock)
-        self._owned[target.target] = _Owned(state, client)
+            self._remove(name)
 
-    def _release(self, name: TargetId) -> None:
-        owned = self._owned.pop(name, None)
-        if owned is None:
-            return
-        if owned.timer is not None:
-            owned.timer.cancel()
-        owned.client.close()
-
-    def _carry_out(
-        self,
-        owned: _Owned,
-        actions: Iterable[OwnerAction],
-    ) -> None:
-        for action in actions:
-            match action:
-                case Dispatch(sub):
-                    self._dispatch(owned, sub)
-                case Reply(reply):
-                    self._answer(reply)
-                case CancelAtTarget(attempt_id):
-                    owned.client.cancel(attempt_id)
-        self._set_timer(owned)
-
-    def _dispatch(self, owned: _Owned, sub: SubQuery) -> None:
-        hop = self._tracing.begin(
-            'target',
-            sub.traceparent,
-            {'target': sub.target, 'shard': sub.shard},
+    def _measure(self, names: Iterable[TargetId]) -> tuple[TargetLoad, ...]:
+        return tuple(
+            self._owned[name].measure()
+            for name in sorted(names)
+            if name in self._owned
         )
 
-        def settle(reply: SubReply) -> None:
-            hop.end({'status': reply.status.value})
-            now = self._clock.now()
-            self._carry_out(owned, owned.state.settle(reply, now))
+    def _create(self, target: Target, lease_end: LeaseEnd) -> None:
+        owned = OwnedRunner(target, lease_end, self._ports)
+        self._owned[target.target] = owned
 
-        if hop.traceparent != sub.traceparent:
-            sub = replace(sub, traceparent=hop.traceparent)
-        owned.client.send(sub, settle)
+    def _follow_data_centre(self, owned: OwnedRunner) -> None:
+        if self._deployment.is_out(owned.target.data_centre):
+            owned.close(Reason.DATA_CENTRE_OUT)
+        else:
+            owned.reopen(Reason.DATA_CENTRE_OUT)
+
+    def _remove(self, name: TargetId) -> None:
+        owned = self._owned.pop(name, None)
+        if owned is not None:
+            owned.stop()
+
+    def _finish_if_idle(self, owned: OwnedRunner) -> None:
+        """Ends an idle target that is given up or takes on its changes."""
+        name = owned.target.target
+        load = owned.measure()
+        if load.in_flight or self._owned.get(name) is not owned:
+            return
+        if owned.leaving:
+            self._remove(name)
+            self._report_idle(name, load.allowed)
+        elif owned.changed is not None:
+            self._remove(name)
+            self._create(owned.changed, owned.lease_end)
 
     def _answer(self, reply: SubReply) -> None:
         origin = self._origins.pop(reply.attempt_id, None)
         if origin is not None:
-            self._queue_reply(origin.answer, reply)
-
-    def _queue_reply(self, answer: Answer, reply: SubReply) -> None:
-        self._outgoing[answer].append(reply)
-        if not self._flushing:
-            self._flushing = True
-            asyncio.get_running_loop().call_soon(self._flush)
-
-    def _flush(self) -> None:
-        self._flushing = False
-        outgoing = self._outgoing
-        self._outgoing = defaultdict(list)
-        now = self._clock.now()
-        for answer, replies in outgoing.items():
-            asked = {reply.target for reply in replies} & self._owned.keys()
-            loads = tuple(
-                self._owned[name].state.measure(now) for name in sorted(asked)
-            )
-            answer(SubReplyBatch(tuple(replies), loads))
-
-    def _set_timer(self, owned: _Owned) -> None:
-        now = self._clock.now()
-        wake = owned.state.next_wake(now)
-        if owned.timer is not None:
-            owned.timer.cancel()
-            owned.timer = None
-        if wake is None:
-            return
-        wait = max(timedelta(), wake - now)
-        owned.timer = asyncio.get_running_loop().call_later(
-            wait.total_seconds(),
-            self._tick,
-            owned,
-        )
+            self._outbox.add(origin.answer, reply)
+
 
-    def _tick(self, owned: _Owned) -> None:
-        owned.timer = None
-        self._carry_out(owned, owned.state.tick(self._clock.now()))
+def _ignore_idle(name: TargetId, allowed: int) -> None:
+    """Hears of an idle target when nobody keeps leases."""
--- a/packages/wire/almonddock_wire/_codec.py
+++ b/packages/wire/almonddock_wire/_codec.py
@@ -17,9 +17,26 @@
     DocumentRequest,
 )
 from almonddock_core.membership import Probe, ProbeReply, ProbeRequest
+from almonddock_core.owners import (
+    GuardMessage,
+    Handover,
+    LeaseRelease,
+    LeaseReply,
+    LeaseRequest,
+)
 from almonddock_wire import _configuration as configuration
 from almonddock_wire import _membership as membership
 from almonddock_wire._errors import BadFrameError
+from almonddock_wire._leases import (
+    read_handover,
+    read_lease_release,
+    read_lease_reply,
+    read_lease_request,
+    write_handover,
+    write_lease_release,
+    write_lease_reply,
+    write_lease_request,
+)
 from almonddock_wire._links import (
     read_hello,
     read_ping,
@@ -56,6 +73,7 @@
     | CancelBatch
     | MembershipMessage
     | ConfigurationMessage
+    | GuardMessage
 )
 
 _WRITERS: Mapping[
@@ -69,6 +87,10 @@
         SubQueryBatch: write_sub_queries,
         SubReplyBatch: write_sub_replies,
         CancelBatch: write_cancel,
+        LeaseRequest: write_lease_request,
+        LeaseReply: write_lease_reply,
+        LeaseRelease: write_lease_release,
+        Handover: write_handover,
         Probe: membership.write_probe,
         ProbeReply: membership.write_probe_reply,
         ProbeRequest: membership.write_probe_request,
@@ -89,6 +111,10 @@
         'subQueries': read_sub_queries,
         'subReplies': read_sub_replies,
         'cancel': read_cancel,
+        'leaseRequest': read_lease_request,
+        'leaseReply': read_lease_reply,
+        'leaseRelease': read_lease_release,
+        'handover': read_handover,
         'probe': membership.read_probe,
         'probeReply': membership.read_probe_reply,
         'probeRequest': membership.read_probe_request,
--- a/packages/wire/almonddock_wire/messages.capnp
+++ b/packages/wire/almonddock_wire/messages.capnp
@@ -15,6 +15,10 @@
     configurationHead @9 :ConfigurationHead;
     documentRequest @10 :List(Text);
     documentReply @11 :DocumentReply;
+    leaseRequest @12 :LeaseRequest;
+    leaseReply @13 :LeaseReply;
+    leaseRelease @14 :LeaseRelease;
+    handover @15 :Handover;
   }
 }
 
@@ -101,3 +105,29 @@
   documents @0 :List(Data);
   missing @1 :List(Text);
 }
+
+struct LeaseRequest {
+  holder @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt64;
+  hostList @3 :UInt64;
+  targets @4 :List(Text);
+}
+
+struct LeaseReply {
+  voter @0 :Text;
+  number @1 :UInt64;
+  targets @2 :List(Text);
+}
+
+struct LeaseRelease {
+  holder @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt64;
+  targets @3 :List(Text);
+}
+
+struct Handover {
+  target @0 :Text;
+  allowed @1 :UInt32;
+}
--- a/packages/wire/almonddock_wire/tests/test_codec.py
+++ b/packages/wire/almonddock_wire/tests/test_codec.py
@@ -21,6 +21,13 @@
     TargetLoad,
     Urgency,
 )
+from almonddock_core.owners import (
+    Handover,
+    Holder,
+    LeaseRelease,
+    LeaseReply,
+    LeaseRequest,
+)
 from almonddock_wire import (
     MAX_FRAME_BYTES,
     BadFrameError,
@@ -79,6 +86,19 @@
     SubQueryBatch((SUB,)),
     SubReplyBatch((REPLY,), (LOAD,)),
     CancelBatch((AttemptId('r1:4'), AttemptId('r1:5'))),
+    LeaseRequest(
+        Holder(HostId('h1'), Incarnation(9)),
+        4,
+        2**63 + 1,
+        (TargetId('desk/a'), TargetId('desk/b')),
+    ),
+    LeaseReply(HostId('h2'), 4, (TargetId('desk/a'),)),
+    LeaseRelease(
+        Holder(HostId('h1'), Incarnation(9)),
+        5,
+        (TargetId('desk/a'),),
+    ),
+    Handover(TargetId('desk/a'), 3),
 )
 
 
