--- a/packages/daemon/almonddock_daemon/controllers/__init__.py
+++ b/packages/daemon/almonddock_daemon/controllers/__init__.py
@@ -7,7 +7,11 @@
     ConfigurationController,
 )
 from almonddock_daemon.controllers._membership import MembershipController
-from almonddock_daemon.controllers._ownership import OwnershipController
+from almonddock_daemon.controllers._ownership import (
+    OwnershipController,
+    OwnershipPorts,
+)
+from almonddock_daemon.controllers._peers import PeerSender
 from almonddock_daemon.controllers._scatters import ScatterController
 from almonddock_daemon.controllers._targets import TargetController
 
@@ -15,6 +19,8 @@
     'ConfigurationController',
     'MembershipController',
     'OwnershipController',
+    'OwnershipPorts',
+    'PeerSender',
     'ScatterController',
     'TargetController',
 ]
--- a/packages/daemon/almonddock_daemon/controllers/_ownership.py
+++ b/packages/daemon/almonddock_daemon/controllers/_ownership.py
@@ -4,6 +4,7 @@
 import functools
 import random
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 
 from almonddock_core.deployment import Deployment
@@ -34,6 +35,15 @@
 READY_LEASES = 3
 
 
+@dataclass(frozen=True, slots=True)
+class OwnershipPorts:
+    """What the ownership needs of its host."""
+
+    send: SendGuardMessage
+    #: Whether the view of the hosts has been checked since the start.
+    is_validated: Callable[[], bool]
+
+
 class OwnershipController:
     """Places targets, and lets this host use those it holds leases on."""
 
@@ -43,13 +53,15 @@
         clock: Clock,
         source: random.Random,
         targets: TargetController,
-        send: SendGuardMessage,
+        ports: OwnershipPorts,
     ) -> None:
         settings = LeaseSettings()
         self._own = own.host
         self._clock = clock
         self._targets = targets
-        self._send = send
+        self._ports = ports
+        self._joined = False
+        self._view = MembershipView(own.host)
         self._guard = OwnershipGuard(
             Holder(own.host, own.incarnation),
             settings,
@@ -81,11 +93,8 @@
         self._deployment = deployment
         self.owners = self._placement.update(deployment, view.list_owners())
         self._targets.update(deployment)
-        members = tuple(view.members.values())
-        now = self._clock.now()
-        self._carry_out(
-            self._guard.update_view(deployment, members, self.owners, now),
-        )
+        self._view = view
+        self._follow_view()
         self._set_timer()
 
     def receive(self, sender: HostId, message: GuardMessage) -> None:
@@ -98,7 +107,23 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def _follow_view(self) -> None:
+        """Claims targets, once the first view is known to be right."""
+        self._joined = self._joined or self._ports.is_validated()
+        if not self._joined:
+            return
+        members = tuple(self._view.members.values())
+        actions = self._guard.update_view(
+            self._deployment,
+            members,
+            self.owners,
+            self._clock.now(),
+        )
+        self._carry_out(actions)
+
     def _tick(self) -> None:
+        if not self._joined:
+            self._follow_view()
         self._carry_out(self._guard.tick(self._clock.now()))
         self._set_timer()
 
@@ -115,7 +140,7 @@
         for action in actions:
             match action:
                 case SendToHost(host, message):
-                    self._send(host, message)
+                    self._ports.send(host, message)
                 case Acquire(target, allowed):
                     self._acquire(target, allowed)
                 case Yield(target):
