--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -37,10 +37,12 @@
 from almonddock_daemon.adapters import StoreSettings as StoreLimits
 from almonddock_daemon.controllers import (
     ConfigurationController,
+    IdempotencyController,
     MembershipController,
     OwnershipController,
     OwnershipPorts,
     PeerSender,
+    Reach,
     ScatterController,
     TargetController,
 )
@@ -49,6 +51,7 @@
     Handler,
     RunningQueries,
     build_admission_filter,
+    build_at_most_once_filter,
     build_chain,
     build_coverage_handler,
     build_deadline_filter,
@@ -72,6 +75,9 @@
 SEED_BITS = 64
 REQUEST_ID_BYTES = 16
 
+#: Store calls a second for the idempotency log, apart from the others.
+LOG_CALLS = 200
+
 #: How often a stopping host looks whether accepted queries are done.
 DRAIN_POLL_S = 0.02
 
@@ -146,6 +152,28 @@
             peers,
             self._configuration.describe_head,
         )
+        self._log_store = StoreClient(
+            StoreLimits(
+                endpoints=settings.store.endpoints,
+                prefix=settings.store.prefix,
+                call_timeout=settings.store.timeout,
+                calls_per_second=LOG_CALLS,
+                burst=LOG_CALLS,
+            ),
+            self._clock,
+            source,
+        )
+        self._idempotency = IdempotencyController(
+            own.host,
+            f'{own.host}.{own.incarnation}',
+            self._log_store,
+            self._clock,
+            Reach(self._mesh.send, self._mesh.connect),
+        )
+        self._mesh.subscribe(
+            self._idempotency.receive,
+            self._idempotency.lose_owner,
+        )
         self._membership.subscribe(self._configuration.see_members)
         self._membership.subscribe(self._apply_membership)
         self._shutdown = ShutdownPlan(ShutdownSettings())
@@ -186,7 +214,9 @@
     async def _close(self) -> None:
         self._ownership.close()
         self._targets.close()
+        await self._idempotency.close()
         await self._mesh.stop()
+        await self._log_store.close()
         await self._store.close()
         self._tracing.stop()
 
@@ -216,6 +246,11 @@
                     self._refuses_work,
                     clock,
                 ),
+                build_at_most_once_filter(
+                    self._idempotency.claim,
+                    self._idempotency.finish,
+                    clock,
+                ),
                 build_snapshot_filter(self._pin),
                 build_scatter_filter(self._scatters.run),
             ],
@@ -275,6 +310,9 @@
         self._ownership.update(deployment, self._membership.view)
 
     def _apply_membership(self, view: MembershipView) -> None:
+        self._idempotency.update_hosts(
+            member.host for member in view.list_owners()
+        )
         self._ownership.update(self._configuration.view, view)
 
     def _explain_unready(self) -> str:
@@ -311,6 +349,7 @@
         state.set({'name': 'queries_running'}, self._running.count)
         state.set({'name': 'revision'}, self._configuration.view.revision)
         state.set({'name': 'store_calls'}, self._store.calls)
+        state.set({'name': 'log_store_calls'}, self._log_store.calls)
         return self._metrics.render()
 
 
--- a/packages/daemon/almonddock_daemon/controllers/__init__.py
+++ b/packages/daemon/almonddock_daemon/controllers/__init__.py
@@ -6,6 +6,10 @@
 from almonddock_daemon.controllers._configuration import (
     ConfigurationController,
 )
+from almonddock_daemon.controllers._idempotency import (
+    IdempotencyController,
+    Reach,
+)
 from almonddock_daemon.controllers._membership import MembershipController
 from almonddock_daemon.controllers._ownership import (
     OwnershipController,
@@ -17,10 +21,12 @@
 
 __all__ = [
     'ConfigurationController',
+    'IdempotencyController',
     'MembershipController',
     'OwnershipController',
     'OwnershipPorts',
     'PeerSender',
+    'Reach',
     'ScatterController',
     'TargetController',
 ]
