--- a/packages/daemon/almonddock_daemon/controllers/__init__.py
+++ b/packages/daemon/almonddock_daemon/controllers/__init__.py
@@ -11,6 +11,10 @@
     Reach,
 )
 from almonddock_daemon.controllers._membership import MembershipController
+from almonddock_daemon.controllers._ownership import (
+    OwnershipController,
+    OwnershipPorts,
+)
 from almonddock_daemon.controllers._peers import PeerSender
 from almonddock_daemon.controllers._scatters import ScatterController
 from almonddock_daemon.controllers._targets import TargetController
@@ -19,6 +23,8 @@
     'ConfigurationController',
     'IdempotencyController',
     'MembershipController',
+    'OwnershipController',
+    'OwnershipPorts',
     'PeerSender',
     'Reach',
     'ScatterController',
