--- a/packages/wire/almonddock_wire/messages.capnp
+++ b/packages/wire/almonddock_wire/messages.capnp
@@ -18,6 +18,10 @@
     claim @12 :Claim;
     finish @13 :Finish;
     decision @14 :Decision;
+    leaseRequest @15 :LeaseRequest;
+    leaseReply @16 :LeaseReply;
+    leaseRelease @17 :LeaseRelease;
+    handover @18 :Handover;
   }
 }
 
@@ -105,6 +109,32 @@
   missing @1 :List(Text);
 }
 
+struct LeaseRequest {
+  holder @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt64;
+  hostList @3 :UInt64;
+  targets @4 :List(Text);
+}
+
+struct LeaseReply {
+  voter @0 :Text;
+  number @1 :UInt64;
+  targets @2 :List(Text);
+}
+
+struct LeaseRelease {
+  holder @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt64;
+  targets @3 :List(Text);
+}
+
+struct Handover {
+  target @0 :Text;
+  allowed @1 :UInt32;
+}
+
 struct Claim {
   key @0 :Text;
   requestId @1 :Text;
