Show a straggler and a lost replica in the demonstration

The demonstration now picks free ports, asks all workloads while all targets are well and again with parts-desk-01/r1 thirty times slower and parts-desk-02/r1 down, prints the least coverage of each workload and a summary, and fails below 95% whole answers.

--- a/packages/standins/almonddock_standins/demo.py
+++ b/packages/standins/almonddock_standins/demo.py
@@ -9,7 +9,8 @@
 import random
 import sys
 import tempfile
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 
 import httpx
@@ -26,40 +27,91 @@
 from almonddock_daemon import MonotonicClock
 from almonddock_daemon.adapters import StoreClient, StoreSettings, run_steps
 from almonddock_standins._host_list import HostEntry, StandInHostList
+from almonddock_standins._ports import LOOPBACK, find_ports
 from almonddock_standins.deployments import DeploymentFiles, build_kyushu
 from almonddock_standins.store import StandInStore
 from almonddock_standins.target import (
+    Faults,
     ServiceTimes,
     StandInTarget,
     build_settings,
 )
 
 HOST_COUNT = 4
-HTTP_PORT = 23_000
-LINK_PORT = 23_100
-STORE_ADDRESS = '127.0.0.1:23200'
-HOST_LIST_ADDRESS = '127.0.0.1:23201'
 READY_TIMEOUT_S = 20
 QUERIES_EACH = 20
+WORKLOADS = ('parts-desk', 'quote-maker', 'job-ledger', 'shop-notify')
+STRAGGLER = 'parts-desk-01/r1'
+STRAGGLER_FACTOR = 30
+LOST = 'parts-desk-02/r1'
+#: The share of answers that must be whole for a good end.
+MIN_WHOLE = 0.95
+
+
+TARGET_COUNT = 110
+
+
+@dataclass(frozen=True, slots=True)
+class Addresses:
+    """Where everything of the demonstration listens."""
+
+    http: tuple[str, ...]
+    links: tuple[str, ...]
+    store: str
+    host_list: str
+    first_target_port: int
+
+    @property
+    def urls(self) -> tuple[str, ...]:
+        """Where the hosts take queries."""
+        return tuple(f'http://{one}' for one in self.http)
+
+
+def choose_addresses() -> Addresses:
+    """Returns free loopback addresses."""
+    ports = find_ports(TARGET_COUNT + HOST_COUNT * 2 + 2)
+    first = [f'{LOOPBACK}:{port}' for port in ports[: HOST_COUNT * 2 + 2]]
+    return Addresses(
+        http=tuple(first[:HOST_COUNT]),
+        links=tuple(first[HOST_COUNT : HOST_COUNT * 2]),
+        store=first[-2],
+        host_list=first[-1],
+        first_target_port=ports[HOST_COUNT * 2 + 2],
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What the summary needs of one answer."""
+
+    outcome: str
+    answered: int
+    total: int
+    elapsed_ms: float
+
+
 PUBLISH_CALLS_PER_SECOND = 500
 
 
-def list_hosts() -> list[HostEntry]:
+def list_hosts(addresses: Addresses) -> list[HostEntry]:
     """Returns the host list of the demonstration."""
     return [
         HostEntry(
             host=f'kyu-{number}',
             data_centre=f'kyushu-{number % 3 + 1}',
-            address=f'127.0.0.1:{LINK_PORT + number}',
+            address=address,
         )
-        for number in range(HOST_COUNT)
+        for number, address in enumerate(addresses.links)
     ]
 
 
-def write_settings(folder: pathlib.Path) -> list[pathlib.Path]:
+def write_settings(
+    folder: pathlib.Path,
+    addresses: Addresses,
+) -> list[pathlib.Path]:
     """Writes one settings file a host and returns their paths."""
     paths = []
-    for number, entry in enumerate(list_hosts()):
+    for number, entry in enumerate(list_hosts(addresses)):
         path = folder / f'{entry.host}.json'
         path.write_bytes(
             orjson.dumps(
@@ -67,11 +119,11 @@
                     'host': entry.host,
                     'data_centre': entry.data_centre,
                     'listen': {
-                        'http': f'127.0.0.1:{HTTP_PORT + number}',
+                        'http': addresses.http[number],
                         'link': entry.address,
                     },
-                    'store': {'endpoints': [f'http://{STORE_ADDRESS}']},
-                    'host_list': {'url': f'http://{HOST_LIST_ADDRESS}'},
+                    'store': {'endpoints': [f'http://{addresses.store}']},
+                    'host_list': {'url': f'http://{addresses.host_list}'},
                     'seed': number,
                 },
             ),
@@ -80,7 +132,7 @@
     return paths
 
 
-async def publish_files(files: DeploymentFiles) -> None:
+async def publish_files(files: DeploymentFiles, store_address: str) -> None:
     """Brings the files into force, as ``almonddock publish`` does."""
     checked = CheckedFiles(
         files.services,
@@ -92,7 +144,7 @@
         TypeAdapter(DataCentresFile).dump_json(files.data_centres),
     )
     settings = StoreSettings(
-        (f'http://{STORE_ADDRESS}',),
+        (f'http://{store_address}',),
         prefix='/almonddock/',
         calls_per_second=PUBLISH_CALLS_PER_SECOND,
     )
@@ -122,31 +174,64 @@
 
 async def run() -> int:
     """Runs the demonstration and returns the exit code."""
-    await start_standins(build_kyushu())
+    addresses = choose_addresses()
+    urls = addresses.urls
+    targets = await start_standins(addresses)
     with tempfile.TemporaryDirectory() as folder:
         daemons = [
             await start_daemon(path)
-            for path in write_settings(pathlib.Path(folder))
-        ]
-        urls = [
-            f'http://127.0.0.1:{HTTP_PORT + one}' for one in range(HOST_COUNT)
+            for path in write_settings(pathlib.Path(folder), addresses)
         ]
         await wait_ready(urls)
-        whole = await _ask_all(urls)
+        print('All targets are well:')
+        well = await _ask_all(urls)
+        targets[STRAGGLER].switch_faults(Faults(slow=STRAGGLER_FACTOR))
+        targets[LOST].switch_faults(Faults(down=True))
+        print(f'{STRAGGLER} is slow and {LOST} is down:')
+        ill = await _ask_all(urls)
         codes = [await stop_daemon(daemon) for daemon in daemons]
-    print(f'{whole} whole answers; exit codes {codes}')
-    return max(codes)
+    return _summarise([*well, *ill], targets.values(), codes)
 
 
-async def start_standins(files: DeploymentFiles) -> None:
+def _summarise(
+    answers: list[Answer],
+    targets: Iterable[StandInTarget],
+    codes: list[int],
+) -> int:
+    """Prints what was answered and what the targets counted."""
+    whole = sum(answer.outcome == 'answered' for answer in answers)
+    asked = len(answers)
+    counters = [target.counters for target in targets]
+    print(
+        f'{whole} of {asked} answers are whole; '
+        f'{sum(each.run for each in counters)} sub-queries ran, '
+        f'{sum(each.over_slots for each in counters)} came over the slots, '
+        f'{sum(each.cancelled for each in counters)} were cancelled; '
+        f'the hosts ended with {codes}',
+    )
+    return max(codes) or int(whole < asked * MIN_WHOLE)
+
+
+async def start_standins(
+    addresses: Addresses,
+) -> Mapping[str, StandInTarget]:
     """Starts the store, the host list and the targets; publishes files."""
+    files = build_kyushu(addresses.first_target_port)
     times = ServiceTimes(median=timedelta(milliseconds=10))
-    await StandInStore(STORE_ADDRESS).start()
-    await StandInHostList(list_hosts(), HOST_LIST_ADDRESS).start()
-    for service in files.services:
-        for entry in service.targets:
-            await StandInTarget(build_settings(service, entry, times)).start()
-    await publish_files(files)
+    await StandInStore(addresses.store).start()
+    await StandInHostList(
+        list_hosts(addresses),
+        addresses.host_list,
+    ).start()
+    targets = [
+        StandInTarget(build_settings(service, entry, times))
+        for service in files.services
+        for entry in service.targets
+    ]
+    for target in targets:
+        await target.start()
+    await publish_files(files, addresses.store)
+    return {target.settings.name: target for target in targets}
 
 
 async def start_daemon(path: pathlib.Path) -> asyncio.subprocess.Process:
@@ -166,28 +251,40 @@
     return await daemon.wait()
 
 
-async def _ask_all(urls: list[str]) -> int:
-    whole = 0
+async def _ask_all(urls: Sequence[str]) -> list[Answer]:
+    answers: list[Answer] = []
     async with httpx.AsyncClient(trust_env=False, timeout=10) as client:
-        for name in ('parts-desk', 'quote-maker', 'job-ledger', 'shop-notify'):
-            elapsed = []
-            for number in range(QUERIES_EACH):
-                response = await client.post(
-                    f'{urls[number % HOST_COUNT]}/v1/query',
-                    json={'workload': name, 'query': {'text': 'reed'}},
-                )
-                answer = response.json()
-                whole += answer.get('outcome') == 'answered'
-                if answer.get('outcome') != 'answered':
-                    print(answer)
-                elapsed.append(answer['timings']['elapsed_ms'])
-            coverage = answer['coverage']
-            print(
-                f'{name}: {answer["outcome"]}, {coverage["answered"]} of '
-                f'{coverage["total"]} shards, median '
-                f'{sorted(elapsed)[QUERIES_EACH // 2]:.1f} ms',
-            )
-    return whole
+        for name in WORKLOADS:
+            found = [
+                await _ask(client, urls[number % HOST_COUNT], name)
+                for number in range(QUERIES_EACH)
+            ]
+            _print_workload(name, found)
+            answers.extend(found)
+    return answers
+
+
+async def _ask(client: httpx.AsyncClient, url: str, workload: str) -> Answer:
+    response = await client.post(
+        f'{url}/v1/query',
+        json={'workload': workload, 'query': {'text': 'reed'}},
+    )
+    content = response.json()
+    return Answer(
+        content.get('outcome', content.get('code', 'unknown')),
+        content['coverage']['answered'],
+        content['coverage']['total'],
+        content['timings']['elapsed_ms'],
+    )
+
+
+def _print_workload(name: str, found: list[Answer]) -> None:
+    times = sorted(answer.elapsed_ms for answer in found)
+    least = min(found, key=lambda answer: answer.answered)
+    print(
+        f'  {name}: least coverage {least.answered} of {least.total} shards, '
+        f'median {times[len(times) // 2]:.1f} ms, slowest {times[-1]:.1f} ms',
+    )
 
 
 if __name__ == '__main__':
