--- a/packages/standins/almonddock_standins/demo.py
+++ b/packages/standins/almonddock_standins/demo.py
@@ -14,7 +14,6 @@
 from datetime import timedelta
 
 import httpx
-import orjson
 from pydantic import TypeAdapter
 
 from almonddock_core.configuration import (
@@ -26,8 +25,14 @@
 from almonddock_core.deployment import DataCentresFile, ServiceFile
 from almonddock_daemon import MonotonicClock
 from almonddock_daemon.adapters import StoreClient, StoreSettings, run_steps
-from almonddock_standins._host_list import HostEntry, StandInHostList
-from almonddock_standins._ports import LOOPBACK, find_ports
+from almonddock_standins._addresses import (
+    HOST_COUNT,
+    Addresses,
+    choose_addresses,
+    list_hosts,
+    write_settings,
+)
+from almonddock_standins._host_list import StandInHostList
 from almonddock_standins.deployments import DeploymentFiles, build_kyushu
 from almonddock_standins.store import StandInStore
 from almonddock_standins.target import (
@@ -37,7 +42,6 @@
     build_settings,
 )
 
-HOST_COUNT = 4
 READY_TIMEOUT_S = 20
 QUERIES_EACH = 20
 WORKLOADS = ('parts-desk', 'quote-maker', 'job-ledger', 'shop-notify')
@@ -48,38 +52,6 @@
 MIN_WHOLE = 0.95
 
 
-TARGET_COUNT = 110
-
-
-@dataclass(frozen=True, slots=True)
-class Addresses:
-    """Where everything of the demonstration listens."""
-
-    http: tuple[str, ...]
-    links: tuple[str, ...]
-    store: str
-    host_list: str
-    first_target_port: int
-
-    @property
-    def urls(self) -> tuple[str, ...]:
-        """Where the hosts take queries."""
-        return tuple(f'http://{one}' for one in self.http)
-
-
-def choose_addresses() -> Addresses:
-    """Returns free loopback addresses."""
-    ports = find_ports(TARGET_COUNT + HOST_COUNT * 2 + 2)
-    first = [f'{LOOPBACK}:{port}' for port in ports[: HOST_COUNT * 2 + 2]]
-    return Addresses(
-        http=tuple(first[:HOST_COUNT]),
-        links=tuple(first[HOST_COUNT : HOST_COUNT * 2]),
-        store=first[-2],
-        host_list=first[-1],
-        first_target_port=ports[HOST_COUNT * 2 + 2],
-    )
-
-
 @dataclass(frozen=True, slots=True)
 class Answer:
     """What the summary needs of one answer."""
@@ -93,45 +65,6 @@
 PUBLISH_CALLS_PER_SECOND = 500
 
 
-def list_hosts(addresses: Addresses) -> list[HostEntry]:
-    """Returns the host list of the demonstration."""
-    return [
-        HostEntry(
-            host=f'kyu-{number}',
-            data_centre=f'kyushu-{number % 3 + 1}',
-            address=address,
-        )
-        for number, address in enumerate(addresses.links)
-    ]
-
-
-def write_settings(
-    folder: pathlib.Path,
-    addresses: Addresses,
-) -> list[pathlib.Path]:
-    """Writes one settings file a host and returns their paths."""
-    paths = []
-    for number, entry in enumerate(list_hosts(addresses)):
-        path = folder / f'{entry.host}.json'
-        path.write_bytes(
-            orjson.dumps(
-                {
-                    'host': entry.host,
-                    'data_centre': entry.data_centre,
-                    'listen': {
-                        'http': addresses.http[number],
-                        'link': entry.address,
-                    },
-                    'store': {'endpoints': [f'http://{addresses.store}']},
-                    'host_list': {'url': f'http://{addresses.host_list}'},
-                    'seed': number,
-                },
-            ),
-        )
-        paths.append(path)
-    return paths
-
-
 async def publish_files(files: DeploymentFiles, store_address: str) -> None:
     """Brings the files into force, as ``almonddock publish`` does."""
     checked = CheckedFiles(
