--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 import time
-from collections.abc import Mapping
 from typing import Any
 
 from almonddock_core.deployment import Deployment, MergeRule
@@ -22,10 +21,9 @@
     MembershipView,
     Plan,
     RequestId,
-    TargetId,
     WorkloadId,
 )
-from almonddock_core.owners import OwnerSettings, place_targets
+from almonddock_core.owners import OwnerSettings
 from almonddock_core.scatter import ScatterSettings
 from almonddock_core.truth import VersionTable, pin_snapshot
 from almonddock_daemon._clock import MonotonicClock
@@ -41,6 +39,8 @@
     ConfigurationController,
     IdempotencyController,
     MembershipController,
+    OwnershipController,
+    OwnershipPorts,
     PeerSender,
     Reach,
     ScatterController,
@@ -96,7 +96,6 @@
         own = _describe_self(settings)
         self._own = own
         self._versions = VersionTable()
-        self._owners: Mapping[TargetId, HostId] = {}
         self._mesh = LinkMesh(_build_hello(own), self._clock)
         self._targets = TargetController(
             OwnerSettings(),
@@ -116,7 +115,17 @@
             self._router.send,
             self._router.connect,
         )
-        self._router.attach(self._scatters)
+        self._ownership = OwnershipController(
+            own,
+            self._clock,
+            source,
+            self._targets,
+            OwnershipPorts(
+                self._router.send_guard,
+                lambda: self._membership.validated,
+            ),
+        )
+        self._router.attach(self._scatters, self._ownership)
         self._store = StoreClient(
             StoreLimits(
                 endpoints=settings.store.endpoints,
@@ -203,6 +212,7 @@
             self._stopping.set()
 
     async def _close(self) -> None:
+        self._ownership.close()
         self._targets.close()
         await self._idempotency.close()
         await self._mesh.stop()
@@ -288,7 +298,7 @@
             self._configuration.view,
             workload,
             self._versions,
-            self._owners,
+            self._ownership.owners,
         )
 
     def _find_rule(self, workload: WorkloadId) -> MergeRule:
@@ -297,27 +307,21 @@
         return deployment.services[name].merge
 
     def _apply_deployment(self, deployment: Deployment) -> None:
-        self._place(deployment, self._membership.view)
+        self._ownership.update(deployment, self._membership.view)
 
     def _apply_membership(self, view: MembershipView) -> None:
         self._idempotency.update_hosts(
             member.host for member in view.list_owners()
         )
-        self._place(self._configuration.view, view)
-
-    def _place(self, deployment: Deployment, view: MembershipView) -> None:
-        self._owners = place_targets(deployment, view.list_owners())
-        own = [
-            target
-            for target, owner in self._owners.items()
-            if owner == self._own.host
-        ]
-        self._targets.update(deployment, dict.fromkeys(own, False))
+        self._ownership.update(self._configuration.view, view)
 
     def _explain_unready(self) -> str:
         if self._stopping.is_set():
             return 'shutting_down'
-        return self._configuration.measure().unready
+        unready = self._configuration.measure().unready
+        if unready or self._ownership.settled:
+            return unready
+        return 'targets_not_acquired'
 
     def _describe_status(self) -> dict[str, Any]:
         view = self._membership.view
