Keep the linter clean over the command line's tests

Cause: flake8 applies only the most specific exemptions of a file, so that tests of the command line lost theirs, and one import form is refused. Measured: lint clean, tests pass.

--- a/packages/cli/almonddock_cli/tests/test_commands.py
+++ b/packages/cli/almonddock_cli/tests/test_commands.py
@@ -1,6 +1,5 @@
-import unittest
 from typing import Any
-from unittest import mock
+from unittest import TestCase, mock
 
 import httpx
 import orjson
@@ -24,7 +23,7 @@
 ASK = ('query', 'desk', '{}', '--host', 'http://127.0.0.1:1')
 
 
-class CommandTest(unittest.TestCase):
+class CommandTest(TestCase):
     def run_command(self, arguments: tuple[str, ...], *replies: Any) -> Any:
         with mock.patch('httpx.request', side_effect=replies) as request:
             outcome = CliRunner().invoke(APPLICATION, arguments)
