Hedge only where the hedge would start sooner

Cause: a service whose queues were long drew every query's hedges, which doubled its work and kept the queues full. Change: a hedge goes out only where its expected wait is below the time that the first try has waited.

--- /dev/null
+++ b/bench/tail/stragglers.py
@@ -0,0 +1,204 @@
+"""Experiment: the tail with 1% of sub-queries twenty times slower.
+
+Run ``python -m bench.tail.stragglers``. Queries arrive open-loop at random
+hosts. The load is the share of all slots that first tries keep busy,
+stragglers included; service times are lognormal.
+"""
+
+import math
+import random
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from functools import partial
+
+from almonddock_core.model import (
+    HostId,
+    Query,
+    RequestId,
+    ScatterResult,
+    WorkloadId,
+)
+from almonddock_core.scatter import ScatterSettings
+from bench.measurement import Measurement
+from bench.tail.baseline import FixedShares
+from bench.tail.shape import (
+    MEDIAN_MS,
+    SHAPES,
+    SIGMA,
+    STRAGGLER_FACTOR,
+    STRAGGLER_SHARE,
+    Shape,
+)
+from bench.tail.tier import Done, Tier
+
+LOADS = (0.3, 0.6, 0.8)
+QUERIES = 3000
+#: Queries at the start that are run and not measured.
+WARM_UP = 300
+DEADLINE = timedelta(seconds=10)
+BOUND_CLEAN = 1.5
+BOUND_CLEAN_HIGH = 2.2
+BOUND_BASELINE = 0.15
+BOUND_EXTRA = 0.05
+
+Submit = Callable[[HostId, Query, Done], None]
+
+
+@dataclass(slots=True)
+class Figures:
+    """What was seen of the measured queries of one run."""
+
+    latencies: list[timedelta] = field(default_factory=list)
+    extra_tries: int = 0
+    unanswered: int = 0
+
+    @property
+    def p99_ms(self) -> float:
+        """The 99th percentile of the query latency."""
+        ordered = sorted(self.latencies)
+        place = math.ceil(len(ordered) * 0.99) - 1
+        return ordered[place] / timedelta(milliseconds=1)
+
+
+def drive(
+    tier: Tier,
+    submit: Submit,
+    rate: float,
+    seed: int,
+    queries: int = QUERIES,
+) -> Figures:
+    """Runs the arrivals to their end; ``rate`` is queries a second."""
+    figures = Figures()
+    arrivals = random.Random(seed)
+    when = timedelta()
+    for number in range(queries + WARM_UP):
+        when += timedelta(seconds=arrivals.expovariate(rate))
+        host = arrivals.choice(tier.hosts)
+        query = Query(
+            RequestId(f'q{number}'),
+            WorkloadId(tier.shape.name),
+            b'{}',
+            when + DEADLINE,
+        )
+        done = partial(_note, figures, tier, when, number >= WARM_UP)
+        tier.loop.call_at(when, partial(submit, host, query, done))
+    tier.loop.run()
+    return figures
+
+
+def _note(
+    figures: Figures,
+    tier: Tier,
+    arrived: timedelta,
+    measured: bool,
+    result: ScatterResult,
+) -> None:
+    if measured:
+        figures.latencies.append(tier.loop.now - arrived)
+        figures.extra_tries += result.extra_tries
+        figures.unanswered += bool(result.missing)
+
+
+def compute_rate(shape: Shape, load: float) -> float:
+    """Returns the queries a second that keep a share of slots busy."""
+    mean_ms = MEDIAN_MS * math.exp(SIGMA**2 / 2)
+    mean_ms *= 1 + STRAGGLER_SHARE * (STRAGGLER_FACTOR - 1)
+    return load * shape.all_slots / shape.services * 1000 / mean_ms
+
+
+def run_tier(
+    shape: Shape,
+    load: float,
+    seed: int,
+    *,
+    stragglers: bool,
+) -> Figures:
+    """Runs the real scatter and owner side."""
+    tier = Tier(shape, seed, ScatterSettings(), stragglers=stragglers)
+    rate = compute_rate(shape, load)
+    return drive(tier, tier.submit, rate, seed)
+
+
+def run_baseline(
+    shape: Shape,
+    load: float,
+    seed: int,
+    *,
+    spread: bool,
+) -> Figures:
+    """Runs the baseline over the same arrivals."""
+    tier = Tier(shape, seed, ScatterSettings(), stragglers=True)
+    shares = FixedShares(tier, seed, spread=spread)
+    return drive(tier, shares.submit, compute_rate(shape, load), seed)
+
+
+def measure_shape(shape: Shape, load: float, seed: int) -> list[Measurement]:
+    """Measures one workload at one load."""
+    name = f'tail-{load:.0%}'
+    tier = run_tier(shape, load, seed, stragglers=True)
+    clean = run_tier(shape, load, seed, stragglers=False)
+    build = partial(_build_measurement, shape, seed)
+    extra = tier.extra_tries / (QUERIES * shape.services)
+    bound = BOUND_CLEAN if load < max(LOADS) else BOUND_CLEAN_HIGH
+    found = [
+        build(f'{name}-over-clean', tier.p99_ms, clean.p99_ms, bound),
+        Measurement(
+            f'{name}-extra-tries',
+            shape.name,
+            seed,
+            extra,
+            'share',
+            bound=BOUND_EXTRA,
+            holds=extra <= BOUND_EXTRA,
+        ),
+    ]
+    for label, spread in (('first', False), ('random', True)):
+        baseline = run_baseline(shape, load, seed, spread=spread)
+        found.append(
+            build(
+                f'{name}-over-{label}-replica',
+                tier.p99_ms,
+                baseline.p99_ms,
+                BOUND_BASELINE,
+            ),
+        )
+    return found
+
+
+def _build_measurement(
+    shape: Shape,
+    seed: int,
+    experiment: str,
+    p99_ms: float,
+    baseline_ms: float,
+    bound: float,
+) -> Measurement:
+    ratio = p99_ms / baseline_ms
+    return Measurement(
+        experiment,
+        shape.name,
+        seed,
+        p99_ms,
+        'ms',
+        baseline=baseline_ms,
+        ratio=ratio,
+        bound=bound,
+        holds=ratio <= bound,
+    )
+
+
+def measure(seed: int) -> list[Measurement]:
+    """Measures all workloads at all loads."""
+    return [
+        found
+        for shape in SHAPES
+        for load in LOADS
+        for found in measure_shape(shape, load, seed)
+    ]
+
+
+if __name__ == '__main__':
+    for one in measure(int(sys.argv[1]) if len(sys.argv) > 1 else 1):
+        print(one)
--- a/packages/core/almonddock_core/scatter/_scatter.py
+++ b/packages/core/almonddock_core/scatter/_scatter.py
@@ -21,7 +21,7 @@
     ScatterAction,
     Send,
 )
-from almonddock_core.scatter._choice import choose_candidate
+from almonddock_core.scatter._choice import choose_candidate, estimate_wait
 from almonddock_core.scatter._hedging import HedgeTimer
 from almonddock_core.scatter._messages import (
     build_lost_reply,
@@ -71,6 +71,11 @@
             settings=settings,
             context=context,
         )
+        self._estimate = partial(
+            estimate_wait,
+            settings=settings,
+            context=context,
+        )
         self._finished = False
         self._extra_tries = 0
 
@@ -132,7 +137,11 @@
         return actions
 
     def tick(self, now: timedelta) -> list[ScatterAction]:
-        """Hedges late sub-queries, and finishes at the deadline."""
+        """Hedges late sub-queries, and finishes at the deadline.
+
+        A hedge that would wait longer than the first try has waited already
+        is left out: it would only lengthen the queues of a busy service.
+        """
         if self._finished:
             return []
         if now >= self._query.deadline:
@@ -175,7 +184,12 @@
         now: timedelta,
     ) -> list[ScatterAction]:
         candidate = self._choose(state)
-        if candidate is None or not self._context.budget.spend():
+        if candidate is None:
+            return []
+        waited = now - state.running[0].sent_at
+        if self._estimate(candidate) >= waited:
+            return []
+        if not self._context.budget.spend():
             return []
         return [self._send(state, candidate, now)]
 
