Hold each try to its own expected time

Cause: in a busy moment most shards of a query wait, so that 1.4 times their time is late for a straggler that never waited; and a hedge that could not go out was not looked at again. Change: besides the query's own pace each try is late after its expected wait and the 0.98 quantile of its target's service time; a hedge that could not go out is due again; each target takes at most 0.2 hedges for each other try, so that hedges cannot gather at one busy service.

--- a/packages/core/almonddock_core/scatter/_choice.py
+++ b/packages/core/almonddock_core/scatter/_choice.py
@@ -57,6 +57,18 @@
     return network + service * (ahead / max(load.allowed, 1))
 
 
+def estimate_late(
+    candidate: Candidate,
+    settings: ScatterSettings,
+    context: ScatterContext,
+) -> timedelta:
+    """Returns the time after which a new try is later than most."""
+    served = context.latencies.quantile(candidate.target)
+    served = served or settings.default_quantile
+    wait = estimate_wait(candidate, settings, context)
+    return wait + served * settings.quantile_factor
+
+
 def _prefer_open(
     candidates: list[Candidate],
     context: ScatterContext,
--- a/packages/core/almonddock_core/scatter/_hedging.py
+++ b/packages/core/almonddock_core/scatter/_hedging.py
@@ -1,68 +1,79 @@
 """When the late sub-queries of a query are hedged."""
 
-from collections.abc import Collection
+import heapq
+from collections.abc import Mapping
 from datetime import timedelta
 
-from almonddock_core.model import TargetId
-from almonddock_core.scatter._latency import LatencyTable
+from almonddock_core.model import ShardId
 from almonddock_core.scatter._settings import ScatterSettings
+from almonddock_core.scatter._shard import ShardState
 
 
 class HedgeTimer:
-    """Holds late sub-queries to the time that the others took.
+    """Tells which shards are late, by their own tries or by the others.
 
-    Once most shards are in, the rest is due after a multiple of that time.
-    A multiple of the slowest target's latency quantile bounds the wait, for
-    small queries and for those of which too many shards are late.
+    A try is late once its own expected time has passed. Besides, when most
+    shards of the query are in, each other one is late after a multiple of
+    the time that those took.
     """
 
     def __init__(self, settings: ScatterSettings) -> None:
         self._settings = settings
         self._started = timedelta()
         self._total = 0
-        #: Due when few shards are missing.
+        #: When the shards that have had one try are late, once known.
         self._relative: timedelta | None = None
-        #: Due however many shards are missing.
-        self._latest: timedelta | None = None
+        self._relative_done = False
+        #: When the last try of each shard is late, with the tries so far.
+        self._expected: list[tuple[timedelta, ShardId, int]] = []
 
-    def start(
-        self,
-        now: timedelta,
-        targets: Collection[TargetId],
-        latencies: LatencyTable,
-    ) -> None:
-        """Starts the wait for the first tries at ``targets``."""
-        default = self._settings.default_quantile
-        slowest = max(
-            (latencies.quantile(one) or default for one in targets),
-            default=default,
-        )
+    def start(self, now: timedelta, total: int) -> None:
+        """Starts the wait for ``total`` shards."""
         self._started = now
-        self._total = len(targets)
-        self._latest = now + slowest * self._settings.quantile_factor
+        self._total = total
+
+    def watch(self, state: ShardState, expected: timedelta) -> None:
+        """Notes when the try that was sent last is late."""
+        heapq.heappush(self._expected, (expected, state.shard, state.tries))
 
     def note_reply(self, now: timedelta, missing: int) -> None:
         """Sets the relative time once the given share of shards is in."""
-        if self._relative is not None or self._latest is None:
+        if self._relative is not None:
             return
         if self._total - missing >= self._total * self._settings.hedge_share:
             wait = (now - self._started) * self._settings.hedge_factor
             self._relative = self._started + wait
 
-    def restart(self, now: timedelta) -> None:
-        """Waits as long again before the next round of hedges."""
-        self._latest = now + (now - self._started)
-        self._relative = self._latest
-
     def next_due(self, missing: int) -> timedelta | None:
-        """Returns when the missing shards are late, None if never."""
-        if self._latest is None or self._relative is None:
-            return self._latest
-        if missing > max(self._total * self._settings.hedge_limit, 1):
-            return self._latest
-        return min(self._relative, self._latest)
+        """Returns when some shard may be late, None if never."""
+        due = self._expected[0][0] if self._expected else None
+        relative = self._find_relative(missing)
+        if due is None or relative is None:
+            return due or relative
+        return min(due, relative)
+
+    def take_late(
+        self,
+        unanswered: Mapping[ShardId, ShardState],
+        now: timedelta,
+    ) -> list[ShardState]:
+        """Returns the shards that are late now; each try is late once."""
+        late: dict[ShardId, ShardState] = {}
+        while self._expected and self._expected[0][0] <= now:
+            _, shard, tries = heapq.heappop(self._expected)
+            state = unanswered.get(shard)
+            if state is not None and state.tries == tries:
+                late[shard] = state
+        relative = self._find_relative(len(unanswered))
+        if relative is not None and relative <= now:
+            self._relative_done = True
+            late.update(
+                (shard, state)
+                for shard, state in unanswered.items()
+                if state.tries == 1
+            )
+        return list(late.values())
 
-    def is_due(self, now: timedelta, missing: int) -> bool:
-        """Returns whether the missing shards are late."""
-        due = self.next_due(missing)
-        return due is not None and now >= due
+    def _find_relative(self, missing: int) -> timedelta | None:
+        few = missing <= max(self._total * self._settings.hedge_limit, 1)
+        return self._relative if few and not self._relative_done else None
--- a/packages/core/almonddock_core/scatter/_latency.py
+++ b/packages/core/almonddock_core/scatter/_latency.py
@@ -5,14 +5,17 @@
 
 from almonddock_core.model import SubReply, TargetId, TargetLoad
 
-#: The quantile of a target's round trips after which a reply is late.
-QUANTILE = 0.95
-#: The relative step of the quantile estimate on each round trip.
+#: The quantile of a target's service times after which a reply is late.
+QUANTILE = 0.98
+#: The relative step of the quantile estimate on each reply.
 STEP = 0.05
 #: The weight of a new sample in the smoothed network time.
 WEIGHT = 0.1
-#: Round trips after which the estimate is used.
+#: Replies after which the estimate is used.
 MIN_SAMPLES = 20
+#: Hedges that a target takes for each other try, and in one burst.
+HEDGE_SHARE = 0.2
+HEDGE_BURST = 5
 
 
 @dataclass(slots=True)
@@ -23,10 +26,12 @@
     #: The load seen last, and the tries sent since it came.
     load: TargetLoad | None = None
     sent: int = 0
+    #: Hedges that may go to the target.
+    hedges: float = HEDGE_BURST
 
 
 class LatencyTable:
-    """Round trips, network times and recent sends, a record a target.
+    """Service times, network times and recent sends, a record a target.
 
     One table serves all queries of a host. The quantile is a stochastic
     estimate, so that a record costs a few numbers however long it lives.
@@ -36,19 +41,19 @@
         self._records: dict[TargetId, _Record] = {}
 
     def record(self, reply: SubReply, elapsed: timedelta) -> None:
-        """Learns from the round trip of a reply that was counted."""
+        """Learns from a reply that was counted."""
         known = self._find(reply.target)
         network = max(elapsed - reply.queued - reply.served, timedelta())
         if known.samples:
-            known.quantile = _move_quantile(known.quantile, elapsed)
+            known.quantile = _move_quantile(known.quantile, reply.served)
             known.network += WEIGHT * (network - known.network)
         else:
-            known.quantile = elapsed
+            known.quantile = reply.served
             known.network = network
         known.samples += 1
 
     def quantile(self, target: TargetId) -> timedelta | None:
-        """Returns the time after which a reply is late, once known."""
+        """Returns the service time that few replies exceed, once known."""
         known = self._records.get(target)
         if known is None or known.samples < MIN_SAMPLES:
             return None
@@ -64,6 +69,15 @@
         known = self._find(target)
         known.sent = self.count_sent(target, load) + 1
         known.load = load
+        known.hedges = min(known.hedges + HEDGE_SHARE, HEDGE_BURST)
+
+    def may_hedge(self, target: TargetId) -> bool:
+        """Returns whether the target may take one more hedge."""
+        return self._find(target).hedges >= 1
+
+    def note_hedge(self, target: TargetId) -> None:
+        """Counts a hedge against what the target takes."""
+        self._find(target).hedges -= 1
 
     def count_sent(self, target: TargetId, load: TargetLoad | None) -> int:
         """Returns the tries sent since ``load`` came."""
@@ -78,7 +92,7 @@
         return known
 
 
-def _move_quantile(quantile: timedelta, elapsed: timedelta) -> timedelta:
-    if elapsed > quantile:
+def _move_quantile(quantile: timedelta, served: timedelta) -> timedelta:
+    if served > quantile:
         return quantile * (1 + STEP * QUANTILE)
     return quantile * (1 - STEP * (1 - QUANTILE))
--- a/packages/core/almonddock_core/scatter/_messages.py
+++ b/packages/core/almonddock_core/scatter/_messages.py
@@ -14,6 +14,7 @@
     TargetId,
 )
 from almonddock_core.scatter._budget import TryBudget
+from almonddock_core.scatter._settings import ScatterContext
 from almonddock_core.scatter._shard import Attempt, ShardState
 
 #: Refusals after which a resend adds no work to any target.
@@ -88,6 +89,18 @@
     )
 
 
+def pay_hedge(target: TargetId, context: ScatterContext) -> bool:
+    """Returns whether a hedge may go to the target, and charges for it.
+
+    Besides the budget of all tries each target has one of its own, so that
+    the hedges of all queries cannot gather at one busy service.
+    """
+    if not context.latencies.may_hedge(target) or not context.budget.spend():
+        return False
+    context.latencies.note_hedge(target)
+    return True
+
+
 def pay_retry(reply: SubReply, budget: TryBudget) -> bool:
     """Returns whether the try that ended so may be followed by another.
 
--- a/packages/core/almonddock_core/scatter/_scatter.py
+++ b/packages/core/almonddock_core/scatter/_scatter.py
@@ -21,13 +21,18 @@
     ScatterAction,
     Send,
 )
-from almonddock_core.scatter._choice import choose_candidate, estimate_wait
+from almonddock_core.scatter._choice import (
+    choose_candidate,
+    estimate_late,
+    estimate_wait,
+)
 from almonddock_core.scatter._hedging import HedgeTimer
 from almonddock_core.scatter._messages import (
     build_lost_reply,
     build_sub_query,
     is_reply_to,
     mark_wrong_version,
+    pay_hedge,
     pay_retry,
 )
 from almonddock_core.scatter._result import build_result
@@ -59,6 +64,7 @@
         self._query = query
         self._plan = plan
         self._context = context
+        self._settings = settings
         self._replies: dict[ShardId, SubReply] = {}
         self._open: dict[ShardId, ShardState] = {}
         self._failed: dict[ShardId, ShardState] = {}
@@ -71,11 +77,16 @@
             settings=settings,
             context=context,
         )
-        self._estimate = partial(
+        self._estimate_wait = partial(
             estimate_wait,
             settings=settings,
             context=context,
         )
+        self._estimate_late = partial(
+            estimate_late,
+            settings=settings,
+            context=context,
+        )
         self._finished = False
         self._extra_tries = 0
 
@@ -91,9 +102,7 @@
         actions: list[ScatterAction] = []
         for state in tuple(self._open.values()):
             actions.extend(self._try_first(state, now))
-        if self._query.idempotent:
-            targets = [one.candidate.target for one in self._attempts.values()]
-            self._timer.start(now, targets, self._context.latencies)
+        self._timer.start(now, len(self._open))
         return actions + self._finish_if_settled()
 
     def receive(
@@ -146,11 +155,10 @@
             return []
         if now >= self._query.deadline:
             return self._finish(Reason.TIMED_OUT)
-        if not self._timer.is_due(now, len(self._open)):
+        if not self._query.idempotent:
             return []
-        self._timer.restart(now)
         actions: list[ScatterAction] = []
-        for state in self._open.values():
+        for state in self._timer.take_late(self._open, now):
             actions.extend(self._hedge(state, now))
         return actions
 
@@ -162,7 +170,9 @@
         """Returns when ``tick`` must be called, None once finished."""
         if self._finished:
             return None
-        due = self._timer.next_due(len(self._open))
+        due = None
+        if self._query.idempotent:
+            due = self._timer.next_due(len(self._open))
         deadline = self._query.deadline
         return deadline if due is None else min(due, deadline)
 
@@ -187,11 +197,12 @@
         if candidate is None:
             return []
         waited = now - state.running[0].sent_at
-        if self._estimate(candidate) >= waited:
-            return []
-        if not self._context.budget.spend():
-            return []
-        return [self._send(state, candidate, now)]
+        lead = self._estimate_wait(candidate) - waited
+        if lead < timedelta() and pay_hedge(candidate.target, self._context):
+            return [self._send(state, candidate, now)]
+        pause = max(lead, self._settings.hedge_pause)
+        self._timer.watch(state, now + pause)
+        return []
 
     def _recover(
         self,
@@ -232,6 +243,7 @@
         attempt = Attempt(sub.attempt_id, state.shard, candidate, now)
         self._attempts[sub.attempt_id] = attempt
         state.begin_attempt(attempt)
+        self._timer.watch(state, now + self._estimate_late(candidate))
         self._context.latencies.note_sent(
             target,
             self._context.loads.get(target),
--- a/packages/core/almonddock_core/scatter/_settings.py
+++ b/packages/core/almonddock_core/scatter/_settings.py
@@ -13,6 +13,8 @@
 QUANTILE_MS = 50
 SERVICE_MS = 10
 
+PAUSE_MS = 2
+
 
 @dataclass(frozen=True, slots=True)
 class ScatterSettings:
@@ -24,12 +26,15 @@
     hedge_factor: float = 1.4
     #: Hedging waits until at most this share of shards is missing.
     hedge_limit: float = 0.1
-    #: Hedging at the latest after this multiple of the slowest quantile.
+    #: A try is late after its expected wait and this multiple of the
+    #: quantile of its target's service times.
     quantile_factor: float = 1.2
-    #: Stands for the quantile of a target that is not known yet.
+    #: Stands for that quantile while the target is not known.
     default_quantile: timedelta = timedelta(milliseconds=QUANTILE_MS)
     #: Stands for the service time of a target that is not known yet.
     default_service: timedelta = timedelta(milliseconds=SERVICE_MS)
+    #: The least time before a hedge that could not go out is due again.
+    hedge_pause: timedelta = timedelta(milliseconds=PAUSE_MS)
     #: Tries of one shard at most, the first one included.
     max_tries: int = 3
     budget: BudgetSettings = BudgetSettings()
--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_scatter_properties.py
@@ -0,0 +1,187 @@
+import unittest
+from collections import Counter
+from datetime import timedelta
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almonddock_core.model import (
+    HostId,
+    IndexVersion,
+    Reason,
+    ReplyStatus,
+    ScatterResult,
+    ShardId,
+    SubQuery,
+    SubReply,
+)
+from almonddock_core.scatter import Finish, ScatterAction, Send
+from almonddock_core.tests.scatter_cases import (
+    VERSION,
+    answer,
+    make_context,
+    make_plan,
+    make_scatter,
+    ms,
+)
+
+TOKENS = 2
+SHARDS = 4
+REPLICAS = 3
+DEADLINE = ms(300)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ('ok', 'refuse', 'shed', 'fail', 'unsure', 'version', 'cross')
+            + ('lose', 'tick', 'tick', 'ok', 'repeat')
+        ),
+        st.integers(0, 11),
+        st.integers(0, 40),
+    ),
+    max_size=40,
+)
+REFUSALS = {
+    'refuse': (ReplyStatus.NOT_RUN, Reason.DRAINING),
+    'shed': (ReplyStatus.NOT_RUN, Reason.OVERLOADED),
+    'fail': (ReplyStatus.FAILED, Reason.TARGET_FAILED),
+    'unsure': (ReplyStatus.UNKNOWN, Reason.TARGET_UNREACHABLE),
+}
+
+
+class World:
+    """Drives one scatter and checks it against its own count of events."""
+
+    def __init__(self, test: unittest.TestCase, idempotent: bool) -> None:
+        self.test = test
+        self.idempotent = idempotent
+        self.now = timedelta()
+        self.context = make_context(TOKENS)
+        self.plan = make_plan(SHARDS, REPLICAS)
+        self.scatter = make_scatter(
+            self.plan, self.context, idempotent=idempotent
+        )
+        self.sent: list[SubQuery] = []
+        self.first_ok: dict[ShardId, SubReply] = {}
+        self.free: Counter[ShardId] = Counter()
+        self.unsure: set[ShardId] = set()
+        self.ended: set[str] = set()
+        self.results: list[ScatterResult] = []
+        self.lost: set[HostId] = set()
+        self.take(self.scatter.start(self.now))
+
+    def take(self, actions: list[ScatterAction]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self.test.assertFalse(self.results, 'sent after the end')
+                self.test.assertNotIn(action.owner, self.lost)
+                self.sent.append(action.sub)
+                if not self.idempotent:
+                    self.check_single_run(action.sub)
+            elif isinstance(action, Finish):
+                self.results.append(action.result)
+
+    def check_single_run(self, sub: SubQuery) -> None:
+        others = [
+            one for one in self.sent if one.shard == sub.shard and one != sub
+        ]
+        running = [one for one in others if one.attempt_id not in self.ended]
+        self.test.assertFalse(running, 'sent while another try runs')
+        self.test.assertNotIn(sub.shard, self.unsure)
+
+    def step(self, kind: str, number: int, wait: int) -> None:
+        self.now += ms(wait)
+        sub = self.sent[number % len(self.sent)]
+        if kind == 'tick':
+            self.take(self.scatter.tick(self.now))
+        elif kind == 'lose':
+            host = HostId(f'host-{number % REPLICAS}')
+            self.lost.add(host)
+            self.unsure.update(
+                one.shard
+                for one in self.sent
+                if one.target.endswith(host[-1])
+                and one.attempt_id not in self.ended
+            )
+            self.take(self.scatter.lose_owner(host, self.now))
+        elif kind == 'cross':
+            other = self.plan.shards[number % SHARDS]
+            if other != sub.shard:
+                reply = SubReply(
+                    sub.attempt_id,
+                    sub.request_id,
+                    other,
+                    sub.target,
+                    ReplyStatus.OK,
+                    version=VERSION,
+                )
+                self.test.assertEqual(self.receive(reply), [])
+        else:
+            self.reply(kind, sub)
+
+    def reply(self, kind: str, sub: SubQuery) -> None:
+        new = sub.attempt_id not in self.ended
+        status, reason = REFUSALS.get(kind, (ReplyStatus.OK, Reason.NONE))
+        reply = answer(sub, status, reason)
+        if kind == 'version':
+            reply = answer(sub, version=IndexVersion(8))
+        if new and status is not ReplyStatus.NOT_RUN:
+            self.unsure.add(sub.shard)
+        self.ended.add(sub.attempt_id)
+        actions = self.receive(reply)
+        if kind in {'ok', 'repeat'} and new:
+            self.first_ok.setdefault(sub.shard, reply)
+        self.take(actions)
+
+    def receive(self, reply: SubReply) -> list[ScatterAction]:
+        return self.scatter.receive(reply, self.now)
+
+    def finish(self) -> ScatterResult:
+        self.now = max(self.now, DEADLINE)
+        self.take(self.scatter.tick(self.now))
+        self.take(self.scatter.tick(self.now + ms(1)))
+        self.take(self.scatter.abandon(self.now))
+        self.test.assertEqual(len(self.results), 1, 'finishes')
+        return self.results[0]
+
+
+class ScatterPropertyTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(STEPS, st.booleans())
+    def test_counts_each_shard_once_and_finishes_once(
+        self,
+        steps: list[tuple[str, int, int]],
+        idempotent: bool,
+    ) -> None:
+        world = World(self, idempotent)
+        for step in steps:
+            world.step(*step)
+        result = world.finish()
+        named = [*result.replies, *result.missing]
+        self.assertCountEqual(named, world.plan.shards)
+        for shard, reply in result.replies.items():
+            self.assertEqual(reply.shard, shard)
+            self.assertEqual(reply.version, VERSION)
+            self.assertIn(reply.attempt_id, world.ended)
+        self.assertEqual(
+            result.extra_tries,
+            len(world.sent) - len({one.shard for one in world.sent}),
+        )
+        identifiers = {one.attempt_id for one in world.sent}
+        self.assertEqual(len(identifiers), len(world.sent))
+        if any(shard in world.unsure for shard in result.missing):
+            self.assertTrue(result.may_have_run)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(STEPS)
+    def test_never_exceeds_the_budget(
+        self,
+        steps: list[tuple[str, int, int]],
+    ) -> None:
+        world = World(self, idempotent=True)
+        for step in steps:
+            if step[0] not in {'lose', 'refuse'}:
+                world.step(*step)
+        world.finish()
+        extra = len(world.sent) - SHARDS
+        self.assertLessEqual(extra, TOKENS)
+        self.assertEqual(world.context.budget.tokens, TOKENS - extra)
