Add admission at the entry host

Bounded sub-queries in progress; the rest wait by urgency, then worth for each sub-query, and are refused as not run once they cannot end in time.

--- /dev/null
+++ b/bench/tail/overload.py
@@ -0,0 +1,204 @@
+"""Experiment: twice the work that all slots can do.
+
+Run ``python -m bench.tail.overload``. Queries of three urgencies and random
+worth arrive open-loop at random hosts; every host admits by itself. The
+oracle knows all arrivals and takes the most urgent, then the most worth,
+until the slots are used up.
+"""
+
+import random
+import sys
+from dataclasses import dataclass, field
+from datetime import timedelta
+from functools import partial
+from types import MappingProxyType
+
+from almonddock_core.admission import (
+    Admission,
+    AdmissionAction,
+    AdmissionSettings,
+    Admit,
+    compute_unit_limit,
+)
+from almonddock_core.model import (
+    HostId,
+    Query,
+    RequestId,
+    ScatterResult,
+    Urgency,
+    WorkloadId,
+)
+from almonddock_core.scatter import ScatterSettings
+from bench.measurement import Measurement
+from bench.tail.shape import SHAPES, Shape
+from bench.tail.stragglers import compute_rate
+from bench.tail.tier import Tier
+
+DEADLINE = timedelta(milliseconds=300)
+SECONDS = 8
+#: The shares of arrivals by urgency and the range of their worth.
+URGENT_SHARE = 0.3
+NORMAL_SHARE = 0.5
+WORTH = MappingProxyType(
+    {
+        Urgency.URGENT: (2, 4),
+        Urgency.NORMAL: (0.5, 2),
+        Urgency.ARCHIVE: (0.1, 0.5),
+    },
+)
+BOUND_WORTH = 0.9
+BOUND_URGENT = 0.01
+BOUND_GOODPUT = 0.95
+
+
+@dataclass(slots=True)
+class Earned:
+    """What one run answered in full and in time."""
+
+    arrived: list[Query] = field(default_factory=list)
+    answered: set[RequestId] = field(default_factory=set)
+
+    @property
+    def worth(self) -> float:
+        """The worth of the answered queries."""
+        return sum(
+            one.worth for one in self.arrived if one.request_id in self.answered
+        )
+
+    @property
+    def urgent_lost(self) -> float:
+        """The share of urgent queries without an answer."""
+        urgent = [one for one in self.arrived if one.urgency is Urgency.URGENT]
+        lost = [one for one in urgent if one.request_id not in self.answered]
+        return len(lost) / len(urgent)
+
+
+class AdmittingTier:
+    """A tier whose hosts admit queries."""
+
+    def __init__(self, shape: Shape, seed: int) -> None:
+        self.tier = Tier(shape, seed, ScatterSettings(), stragglers=True)
+        self.earned = Earned()
+        self._shards = shape.services
+        limit = compute_unit_limit(
+            shape.all_slots,
+            shape.hosts,
+            shape.services,
+        )
+        self._admissions = {
+            host: Admission(AdmissionSettings(max_units=limit))
+            for host in self.tier.hosts
+        }
+        self._queries: dict[RequestId, Query] = {}
+
+    def submit(self, host: HostId, query: Query) -> None:
+        """Offers a query to one host."""
+        self.earned.arrived.append(query)
+        self._queries[query.request_id] = query
+        now = self.tier.loop.now
+        admission = self._admissions[host]
+        self._act(host, admission.offer(query, self._shards, now))
+
+    def _act(self, host: HostId, actions: list[AdmissionAction]) -> None:
+        for action in actions:
+            query = self._queries.pop(action.request_id)
+            if isinstance(action, Admit):
+                done = partial(self._finish, host, query)
+                self.tier.submit(host, query, done)
+
+    def _finish(self, host: HostId, query: Query, ended: ScatterResult) -> None:
+        now = self.tier.loop.now
+        if not ended.missing and now <= query.deadline:
+            self.earned.answered.add(query.request_id)
+        self._act(host, self._admissions[host].finish(query.request_id, now))
+
+
+def run(shape: Shape, load: float, seed: int) -> Earned:
+    """Runs arrivals of ``load`` times what the slots can do."""
+    system = AdmittingTier(shape, seed)
+    source = random.Random(seed)
+    rate = compute_rate(shape, load)
+    when = timedelta()
+    for number in range(round(rate * SECONDS)):
+        when += timedelta(seconds=source.expovariate(rate))
+        query = _draw_query(shape, number, when, source)
+        host = source.choice(system.tier.hosts)
+        system.tier.loop.call_at(when, partial(system.submit, host, query))
+    system.tier.loop.run()
+    return system.earned
+
+
+def compute_oracle(arrived: list[Query], capacity: int) -> float:
+    """Returns the worth of the best queries that fit the slots."""
+    ranked = sorted(arrived, key=lambda one: (one.urgency, -one.worth))
+    return sum(one.worth for one in ranked[:capacity])
+
+
+def measure_shape(shape: Shape, seed: int) -> list[Measurement]:
+    """Measures one workload at one and two times its capacity."""
+    capacity = round(compute_rate(shape, 1) * SECONDS)
+    full = run(shape, 1, seed)
+    double = run(shape, 2, seed)
+    oracle = compute_oracle(double.arrived, capacity)
+    ratio = double.worth / oracle
+    goodput = len(double.answered) / len(full.answered)
+    build = partial(Measurement, deployment=shape.name, seed=seed)
+    return [
+        build(
+            experiment='overload-worth',
+            value=double.worth,
+            unit='worth',
+            baseline=oracle,
+            ratio=ratio,
+            bound=BOUND_WORTH,
+            holds=ratio >= BOUND_WORTH,
+        ),
+        build(
+            experiment='overload-urgent-unanswered',
+            value=double.urgent_lost,
+            unit='share',
+            bound=BOUND_URGENT,
+            holds=double.urgent_lost <= BOUND_URGENT,
+        ),
+        build(
+            experiment='overload-goodput',
+            value=len(double.answered) / SECONDS,
+            unit='queries/s',
+            baseline=len(full.answered) / SECONDS,
+            ratio=goodput,
+            bound=BOUND_GOODPUT,
+            holds=goodput >= BOUND_GOODPUT,
+        ),
+    ]
+
+
+def measure(seed: int) -> list[Measurement]:
+    """Measures the workloads that scatter."""
+    return [found for shape in SHAPES for found in measure_shape(shape, seed)]
+
+
+def _draw_query(
+    shape: Shape,
+    number: int,
+    when: timedelta,
+    source: random.Random,
+) -> Query:
+    drawn = source.random()
+    urgency = Urgency.ARCHIVE
+    if drawn < URGENT_SHARE:
+        urgency = Urgency.URGENT
+    elif drawn < URGENT_SHARE + NORMAL_SHARE:
+        urgency = Urgency.NORMAL
+    return Query(
+        RequestId(f'q{number}'),
+        WorkloadId(shape.name),
+        b'{}',
+        when + DEADLINE,
+        urgency=urgency,
+        worth=source.uniform(*WORTH[urgency]),
+    )
+
+
+if __name__ == '__main__':
+    for one in measure(int(sys.argv[1]) if len(sys.argv) > 1 else 1):
+        print(one)
--- /dev/null
+++ b/packages/core/almonddock_core/admission/__init__.py
@@ -0,0 +1,32 @@
+"""Decides which queries an entry host starts, and when.
+
+A host keeps one :class:`Admission` for each workload, because workloads
+share no targets. Offer each query with its number of shards and carry out
+the returned actions; report every admitted query once it has ended::
+
+    actions = admission.offer(query, shards, now)
+    actions = admission.finish(request_id, now)
+    actions = admission.tick(now)  # no later than ``admission.next_wake()``
+
+:class:`Admit` starts a query. :class:`Refuse` answers it as not run.
+"""
+
+from almonddock_core.admission._actions import (
+    AdmissionAction,
+    Admit,
+    Refuse,
+)
+from almonddock_core.admission._admission import Admission
+from almonddock_core.admission._settings import (
+    AdmissionSettings,
+    compute_unit_limit,
+)
+
+__all__ = [
+    'Admission',
+    'AdmissionAction',
+    'AdmissionSettings',
+    'Admit',
+    'Refuse',
+    'compute_unit_limit',
+]
