Wait for fewer late sub-queries when the budget is short

Cause: hedges of sub-queries that were about to answer spent the budget, and stragglers found none left. Change: when the budget cannot pay for all late sub-queries of a query, they are looked at again a little later, up to twice the usual time.

--- a/packages/core/almonddock_core/scatter/_hedging.py
+++ b/packages/core/almonddock_core/scatter/_hedging.py
@@ -8,6 +8,9 @@
 from almonddock_core.scatter._settings import ScatterSettings
 from almonddock_core.scatter._shard import ShardState
 
+#: Hedges wait for the budget up to this multiple of the relative time.
+PATIENCE = 2
+
 
 class HedgeTimer:
     """Tells which shards are late, by their own tries or by the others.
@@ -44,6 +47,12 @@
             wait = (now - self._started) * self._settings.hedge_factor
             self._relative = self._started + wait
 
+    def may_wait(self, now: timedelta) -> bool:
+        """Returns whether few enough shards are late to wait for fewer."""
+        if self._relative is None:
+            return False
+        return now - self._started < (self._relative - self._started) * PATIENCE
+
     def next_due(self, missing: int) -> timedelta | None:
         """Returns when some shard may be late, None if never."""
         due = self._expected[0][0] if self._expected else None
--- a/packages/core/almonddock_core/scatter/_scatter.py
+++ b/packages/core/almonddock_core/scatter/_scatter.py
@@ -150,6 +150,8 @@
 
         A hedge that would wait longer than the first try has waited already
         is left out: it would only lengthen the queues of a busy service.
+        When the budget cannot pay for all late sub-queries, hedging waits
+        until fewer are left, which are more likely the stragglers.
         """
         if self._finished:
             return []
@@ -157,8 +159,12 @@
             return self._finish(Reason.TIMED_OUT)
         if not self._query.idempotent:
             return []
+        late = self._timer.take_late(self._open, now)
+        if len(late) > self._context.budget.tokens and self._timer.may_wait(now):
+            self._postpone(late, now)
+            return []
         actions: list[ScatterAction] = []
-        for state in self._timer.take_late(self._open, now):
+        for state in late:
             actions.extend(self._hedge(state, now))
         return actions
 
@@ -205,6 +211,10 @@
         self._timer.watch(state, now + pause)
         return []
 
+    def _postpone(self, late: list[ShardState], now: timedelta) -> None:
+        for state in late:
+            self._timer.watch(state, now + self._settings.hedge_pause)
+
     def _recover(
         self,
         attempt: Attempt,
