Keep half of the budget for slower stragglers

Cause: at a fan-out of 760 one round of hedges emptied the budget. Change: a round waits until the budget holds two tokens for each late one.

--- a/packages/core/almonddock_core/scatter/_scatter.py
+++ b/packages/core/almonddock_core/scatter/_scatter.py
@@ -160,7 +160,8 @@
         if not self._query.idempotent:
             return []
         late = self._timer.take_late(self._open, now)
-        if len(late) > self._context.budget.tokens and self._timer.may_wait(now):
+        needed = len(late) * self._settings.hedge_reserve
+        if needed > self._context.budget.tokens and self._timer.may_wait(now):
             self._postpone(late, now)
             return []
         actions: list[ScatterAction] = []
--- a/packages/core/almonddock_core/scatter/_settings.py
+++ b/packages/core/almonddock_core/scatter/_settings.py
@@ -33,6 +33,9 @@
     default_quantile: timedelta = timedelta(milliseconds=QUANTILE_MS)
     #: Stands for the service time of a target that is not known yet.
     default_service: timedelta = timedelta(milliseconds=SERVICE_MS)
+    #: Tokens that must be there for each hedge of a round, so that some are
+    #: left for sub-queries that turn out to be slower still.
+    hedge_reserve: float = 2
     #: The least time before a hedge that could not go out is due again.
     hedge_pause: timedelta = timedelta(milliseconds=PAUSE_MS)
     #: Tries of one shard at most, the first one included.
