--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -4,10 +4,14 @@
 import random
 import secrets
 import time
-from collections.abc import Mapping
 from typing import Any
 
 from almonddock_core.deployment import Deployment, MergeRule
+from almonddock_core.membership import (
+    ShutdownPhase,
+    ShutdownPlan,
+    ShutdownSettings,
+)
 from almonddock_core.model import (
     Answer,
     DataCentreId,
@@ -17,10 +21,9 @@
     MembershipView,
     Plan,
     RequestId,
-    TargetId,
     WorkloadId,
 )
-from almonddock_core.owners import OwnerSettings, place_targets
+from almonddock_core.owners import OwnerSettings
 from almonddock_core.scatter import ScatterSettings
 from almonddock_core.truth import VersionTable, pin_snapshot
 from almonddock_daemon._clock import MonotonicClock
@@ -29,11 +32,17 @@
     describe_services,
 )
 from almonddock_daemon._routing import Router
+from almonddock_daemon._state_routing import StateRouter, describe_configuration
 from almonddock_daemon.adapters import StoreClient
 from almonddock_daemon.adapters import StoreSettings as StoreLimits
 from almonddock_daemon.controllers import (
     ConfigurationController,
+    IdempotencyController,
     MembershipController,
+    OwnershipController,
+    OwnershipPorts,
+    PeerSender,
+    Reach,
     ScatterController,
     TargetController,
 )
@@ -42,6 +51,7 @@
     Handler,
     RunningQueries,
     build_admission_filter,
+    build_at_most_once_filter,
     build_chain,
     build_coverage_handler,
     build_deadline_filter,
@@ -65,6 +75,9 @@
 SEED_BITS = 64
 REQUEST_ID_BYTES = 16
 
+#: Store calls a second for the idempotency log, apart from the others.
+LOG_CALLS = 200
+
 #: How often a stopping host looks whether accepted queries are done.
 DRAIN_POLL_S = 0.02
 
@@ -83,7 +96,6 @@
         own = _describe_self(settings)
         self._own = own
         self._versions = VersionTable()
-        self._owners: Mapping[TargetId, HostId] = {}
         self._mesh = LinkMesh(_build_hello(own), self._clock)
         self._targets = TargetController(
             OwnerSettings(),
@@ -103,22 +115,69 @@
             self._router.send,
             self._router.connect,
         )
-        self._router.attach(self._scatters)
+        self._ownership = OwnershipController(
+            own,
+            self._clock,
+            source,
+            self._targets,
+            OwnershipPorts(
+                self._router.send_guard,
+                lambda: self._membership.validated,
+            ),
+        )
+        self._router.attach(self._scatters, self._ownership)
         self._store = StoreClient(
-            StoreLimits(endpoints=settings.store.endpoints),
+            StoreLimits(
+                endpoints=settings.store.endpoints,
+                prefix=settings.store.prefix,
+                call_timeout=settings.store.timeout,
+            ),
             self._clock,
             source,
         )
+        peers = PeerSender(self._mesh)
         self._configuration = ConfigurationController(
+            own,
             self._store,
-            settings.store.prefix,
+            self._clock,
+            source,
+            peers,
             self._apply_deployment,
         )
         self._membership = MembershipController(
             settings.host_list,
             own,
-            self._apply_membership,
+            self._clock,
+            source,
+            peers,
+            self._configuration.describe_head,
+        )
+        self._log_store = StoreClient(
+            StoreLimits(
+                endpoints=settings.store.endpoints,
+                prefix=settings.store.prefix,
+                call_timeout=settings.store.timeout,
+                calls_per_second=LOG_CALLS,
+                burst=LOG_CALLS,
+            ),
+            self._clock,
+            source,
+        )
+        self._idempotency = IdempotencyController(
+            own.host,
+            f'{own.host}.{own.incarnation}',
+            self._log_store,
+            self._clock,
+            Reach(self._mesh.send, self._mesh.connect),
+        )
+        self._mesh.subscribe(
+            self._idempotency.receive,
+            self._idempotency.lose_owner,
         )
+        self._membership.subscribe(self._configuration.see_members)
+        self._membership.subscribe(self._apply_membership)
+        self._shutdown = ShutdownPlan(ShutdownSettings())
+        StateRouter(self._mesh, self._membership, self._configuration)
         self._chain = self._build_chain()
 
     async def run(self) -> None:
@@ -142,22 +201,39 @@
         await serving
         for task in tasks:
             task.cancel()
-        self._targets.close()
-        await self._mesh.stop()
-        await self._store.close()
-        self._tracing.stop()
+        await self._close()
         LOG.info('host_stopped')
 
     def stop(self) -> None:
         """Begins a graceful shutdown."""
-        LOG.info('host_stopping')
-        self._stopping.set()
+        if self._shutdown.begin(self._clock.now()):
+            LOG.info('host_stopping')
+            self._membership.leave()
+            self._stopping.set()
+
+    async def _close(self) -> None:
+        self._ownership.close()
+        self._targets.close()
+        await self._idempotency.close()
+        await self._mesh.stop()
+        await self._log_store.close()
+        await self._store.close()
+        self._tracing.stop()
 
     async def _drain(self, server: HttpServer) -> None:
-        while self._running.count or self._targets.outstanding:
+        phase = self._shutdown.phase
+        while phase is not ShutdownPhase.DONE:
             await asyncio.sleep(DRAIN_POLL_S)
+            outstanding = self._running.count + self._targets.outstanding
+            phase = self._shutdown.advance(outstanding, self._clock.now())
         server.should_exit = True
 
+    def _refuses_work(self) -> bool:
+        return self._shutdown.phase in {
+            ShutdownPhase.DRAINING,
+            ShutdownPhase.DONE,
+        }
+
     def _build_chain(self) -> Handler:
         clock = self._clock
         return build_chain(
@@ -167,7 +243,12 @@
                 build_admission_filter(
                     self._settings.limits,
                     self._running,
-                    self._stopping.is_set,
+                    self._refuses_work,
+                    clock,
+                ),
+                build_at_most_once_filter(
+                    self._idempotency.claim,
+                    self._idempotency.finish,
                     clock,
                 ),
                 build_snapshot_filter(self._pin),
@@ -217,7 +298,7 @@
             self._configuration.view,
             workload,
             self._versions,
-            self._owners,
+            self._ownership.owners,
         )
 
     def _find_rule(self, workload: WorkloadId) -> MergeRule:
@@ -226,29 +307,21 @@
         return deployment.services[name].merge
 
     def _apply_deployment(self, deployment: Deployment) -> None:
-        self._place(deployment, self._membership.view)
+        self._ownership.update(deployment, self._membership.view)
 
     def _apply_membership(self, view: MembershipView) -> None:
-        self._mesh.update_addresses(
-            {host: member.address for host, member in view.members.items()},
+        self._idempotency.update_hosts(
+            member.host for member in view.list_owners()
         )
-        self._place(self._configuration.view, view)
-
-    def _place(self, deployment: Deployment, view: MembershipView) -> None:
-        self._owners = place_targets(deployment, view.list_owners())
-        own = [
-            target
-            for target, owner in self._owners.items()
-            if owner == self._own.host
-        ]
-        self._targets.update(deployment, dict.fromkeys(own, False))
+        self._ownership.update(self._configuration.view, view)
 
     def _explain_unready(self) -> str:
         if self._stopping.is_set():
             return 'shutting_down'
-        if not self._configuration.view.revision:
-            return 'no_configuration'
-        return ''
+        unready = self._configuration.measure().unready
+        if unready or self._ownership.settled:
+            return unready
+        return 'targets_not_acquired'
 
     def _describe_status(self) -> dict[str, Any]:
         view = self._membership.view
@@ -262,6 +335,9 @@
                 for host, member in sorted(view.members.items())
             },
             'unready': self._explain_unready(),
+            'configuration': describe_configuration(
+                self._configuration.measure(),
+            ),
             'targets': [
                 describe_load(load) for load in self._targets.measure_loads()
             ],
@@ -273,6 +349,7 @@
         state.set({'name': 'queries_running'}, self._running.count)
         state.set({'name': 'revision'}, self._configuration.view.revision)
         state.set({'name': 'store_calls'}, self._store.calls)
+        state.set({'name': 'log_store_calls'}, self._log_store.calls)
         return self._metrics.render()
 
 
--- a/packages/daemon/almonddock_daemon/adapters/_store_client.py
+++ b/packages/daemon/almonddock_daemon/adapters/_store_client.py
@@ -62,6 +62,9 @@
         )
         self._endpoints = itertools.cycle(settings.endpoints)
         self._endpoint = next(self._endpoints)
+        self._clock = clock
+        #: When the store last answered; the start before the first answer.
+        self.answered_at = clock.now()
         #: Calls sent since the start, watches included.
         self.calls = 0
 
@@ -76,10 +79,23 @@
             'range_end': codec.find_prefix_end(self._settings.prefix + prefix),
             'keys_only': True,
         }
-        found = codec.parse_revisions(await self._read(_RANGE, request))
+        found = codec.parse_entries(await self._read(_RANGE, request))
         return {
-            key.removeprefix(self._settings.prefix): revision
-            for key, revision in found.items()
+            key.removeprefix(self._settings.prefix): stored.revision
+            for key, stored in found.items()
+        }
+
+    async def read_all(self, prefix: str) -> dict[str, StoredValue]:
+        """Returns all keys with the prefix and what they hold."""
+        full = self._settings.prefix + prefix
+        request = {
+            'key': codec.encode_text(full),
+            'range_end': codec.find_prefix_end(full),
+        }
+        found = codec.parse_entries(await self._read(_RANGE, request))
+        return {
+            key.removeprefix(self._settings.prefix): stored
+            for key, stored in found.items()
         }
 
     async def put(self, key: str, content: bytes) -> None:
@@ -169,6 +185,7 @@
             response.raise_for_status()
             async for line in _read_lines(response):
                 reply = codec.parse_watch(orjson.loads(line))
+                self.answered_at = self._clock.now()
                 if watch.needs_reset(reply):
                     current = await self._read_key(watch.key)
                     yield watch.reset(reply, current)
@@ -212,6 +229,7 @@
             except _LOST:
                 self._endpoint = next(self._endpoints)
                 raise
+            self.answered_at = self._clock.now()
             return _parse_object(response.content)
 
     async def _send(self, path: str, content: bytes) -> httpx.Response:
--- a/packages/wire/almonddock_wire/_codec.py
+++ b/packages/wire/almonddock_wire/_codec.py
@@ -16,10 +16,36 @@
     DocumentReply,
     DocumentRequest,
 )
+from almonddock_core.idempotency import (
+    Claim,
+    Decision,
+    Finish,
+    Grant,
+    Refuse,
+    Repeat,
+)
 from almonddock_core.membership import Probe, ProbeReply, ProbeRequest
+from almonddock_core.owners import (
+    GuardMessage,
+    Handover,
+    LeaseRelease,
+    LeaseReply,
+    LeaseRequest,
+)
+from almonddock_wire import _claims as claims
 from almonddock_wire import _configuration as configuration
 from almonddock_wire import _membership as membership
 from almonddock_wire._errors import BadFrameError
+from almonddock_wire._leases import (
+    read_handover,
+    read_lease_release,
+    read_lease_reply,
+    read_lease_request,
+    write_handover,
+    write_lease_release,
+    write_lease_reply,
+    write_lease_request,
+)
 from almonddock_wire._links import (
     read_hello,
     read_ping,
@@ -46,6 +72,7 @@
 from almonddock_wire._sub_replies import read_sub_replies, write_sub_replies
 
 MembershipMessage = Probe | ProbeReply | ProbeRequest
+ClaimMessage = Claim | Finish | Decision
 ConfigurationMessage = ConfigurationHead | DocumentRequest | DocumentReply
 Message = (
     Hello
@@ -56,6 +83,8 @@
     | CancelBatch
     | MembershipMessage
     | ConfigurationMessage
+    | GuardMessage
+    | ClaimMessage
 )
 
 _WRITERS: Mapping[
@@ -69,12 +98,21 @@
         SubQueryBatch: write_sub_queries,
         SubReplyBatch: write_sub_replies,
         CancelBatch: write_cancel,
+        LeaseRequest: write_lease_request,
+        LeaseReply: write_lease_reply,
+        LeaseRelease: write_lease_release,
+        Handover: write_handover,
         Probe: membership.write_probe,
         ProbeReply: membership.write_probe_reply,
         ProbeRequest: membership.write_probe_request,
         ConfigurationHead: configuration.write_head,
         DocumentRequest: configuration.write_document_request,
         DocumentReply: configuration.write_document_reply,
+        Claim: claims.write_claim,
+        Finish: claims.write_finish,
+        Grant: claims.write_decision,
+        Refuse: claims.write_decision,
+        Repeat: claims.write_decision,
     }
 )
 
@@ -89,12 +127,19 @@
         'subQueries': read_sub_queries,
         'subReplies': read_sub_replies,
         'cancel': read_cancel,
+        'leaseRequest': read_lease_request,
+        'leaseReply': read_lease_reply,
+        'leaseRelease': read_lease_release,
+        'handover': read_handover,
         'probe': membership.read_probe,
         'probeReply': membership.read_probe_reply,
         'probeRequest': membership.read_probe_request,
         'configurationHead': configuration.read_head,
         'documentRequest': configuration.read_document_request,
         'documentReply': configuration.read_document_reply,
+        'claim': claims.read_claim,
+        'finish': claims.read_finish,
+        'decision': claims.read_decision,
     }
 )
 
--- a/packages/wire/almonddock_wire/messages.capnp
+++ b/packages/wire/almonddock_wire/messages.capnp
@@ -15,6 +15,13 @@
     configurationHead @9 :ConfigurationHead;
     documentRequest @10 :List(Text);
     documentReply @11 :DocumentReply;
+    claim @12 :Claim;
+    finish @13 :Finish;
+    decision @14 :Decision;
+    leaseRequest @15 :LeaseRequest;
+    leaseReply @16 :LeaseReply;
+    leaseRelease @17 :LeaseRelease;
+    handover @18 :Handover;
   }
 }
 
@@ -101,3 +108,54 @@
   documents @0 :List(Data);
   missing @1 :List(Text);
 }
+
+struct LeaseRequest {
+  holder @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt64;
+  hostList @3 :UInt64;
+  targets @4 :List(Text);
+}
+
+struct LeaseReply {
+  voter @0 :Text;
+  number @1 :UInt64;
+  targets @2 :List(Text);
+}
+
+struct LeaseRelease {
+  holder @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt64;
+  targets @3 :List(Text);
+}
+
+struct Handover {
+  target @0 :Text;
+  allowed @1 :UInt32;
+}
+
+struct Claim {
+  key @0 :Text;
+  requestId @1 :Text;
+  fingerprint @2 :Text;
+  remaining @3 :Int64;
+}
+
+struct Recorded {
+  outcome @0 :Int8 = -1;
+  answer @1 :Data;
+}
+
+struct Finish {
+  key @0 :Text;
+  requestId @1 :Text;
+  recorded @2 :Recorded;
+}
+
+struct Decision {
+  claim @0 :Claim;
+  refused @1 :Int8 = -1;
+  reason @2 :UInt8;
+  recorded @3 :Recorded;
+}
