Echo the try and the shard in every stand-in reply

Cause: the interface says that a target echoes x-attempt-id and x-shard, and the owner trusts no reply without them. The stand-in echoed them only with status 200, so a cancelled or refused try counted as "may have run" and kept its slot until its deadline.

--- a/packages/standins/almonddock_standins/target/_replies.py
+++ b/packages/standins/almonddock_standins/target/_replies.py
@@ -5,6 +5,11 @@
 from almonddock_standins.target._faults import Faults
 
 
+def build_echo(asked: Mapping[str, str]) -> dict[str, str]:
+    """Returns the headers that every reply repeats from its request."""
+    return {name: asked[name] for name in ('x-attempt-id', 'x-shard')}
+
+
 class Replies:
     """Builds the headers of replies and remembers the one before."""
 
@@ -24,7 +29,7 @@
         if faults.wrong_shard:
             shard = f'{shard}-other'
         reply = {
-            'x-attempt-id': asked['x-attempt-id'],
+            **build_echo(asked),
             'x-shard': shard,
             'x-index-version': str(version),
         }
--- a/packages/standins/almonddock_standins/target/_target.py
+++ b/packages/standins/almonddock_standins/target/_target.py
@@ -12,7 +12,7 @@
 from almonddock_standins.target._counters import Counters
 from almonddock_standins.target._faults import Faults
 from almonddock_standins.target._history import History, read_time
-from almonddock_standins.target._replies import Replies
+from almonddock_standins.target._replies import Replies, build_echo
 from almonddock_standins.target._rows import build_rows
 from almonddock_standins.target._settings import TargetSettings
 
@@ -104,7 +104,11 @@
             self.counters.refused += 1
             exchange.respond(
                 HTTPStatus.SERVICE_UNAVAILABLE,
-                headers={'x-not-run': refusal, **self._mark()},
+                headers={
+                    'x-not-run': refusal,
+                    **build_echo(exchange.request.headers),
+                    **self._mark(),
+                },
             )
         elif version not in self.versions:
             self.counters.refused += 1
@@ -112,6 +116,7 @@
                 HTTPStatus.CONFLICT,
                 headers={
                     'x-not-run': 'wrong_version',
+                    **build_echo(exchange.request.headers),
                     'x-index-version': str(self.versions[-1]),
                 },
             )
@@ -193,7 +198,10 @@
             self._remember()
             running.exchange.respond(
                 CANCELLED_STATUS,
-                headers={'x-cancelled': '1', 'x-attempt-id': attempt},
+                headers={
+                    'x-cancelled': '1',
+                    **build_echo(running.exchange.request.headers),
+                },
             )
         exchange.respond(HTTPStatus.NO_CONTENT)
 
--- a/packages/standins/almonddock_standins/tests/test_standins.py
+++ b/packages/standins/almonddock_standins/tests/test_standins.py
@@ -63,6 +63,10 @@
         self.assertEqual(reply.content, build_rows(SHARD, 1))
         self.assertEqual(reply.headers['x-attempt-id'], 'r:1')
 
+    def check_echo(self, reply: httpx.Response) -> None:
+        echo = [reply.headers[name] for name in ('x-attempt-id', 'x-shard')]
+        self.assertEqual(echo, ['r:1', SHARD])
+
     async def test_refuses_truly(self) -> None:
         cases = (
             (Faults(shed=True), 'overloaded'),
@@ -75,9 +79,11 @@
                 reply = await self.ask('r:1')
                 self.assertEqual(reply.status_code, 503)
                 self.assertEqual(reply.headers['x-not-run'], reason)
+                self.check_echo(reply)
         target.switch_faults(Faults())
         reply = await self.ask('r:1', version=9)
         self.assertEqual(reply.headers['x-not-run'], 'wrong_version')
+        self.check_echo(reply)
         self.assertEqual(target.counters.run, 0)
 
     async def test_counts_work_above_what_it_bears(self) -> None:
@@ -108,6 +114,7 @@
         await self.client.delete('/v1/sub-query/r:1')
         reply = await asked
         self.assertEqual(reply.headers['x-cancelled'], '1')
+        self.check_echo(reply)
         counters = await self.client.get('/counters')
         self.assertEqual(counters.json()['cancelled'], 1)
 
