--- /dev/null
+++ b/bench/sockets/hosts.py
@@ -0,0 +1,264 @@
+"""Hosts are killed, restarted and paused under load."""
+
+import asyncio
+import signal
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import replace
+
+import httpx
+
+from almonddock_standins.deployments import build_kyushu
+from bench import (
+    Measurement,
+    Series,
+    experiment,
+    limit_ratio,
+    limit_value,
+    note_value,
+    require_value,
+)
+from bench.sockets.callers import (
+    CUT,
+    NOT_CONNECTED,
+    Balancer,
+    Caller,
+    choose_in_turn,
+)
+from bench.sockets.changes import (
+    CHANGE_S,
+    COMMAND,
+    QUERY,
+    SEED,
+    Changed,
+    compute_load,
+    count_outcomes,
+    draw_coverage,
+    draw_latency,
+    name_subject,
+    run_changed,
+)
+from bench.sockets.fleet import DaemonProcess, Fleet, run_fleet
+from bench.sockets.load import (
+    LoadSettings,
+    Seen,
+    cut_out,
+    measure_answered,
+    run_load,
+)
+
+SECONDS = 120
+KILL_RUN_S = 18.0
+BACK_S = 3.0
+ANSWERED_BOUND = 0.999
+P99_BOUND = 1.5
+RESTART_RUN_S = 30.0
+RESTART_PAUSE_S = 1.0
+PAUSE_S = 5.0
+PAUSE_RUN_S = 16.0
+#: Until work that runs when a host is paused has ended.
+PAUSED_WORK_S = 0.5
+
+
+@experiment('kill', seconds=SECONDS)
+def measure_kill() -> Iterator[Measurement | Series]:
+    """One host of four is killed: answers through the others, p99 after."""
+    yield from asyncio.run(_measure_kill())
+
+
+async def _measure_kill() -> list[Measurement | Series]:
+    async with run_fleet(build_kyushu()) as fleet:
+        *others, killed = fleet.hosts
+
+        async def kill() -> None:
+            killed.send_signal(signal.SIGKILL)
+            await killed.wait()
+
+        caller = Caller(QUERY, choose_in_turn(others))
+        changed = await run_changed(fleet, caller, KILL_RUN_S, kill)
+    after = cut_out(changed.seen, CHANGE_S, KILL_RUN_S)
+    back = CHANGE_S + BACK_S
+    return [
+        require_value(
+            name_subject('kill.answered'),
+            measure_answered(after),
+            'share',
+            bound=ANSWERED_BOUND,
+        ),
+        limit_ratio(
+            name_subject('kill.p99-after-3s'),
+            changed.measure_p99(back, KILL_RUN_S),
+            'ms',
+            baseline=changed.steady_p99,
+            bound=P99_BOUND,
+        ),
+        note_value(
+            name_subject('kill.p99-first-3s'),
+            changed.measure_p99(CHANGE_S, back),
+            'ms',
+            baseline=changed.steady_p99,
+        ),
+        draw_latency('kill', changed.seen),
+        draw_coverage('kill', changed.seen),
+    ]
+
+
+@experiment('rolling-restart', seconds=SECONDS)
+def measure_rolling_restart() -> Iterator[Measurement | Series]:
+    """All hosts restart in turn behind a balancer: cut requests, p99."""
+    yield from asyncio.run(_measure_restart())
+
+
+async def _measure_restart() -> list[Measurement | Series]:
+    codes: list[int] = []
+    async with run_fleet(build_kyushu()) as fleet:
+        balancer = Balancer(fleet.hosts)
+
+        async def restart_all() -> None:
+            for host in fleet.hosts:
+                codes.append(await _restart(host))
+
+        caller = Caller(QUERY, balancer.choose)
+        async with balancer.watch():
+            changed = await run_changed(
+                fleet,
+                caller,
+                RESTART_RUN_S,
+                restart_all,
+            )
+    return [
+        *_judge_restart(changed, codes),
+        draw_latency('rolling-restart', changed.seen),
+        draw_coverage('rolling-restart', changed.seen),
+    ]
+
+
+async def _restart(host: DaemonProcess) -> int:
+    host.send_signal(signal.SIGTERM)
+    code = await host.wait()
+    await host.start()
+    await host.wait_ready()
+    await asyncio.sleep(RESTART_PAUSE_S)
+    return code
+
+
+def _judge_restart(
+    changed: Changed,
+    codes: Sequence[int],
+) -> Iterable[Measurement]:
+    during = cut_out(changed.seen, CHANGE_S, changed.ended)
+    yield limit_value(
+        name_subject('rolling-restart.cut'),
+        count_outcomes(changed.seen, (CUT,)),
+        'requests',
+        bound=0,
+    )
+    yield limit_value(
+        name_subject('rolling-restart.exit-codes-other-than-0'),
+        sum(code != 0 for code in codes),
+        'hosts',
+        bound=0,
+    )
+    yield limit_ratio(
+        name_subject('rolling-restart.p99'),
+        changed.measure_p99(CHANGE_S, changed.ended),
+        'ms',
+        baseline=changed.steady_p99,
+        bound=P99_BOUND,
+    )
+    yield note_value(
+        name_subject('rolling-restart.answered'),
+        measure_answered(during),
+        'share',
+    )
+    yield note_value(
+        name_subject('rolling-restart.not-connected'),
+        count_outcomes(changed.seen, (NOT_CONNECTED,)),
+        'requests',
+    )
+
+
+@experiment('pause', seconds=SECONDS)
+def measure_pause() -> Iterator[Measurement | Series]:
+    """One host stands still for 5 s: doubled runs, load on cold targets."""
+    yield from asyncio.run(_measure_pause())
+
+
+async def _measure_pause() -> list[Measurement | Series]:
+    async with run_fleet(build_kyushu()) as fleet:
+        others = fleet.hosts[:-1]
+
+        async def pause() -> None:
+            await _pause(fleet)
+
+        once = Caller(replace(QUERY, idempotent=False), choose_in_turn(others))
+        settings = LoadSettings(compute_load(fleet) / 4, PAUSE_RUN_S, SEED + 1)
+        caller = Caller(QUERY, choose_in_turn(others))
+        changed, careful = await asyncio.gather(
+            run_changed(fleet, caller, PAUSE_RUN_S, pause),
+            run_load(settings, once.ask),
+        )
+        runs = await fleet.count_runs(COMMAND)
+        over_cold = await fleet.count_all('over_cold')
+    return [
+        *_judge_pause(changed, _count_doubled(careful, runs), over_cold),
+        draw_latency('pause', changed.seen),
+        draw_coverage('pause', changed.seen),
+    ]
+
+
+async def _pause(fleet: Fleet) -> None:
+    """Pauses the last host; what it owned restarts cold meanwhile."""
+    paused = fleet.hosts[-1]
+    async with httpx.AsyncClient(trust_env=False) as client:
+        status = await client.get(f'http://{paused.http}/v1/status')
+        owned = {one['target'] for one in status.json()['targets']}
+        paused.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(PAUSED_WORK_S)
+        for service in fleet.files.services:
+            for entry in service.targets:
+                if f'{service.service}/{entry.name}' in owned:
+                    url = f'http://{entry.address}/fault'
+                    await client.post(url, json={'cold': True})
+    await asyncio.sleep(PAUSE_S - PAUSED_WORK_S)
+    paused.send_signal(signal.SIGCONT)
+
+
+def _judge_pause(
+    changed: Changed,
+    doubled: int,
+    over_cold: int,
+) -> Iterable[Measurement]:
+    after = cut_out(changed.seen, CHANGE_S, PAUSE_RUN_S)
+    yield require_value(
+        name_subject('pause.answered'),
+        measure_answered(after),
+        'share',
+        bound=ANSWERED_BOUND,
+    )
+    yield limit_value(
+        name_subject('pause.doubled-non-idempotent'),
+        doubled,
+        'sub-queries',
+        bound=0,
+    )
+    yield limit_value(
+        name_subject('pause.over-cold'),
+        over_cold,
+        'sub-queries',
+        bound=0,
+    )
+    yield note_value(
+        name_subject('pause.p99'),
+        changed.measure_p99(CHANGE_S, PAUSE_RUN_S),
+        'ms',
+        baseline=changed.steady_p99,
+    )
+
+
+def _count_doubled(seen: Iterable[Seen], runs: Mapping[str, int]) -> int:
+    asked = {one.reply.request_id for one in seen}
+    return sum(
+        count > 1
+        for name, count in runs.items()
+        if name.partition('/')[0] in asked
+    )
--- /dev/null
+++ b/bench/sockets/move.py
@@ -0,0 +1,193 @@
+"""A data centre is taken out under load and comes back."""
+
+import asyncio
+import itertools
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, replace
+from typing import Literal
+
+from almonddock_standins.deployments import DeploymentFiles, build_kyushu
+from bench import (
+    Measurement,
+    Series,
+    experiment,
+    limit_ratio,
+    limit_value,
+    require_value,
+)
+from bench.measurement import Point
+from bench.sockets.callers import Caller, choose_in_turn
+from bench.sockets.changes import (
+    CHANGE_S,
+    QUERY,
+    STEP_S,
+    WORKLOAD,
+    Changed,
+    draw_coverage,
+    draw_latency,
+    name_subject,
+    run_changed,
+)
+from bench.sockets.fleet import Counters, Fleet, run_fleet
+from bench.sockets.load import cut_out, measure_answered
+
+RUN_S = 24.0
+#: How long the data centre is out.
+OUT_S = 8.0
+#: After which it must get nothing new.
+GRACE_S = 2.0
+#: How long after its return the move still counts.
+SETTLE_S = 3.0
+ANSWERED_BOUND = 0.999
+P99_BOUND = 2.0
+MOVED = 'kyushu-1'
+SECONDS = 90
+
+
+@dataclass(frozen=True, slots=True)
+class _Sample:
+    """Sub-queries that each target had counted at a time of the load."""
+
+    when: float
+    received: Mapping[str, int]
+
+
+@experiment('move', seconds=SECONDS)
+def measure_move() -> Iterator[Measurement | Series]:
+    """A data centre out and back: load there, answers and p99."""
+    yield from asyncio.run(_measure())
+
+
+async def _measure() -> list[Measurement | Series]:
+    async with run_fleet(build_kyushu()) as fleet:
+        caller = Caller(QUERY, choose_in_turn(fleet.hosts))
+        recorder = _Recorder(fleet)
+        changed = await run_changed(fleet, caller, RUN_S, recorder.move)
+        await recorder.finish()
+        places = _list_places(fleet.files)
+    return [
+        *_judge(changed, recorder),
+        draw_latency('move', changed.seen),
+        draw_coverage('move', changed.seen),
+        _draw_load(recorder.samples, places),
+    ]
+
+
+class _Recorder:
+    """Moves the data centre and samples the counters meanwhile."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.samples: list[_Sample] = []
+        #: New sub-queries at the data centre once the grace had passed.
+        self.late = 0
+        self._fleet = fleet
+        self._places = _list_places(fleet.files)
+        self._sampling: asyncio.Task[None] | None = None
+
+    async def move(self) -> None:
+        """Takes the data centre out and brings it back."""
+        self._sampling = asyncio.create_task(self._sample())
+        await self._fleet.publish(_set_state(self._fleet.files, 'out'))
+        await asyncio.sleep(GRACE_S)
+        before = self._count_moved()
+        await asyncio.sleep(OUT_S - GRACE_S)
+        self.late = self._count_moved() - before
+        await self._fleet.publish(self._fleet.files)
+
+    async def finish(self) -> None:
+        """Ends the sampling."""
+        if self._sampling is not None:
+            self._sampling.cancel()
+            await asyncio.wait([self._sampling])
+
+    def _count_moved(self) -> int:
+        received = self.samples[-1].received
+        return sum(
+            count
+            for name, count in received.items()
+            if self._places[name] == MOVED
+        )
+
+    async def _sample(self) -> None:
+        loop = asyncio.get_running_loop()
+        start = loop.time() - CHANGE_S
+        while True:
+            counters = await self._fleet.count()
+            when = loop.time() - start
+            self.samples.append(_Sample(when, _read_received(counters)))
+            await asyncio.sleep(STEP_S / 2)
+
+
+def _read_received(counters: Counters) -> dict[str, int]:
+    return {
+        name: counted['received']
+        for name, counted in counters.items()
+        if name.startswith(WORKLOAD)
+    }
+
+
+def _judge(changed: Changed, recorder: _Recorder) -> Iterable[Measurement]:
+    end = changed.ended + SETTLE_S
+    during = cut_out(changed.seen, CHANGE_S, end)
+    yield limit_value(
+        name_subject('move.new-sub-queries-after-2s'),
+        recorder.late,
+        'sub-queries',
+        bound=0,
+    )
+    yield require_value(
+        name_subject('move.urgent-answered'),
+        measure_answered(during),
+        'share',
+        bound=ANSWERED_BOUND,
+    )
+    yield limit_ratio(
+        name_subject('move.p99-during'),
+        changed.measure_p99(CHANGE_S, end),
+        'ms',
+        baseline=changed.steady_p99,
+        bound=P99_BOUND,
+    )
+
+
+def _set_state(
+    files: DeploymentFiles,
+    state: Literal['in', 'out'],
+) -> DeploymentFiles:
+    entries = tuple(
+        replace(entry, state=state) if entry.name == MOVED else entry
+        for entry in files.data_centres.data_centres
+    )
+    places = replace(files.data_centres, data_centres=entries)
+    return replace(files, data_centres=places)
+
+
+def _list_places(files: DeploymentFiles) -> dict[str, str]:
+    """Returns the data centre of every target."""
+    return {
+        f'{service.service}/{entry.name}': entry.data_centre
+        for service in files.services
+        for entry in service.targets
+    }
+
+
+def _draw_load(
+    samples: Sequence[_Sample],
+    places: Mapping[str, str],
+) -> Series:
+    points: dict[str, list[Point]] = {}
+    for before, after in itertools.pairwise(samples):
+        for place in sorted(set(places.values())):
+            names = [one for one in after.received if places[one] == place]
+            new = sum(
+                after.received[name] - before.received[name] for name in names
+            )
+            rate = new / len(names) / (after.when - before.when)
+            points.setdefault(place, []).append((after.when, rate))
+    return Series(
+        'move',
+        'Load of a target, by data centre',
+        'seconds',
+        'sub-queries a second and target',
+        {place: tuple(curve) for place, curve in points.items()},
+    )
--- /dev/null
+++ b/bench/sockets/ports.py
@@ -0,0 +1,31 @@
+"""Free loopback ports, so that several runs fit on one machine."""
+
+import contextlib
+import random
+import socket
+
+LOOPBACK = '127.0.0.1'
+#: Below the range from which the system draws ports by itself.
+FIRST_PORT = 10_000
+LAST_PORT = 20_000
+
+
+def draw_addresses(count: int) -> list[str]:
+    """Returns addresses on which nothing listens now."""
+    source = random.SystemRandom()
+    candidates = source.sample(range(FIRST_PORT, LAST_PORT), 4 * count)
+    found: list[str] = []
+    with contextlib.ExitStack() as stack:
+        for port in candidates:
+            if len(found) < count and _take(stack, port):
+                found.append(f'{LOOPBACK}:{port}')
+    return found
+
+
+def _take(stack: contextlib.ExitStack, port: int) -> bool:
+    taken = stack.enter_context(socket.socket())
+    try:
+        taken.bind((LOOPBACK, port))
+    except OSError:
+        return False
+    return True
