--- /dev/null
+++ b/bench/state/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the state between hosts, in virtual time."""
--- /dev/null
+++ b/bench/state/spread.py
@@ -0,0 +1,153 @@
+"""How fast a change spreads, and what it costs the store."""
+
+from collections.abc import Iterator
+
+from almonddock_core.tests.state_fleet import Fleet
+from almonddock_core.tests.state_schedules import Schedule
+from bench import experiment
+from bench.measurement import (
+    Measurement,
+    Subject,
+    limit_value,
+    note_value,
+    require_value,
+)
+from bench.state.fleets import (
+    LETTER_HOSTS,
+    TODAY_HOSTS,
+    build_bodies,
+    build_service,
+    publish_bodies,
+    start_fleet,
+)
+
+SEED = 1
+CHANGES = 8
+#: Seconds from publish to in force on every host, p99.
+TODAY_BOUND = 2
+LETTER_BOUND = 7
+STORE_READS = 2000
+#: Seconds between changes at 2,900 a day.
+CHANGE_PERIOD = 86_400 / 2900
+IDLE_SECONDS = 10
+SCHEDULES = 2000
+#: Targets of the fleets; the tree makes the cost of a change the same.
+TARGETS = 40
+P99 = 0.99
+
+
+def find_quantile(ordered: list[float], share: float) -> float:
+    """Returns a quantile of sorted figures."""
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+def measure_change(
+    fleet: Fleet,
+    bodies: dict[str, bytes],
+    number: int,
+    limit: float,
+) -> list[float]:
+    """Publishes one change; returns the seconds until each host had it."""
+    bodies['desk-0003'] = build_service(3, 400 + number)
+    publish_bodies(fleet.store, f'change-{number}', bodies)
+    began = fleet.now
+    fleet.tell_watchers()
+    fleet.run(limit)
+    revision = fleet.store.history[-1].revision
+    return sorted(
+        (one.history[-1][0] - began).total_seconds()
+        if one.history and one.history[-1][1] == revision
+        else 1000
+        for one in fleet.hosts.values()
+    )
+
+
+def measure_spread(hosts: int, bound: float) -> Iterator[Measurement]:
+    """Yields figures of one fleet."""
+    where = f'{hosts} hosts'
+    bodies = build_bodies(TARGETS)
+    fleet = start_fleet(SEED, hosts, bodies)
+    calls = fleet.store_calls
+    fleet.run(IDLE_SECONDS)
+    idle = (fleet.store_calls - calls) / IDLE_SECONDS
+    calls = fleet.store_calls
+    times = sorted(
+        seconds
+        for number in range(CHANGES)
+        for seconds in measure_change(fleet, bodies, number, 1.5)
+    )
+    spent = IDLE_SECONDS * 1.2
+    changing = (fleet.store_calls - calls) / CHANGES - idle * spent / CHANGES
+    in_force = Subject('state.in-force.p99', where, SEED)
+    yield limit_value(
+        in_force,
+        find_quantile(times, P99),
+        's',
+        bound=bound,
+    )
+    yield note_value(
+        Subject('state.in-force.max', where, SEED),
+        times[-1],
+        's',
+    )
+    yield limit_value(
+        Subject('state.store-calls.idle', where, SEED),
+        idle,
+        'calls/s',
+        bound=STORE_READS,
+    )
+    yield limit_value(
+        Subject('state.store-calls.2900-changes', where, SEED),
+        idle + changing / CHANGE_PERIOD,
+        'calls/s',
+        bound=STORE_READS,
+    )
+
+
+@experiment('state.spread.today', seconds=30)
+def measure_today() -> Iterator[Measurement]:
+    """Publish to in force on every host, 4 hosts."""
+    return measure_spread(TODAY_HOSTS, TODAY_BOUND)
+
+
+@experiment('state.spread.letter', seconds=240)
+def measure_letter() -> Iterator[Measurement]:
+    """Publish to in force on every host, 1,600 hosts."""
+    return measure_spread(LETTER_HOSTS, LETTER_BOUND)
+
+
+@experiment('state.reversions', seconds=180)
+def measure_reversions() -> Iterator[Measurement]:
+    """Hosts that went back in revision over 2,000 fault schedules."""
+    found = [
+        fault for seed in range(SCHEDULES) for fault in Schedule(seed).run()
+    ]
+    subject = Subject('state.reversions', f'{SCHEDULES} schedules', SEED)
+    yield limit_value(subject, len(found), 'faults', bound=0)
+
+
+@experiment('state.replaced-host', seconds=60)
+def measure_replaced() -> Iterator[Measurement]:
+    """A host replaced while the store is down: time until it is ready."""
+    for hosts in (TODAY_HOSTS, 40):
+        fleet = start_fleet(SEED, hosts, build_bodies(TARGETS))
+        fleet.store_up = False
+        member = fleet.host_list[0]
+        fleet.kill([member.host])
+        began = fleet.now
+        fleet.add(member.host, member.data_centre, 2)
+        fleet.run(5)
+        history = fleet.hosts[member.host].history
+        seconds = (history[0][0] - began).total_seconds() if history else 5
+        yield limit_value(
+            Subject('state.replaced-host.ready', f'{hosts} hosts', SEED),
+            seconds,
+            's',
+            bound=2,
+        )
+        yield require_value(
+            Subject('state.replaced-host.services', f'{hosts} hosts', SEED),
+            len(fleet.hosts[member.host].configuration.deployment.services),
+            'services',
+            bound=TARGETS // 2,
+        )
--- a/packages/core/almonddock_core/membership/_settings.py
+++ b/packages/core/almonddock_core/membership/_settings.py
@@ -25,7 +25,7 @@
     #: ten in the number of hosts.
     suspicion_periods: int = 2
     #: Members in one message beside the sender.
-    max_news: int = 8
+    max_news: int = 6
     #: How often one item of news is sent, for each doubling of the hosts.
     news_repeats: int = 3
     #: Every so many probes go to a dead member that the host list names.
--- /dev/null
+++ b/packages/core/almonddock_core/tests/state_schedules.py
@@ -0,0 +1,147 @@
+"""Random faults over a small fleet, and what must hold under them."""
+
+import copy
+from datetime import timedelta
+
+from almonddock_core.configuration import Published, publish
+from almonddock_core.model import DataCentreId, HostId, Member, Revision
+from almonddock_core.tests.configuration_store import FakeStore
+from almonddock_core.tests.state_fleet import Fleet
+from almonddock_core.tests.test_configuration_publish import (
+    drive,
+    make_request,
+)
+
+HOSTS = 4
+DATA_CENTRES = 3
+FAULT_SECONDS = 6.0
+SETTLE_SECONDS = 6.0
+FAULTS = (
+    'publish',
+    'publish',
+    'store_down',
+    'store_up',
+    'copy',
+    'restore',
+    'pause',
+    'replace',
+    'split',
+    'heal',
+)
+
+
+def choose_delay(one: DataCentreId, other: DataCentreId) -> timedelta:
+    return timedelta(milliseconds=1 if one == other else 2)
+
+
+class Schedule:
+    """One random run; :meth:`run` returns what went wrong."""
+
+    def __init__(self, seed: int) -> None:
+        self.fleet = Fleet(seed, choose_delay, loss=0.01)
+        self.copy: FakeStore | None = None
+        self.publishes = 0
+        self.incarnation = 1
+        #: Revisions in force of every host that ever ran, in order.
+        self.histories: list[list[tuple[timedelta, Revision]]] = []
+        self.newest = Revision(0)
+
+    def run(self) -> list[str]:
+        self._start()
+        end = self.fleet.now + timedelta(seconds=FAULT_SECONDS)
+        while self.fleet.now < end:
+            fault = self.fleet.random.choice(FAULTS)
+            getattr(self, f'_do_{fault}')()
+            self.fleet.run(self.fleet.random.uniform(0, 1))
+        self._do_store_up()
+        self._do_heal()
+        self.fleet.run(SETTLE_SECONDS)
+        return [*self._find_reversions(), *self._find_stragglers()]
+
+    def _start(self) -> None:
+        self._do_publish()
+        self.fleet.host_list = [
+            Member(
+                HostId(f'h{number}'),
+                DataCentreId(f'd{number % DATA_CENTRES}'),
+                '127.0.0.1:1',
+            )
+            for number in range(HOSTS)
+        ]
+        for member in self.fleet.host_list:
+            self._add(member)
+        self.fleet.run(1)
+
+    def _add(self, member: Member) -> None:
+        self.incarnation += 1
+        self.fleet.add(member.host, member.data_centre, self.incarnation)
+        self.histories.append(self.fleet.hosts[member.host].history)
+
+    def _find_floor(self) -> Revision:
+        hosts = self.fleet.hosts.values()
+        return max(
+            (one.configuration.deployment.revision for one in hosts),
+            default=Revision(0),
+        )
+
+    def _do_publish(self) -> None:
+        if not self.fleet.store_up:
+            return
+        self.publishes += 1
+        edits = {1: 300 + self.publishes}
+        request = make_request(
+            f'c{self.publishes}', edits, floor=self._find_floor()
+        )
+        published = drive(self.fleet.store, publish(request))
+        if isinstance(published, Published):
+            self.fleet.tell_watchers()
+
+    def _do_store_down(self) -> None:
+        self.fleet.store_up = False
+
+    def _do_store_up(self) -> None:
+        self.fleet.store_up = True
+
+    def _do_copy(self) -> None:
+        self.copy = copy.deepcopy(self.fleet.store)
+
+    def _do_restore(self) -> None:
+        if self.copy is not None:
+            self.fleet.store = copy.deepcopy(self.copy)
+
+    def _do_pause(self) -> None:
+        host = self.fleet.random.choice(self.fleet.host_list).host
+        self.fleet.pause(host, self.fleet.random.uniform(0, 4))
+
+    def _do_replace(self) -> None:
+        member = self.fleet.random.choice(self.fleet.host_list)
+        self.fleet.kill([member.host])
+        self._add(member)
+
+    def _do_split(self) -> None:
+        cut = f'd{self.fleet.random.randrange(DATA_CENTRES)}'
+        self.fleet.reachable = lambda one, other: (
+            (one.data_centre == cut) == (other.data_centre == cut)
+        )
+
+    def _do_heal(self) -> None:
+        self.fleet.reachable = lambda one, other: True
+
+    def _find_reversions(self) -> list[str]:
+        found: list[str] = []
+        for history in self.histories:
+            revisions = [revision for _, revision in history]
+            if revisions != sorted(set(revisions)):
+                found.append(f'reversion: {revisions}')
+        return found
+
+    def _find_stragglers(self) -> list[str]:
+        hosts = self.fleet.hosts
+        heads = {
+            name: one.configuration.describe_head(self.fleet.now)
+            for name, one in hosts.items()
+        }
+        contents = {(one.revision, one.digest) for one in heads.values()}
+        if len(contents) == 1 and self._find_floor():
+            return []
+        return [f'hosts differ at the end: {sorted(contents)}']
