Choose the watchers of a fake fleet only when its view changes

Cause: 1,600 hosts did not finish in 240 s; each tick sorted all members. Change: the fake compares views as the daemon's controller does.

--- a/bench/state/fleets.py
+++ b/bench/state/fleets.py
@@ -12,7 +12,7 @@
     TargetEntry,
     VersionEntry,
 )
-from almonddock_core.model import DataCentreId, HostId, Member
+from almonddock_core.model import DataCentreId, HostId, Incarnation, Member
 from almonddock_core.tests.configuration_store import FakeStore
 from almonddock_core.tests.state_fleet import Fleet
 from almonddock_core.tests.test_configuration_publish import drive
@@ -112,6 +112,7 @@
             HostId(f'h{number:04}'),
             name_data_centre(number, hosts),
             '127.0.0.1:1',
+            Incarnation(1),
         )
         for number in range(hosts)
     ]
--- a/packages/core/almonddock_core/tests/state_fleet.py
+++ b/packages/core/almonddock_core/tests/state_fleet.py
@@ -42,6 +42,7 @@
     HostId,
     Incarnation,
     Member,
+    MembershipView,
     Revision,
 )
 from almonddock_core.store import Swapped, SwapValue
@@ -68,6 +69,8 @@
     up: bool = True
     paused: bool = False
     watching: bool = False
+    #: The view that the watchers were last chosen from.
+    seen: MembershipView | None = None
     #: What arrived while the host was paused.
     inbox: list[Callable[[], None]] = field(default_factory=list)
 
@@ -228,8 +231,10 @@
             return
         self.act(one, one.membership.tick(self.now))
         self.act(one, one.configuration.tick(self.now))
-        view = one.membership.view
-        watchers = choose_watchers(view, one.own.data_centre)
+        if one.membership.view is one.seen:
+            return
+        one.seen = one.membership.view
+        watchers = choose_watchers(one.seen, one.own.data_centre)
         wanted = one.own.host in watchers
         if wanted and not one.watching:
             self._open_watch(one)
