--- /dev/null
+++ b/bench/capacity/roles.py
@@ -0,0 +1,308 @@
+"""Time and memory of each role at three sizes."""
+
+import random
+from collections.abc import Iterable, Iterator
+from datetime import timedelta
+from functools import partial
+
+from almonddock_core.configuration import ConfigurationHead
+from almonddock_core.membership import (
+    Membership,
+    MembershipAction,
+    MembershipSettings,
+)
+from almonddock_core.membership import (
+    Send as MemberSend,
+)
+from almonddock_core.model import (
+    AttemptId,
+    HostId,
+    IndexVersion,
+    Member,
+    Plan,
+    Query,
+    ReplyStatus,
+    RequestId,
+    ShardId,
+    SubQuery,
+    SubReply,
+    TargetId,
+    WorkloadId,
+)
+from almonddock_core.owners import (
+    Dispatch,
+    OwnedTarget,
+    OwnerSettings,
+    place_targets,
+)
+from almonddock_core.scatter import (
+    LatencyTable,
+    Scatter,
+    ScatterContext,
+    ScatterSettings,
+    Send,
+    TryBudget,
+)
+from almonddock_core.truth import VersionTable, pin_snapshot
+from almonddock_wire import SubQueryBatch, SubReplyBatch, decode, encode
+from bench import Measurement, Subject, experiment, limit_value, note_value
+from bench.capacity.fleet import (
+    SIZES,
+    Size,
+    build_fleet,
+    build_members,
+)
+from bench.capacity.timing import time_call, weigh_result
+
+SEED = 1
+#: Letter 1: what control may take of a host.
+CONTROL_MEGABYTES = 32
+CONTROL_CORE_PERCENT = 1.6
+CONTROL_BYTES_PER_SECOND = 9000
+PERCENT_PER_MICROSECOND = 1e-4
+#: Hosts that restart, are replaced or fail in a day; each is seen to leave
+#: and to come back.
+CHANGES_PER_DAY = 2 * (880 + 10)
+SECONDS_PER_DAY = 86_400
+
+START = timedelta(seconds=100)
+DEADLINE = timedelta(seconds=101)
+ROWS = b'[{"shard":"desk-000/s0","version":1,"score":17}]'
+
+
+@experiment('capacity_placement')
+def measure_placement() -> Iterator[Measurement]:
+    """Processor time of one placement, and its share of a core in a day."""
+    for size in SIZES:
+        deployment = build_fleet(size)
+        members = build_members(size)
+        micros = time_call(partial(place_targets, deployment, members))
+        subject = Subject('capacity_placement.call', size.name, SEED)
+        yield note_value(subject, micros / 1000, 'ms')
+        share = micros * CHANGES_PER_DAY / SECONDS_PER_DAY
+        subject = Subject('capacity_placement.core', size.name, SEED)
+        yield limit_value(
+            subject,
+            share * PERCENT_PER_MICROSECOND,
+            '% of a core',
+            bound=CONTROL_CORE_PERCENT,
+        )
+
+
+@experiment('capacity_memory')
+def measure_memory() -> Iterator[Measurement]:
+    """Memory of the configuration and of the members on one host."""
+    for size in SIZES:
+        fleet = weigh_result(partial(build_fleet, size))
+        members = weigh_result(partial(build_membership, size))
+        found = {'configuration': fleet, 'members': members}
+        for name, weight in found.items():
+            subject = Subject(f'capacity_memory.{name}', size.name, SEED)
+            yield note_value(subject, weight, 'MB')
+        subject = Subject('capacity_memory.control', size.name, SEED)
+        yield limit_value(
+            subject,
+            fleet + members,
+            'MB',
+            bound=CONTROL_MEGABYTES,
+        )
+
+
+@experiment('capacity_member')
+def measure_member() -> Iterator[Measurement]:
+    """Time and bytes of the membership of one host in a second."""
+    for size in SIZES:
+        play = MemberPlay(build_membership(size), build_members(size))
+        micros = time_call(play.run, repeats=1) / MemberPlay.seconds
+        subject = Subject('capacity_member.core', size.name, SEED)
+        yield limit_value(
+            subject,
+            micros * PERCENT_PER_MICROSECOND,
+            '% of a core',
+            bound=CONTROL_CORE_PERCENT,
+        )
+        subject = Subject('capacity_member.messages', size.name, SEED)
+        yield note_value(subject, play.sent / MemberPlay.seconds, 'a second')
+        subject = Subject('capacity_member.bytes', size.name, SEED)
+        yield limit_value(
+            subject,
+            play.bytes_sent / MemberPlay.seconds,
+            'bytes a second',
+            bound=CONTROL_BYTES_PER_SECOND,
+        )
+
+
+class MemberPlay:
+    """One host that probes peers, each of which answers and probes back."""
+
+    seconds = 20
+
+    def __init__(self, own: Membership, members: Iterable[Member]) -> None:
+        self.sent = 0
+        self.bytes_sent = 0
+        self._own = own
+        self._members = {one.host: one for one in members}
+        self._peers: dict[HostId, Membership] = {}
+
+    def run(self) -> None:
+        """Plays the seconds in steps of a tenth."""
+        for step in range(self.seconds * 10):
+            now = START + timedelta(seconds=step / 10)
+            self._carry(self._own.tick(now), now)
+
+    def _carry(
+        self,
+        actions: Iterable[MembershipAction],
+        now: timedelta,
+    ) -> None:
+        for action in actions:
+            if isinstance(action, MemberSend):
+                self.sent += 1
+                self.bytes_sent += len(encode(action.message, now))
+                peer = self._find_peer(action.host)
+                for reply in peer.receive(action.message, now):
+                    if isinstance(reply, MemberSend):
+                        self._carry(
+                            self._own.receive(reply.message, now),
+                            now,
+                        )
+
+    def _find_peer(self, host: HostId) -> Membership:
+        if host not in self._peers:
+            self._peers[host] = Membership(
+                self._members[host],
+                MembershipSettings(),
+                random.Random(SEED),
+                START,
+                describe_head,
+            )
+        return self._peers[host]
+
+
+@experiment('capacity_entry')
+def measure_entry() -> Iterator[Measurement]:
+    """Processor time of an entry host for a sub-query, without sockets."""
+    for size in SIZES:
+        deployment = build_fleet(size)
+        owners = place_targets(deployment, build_members(size))
+        plan = pin_snapshot(
+            deployment,
+            WorkloadId('desk'),
+            VersionTable(),
+            owners,
+        )
+        context = ScatterContext(
+            TryBudget(),
+            {},
+            random.Random(SEED),
+            LatencyTable(),
+        )
+
+        shards = len(plan.shards)
+        subject = Subject('capacity_entry.scatter', f'{shards} shards', SEED)
+        yield note_value(subject, time_call(partial(play_query, plan, context)) / shards, 'us')
+
+
+@experiment('capacity_owner')
+def measure_owner() -> Iterator[Measurement]:
+    """Processor time of an owner for a sub-query, without sockets."""
+    deployment = build_fleet(SIZES[0])
+    target = next(iter(deployment.targets.values()))
+    for count in (10, 100, 1000):
+        subs = tuple(build_sub(one, target.target) for one in range(count))
+        owned = OwnedTarget(
+            target,
+            OwnerSettings(),
+            timedelta(),
+            inherited=False,
+        )
+
+        subject = Subject('capacity_owner.state', f'{count} tries', SEED)
+        yield note_value(subject, time_call(partial(play_tries, owned, subs)) / count, 'us')
+        replies = tuple(build_reply(sub) for sub in subs)
+        for name, batch in (
+            ('query', SubQueryBatch(subs)),
+            ('reply', SubReplyBatch(replies, ())),
+        ):
+            yield from measure_message(name, batch, count)
+
+
+def play_query(plan: Plan, context: ScatterContext) -> None:
+    """Scatters one query whose sub-queries are all answered."""
+    query = Query(RequestId('q'), WorkloadId('desk'), b'{}', DEADLINE)
+    scatter = Scatter(query, plan, ScatterSettings(), context)
+    for action in scatter.start(START):
+        if isinstance(action, Send):
+            scatter.receive(build_reply(action.sub), START)
+
+
+def play_tries(owned: OwnedTarget, subs: Iterable[SubQuery]) -> None:
+    """Queues, dispatches and settles tries, one after the other."""
+    for sub in subs:
+        for action in owned.offer(sub, START):
+            if isinstance(action, Dispatch):
+                owned.settle(build_reply(action.sub), START)
+
+
+def measure_message(
+    name: str,
+    batch: SubQueryBatch | SubReplyBatch,
+    count: int,
+) -> Iterator[Measurement]:
+    """Measures a message of so many sub-queries between two hosts."""
+    encoded = encode(batch, START)
+    size = f'{count} in a message'
+    figures = {
+        'encode': (time_call(partial(encode, batch, START)), 'us'),
+        'decode': (time_call(partial(decode, encoded, START)), 'us'),
+        'size': (float(len(encoded)), 'bytes'),
+    }
+    for kind, (figure, unit) in figures.items():
+        subject = Subject(f'capacity_owner.{name}.{kind}', size, SEED)
+        yield note_value(subject, figure / count, unit)
+
+
+def build_membership(size: Size) -> Membership:
+    """Returns the membership of one host that knows all others."""
+    members = build_members(size)
+    membership = Membership(
+        members[0],
+        MembershipSettings(),
+        random.Random(SEED),
+        START,
+        describe_head,
+    )
+    membership.read_host_list(members, START)
+    return membership
+
+
+def build_sub(number: int, target: TargetId) -> SubQuery:
+    """Returns one sub-query."""
+    query = Query(RequestId('q'), WorkloadId('desk'), b'{}', DEADLINE)
+    return SubQuery(
+        attempt_id=AttemptId(f'q:{number}'),
+        request_id=query.request_id,
+        shard=ShardId('desk-000/s0'),
+        target=target,
+        version=IndexVersion(1),
+        body=query.body,
+        deadline=DEADLINE,
+    )
+
+
+def build_reply(sub: SubQuery) -> SubReply:
+    """Returns the reply of a target that has answered."""
+    return SubReply(
+        sub.attempt_id,
+        sub.request_id,
+        sub.shard,
+        sub.target,
+        ReplyStatus.OK,
+        version=sub.version,
+        rows=ROWS,
+    )
+
+
+def describe_head(now: timedelta) -> ConfigurationHead:
+    """Returns the head of an empty configuration."""
+    return ConfigurationHead()
