--- a/bench/capacity/roles.py
+++ b/bench/capacity/roles.py
@@ -160,12 +160,16 @@
                 self.sent += 1
                 self.bytes_sent += len(encode(action.message, now))
                 peer = self._find_peer(action.host)
-                for reply in peer.receive(action.message, now):
-                    if isinstance(reply, MemberSend):
-                        self._carry(
-                            self._own.receive(reply.message, now),
-                            now,
-                        )
+                self._hear(peer.receive(action.message, now), now)
+
+    def _hear(
+        self,
+        replies: Iterable[MembershipAction],
+        now: timedelta,
+    ) -> None:
+        for reply in replies:
+            if isinstance(reply, MemberSend):
+                self._carry(self._own.receive(reply.message, now), now)
 
     def _find_peer(self, host: HostId) -> Membership:
         if host not in self._peers:
@@ -200,7 +204,11 @@
 
         shards = len(plan.shards)
         subject = Subject('capacity_entry.scatter', f'{shards} shards', SEED)
-        yield note_value(subject, time_call(partial(play_query, plan, context)) / shards, 'us')
+        yield note_value(
+            subject,
+            time_call(partial(play_query, plan, context)) / shards,
+            'us',
+        )
 
 
 @experiment('capacity_owner')
@@ -218,7 +226,9 @@
         )
 
         subject = Subject('capacity_owner.state', f'{count} tries', SEED)
-        yield note_value(subject, time_call(partial(play_tries, owned, subs)) / count, 'us')
+        yield note_value(
+            subject, time_call(partial(play_tries, owned, subs)) / count, 'us'
+        )
         replies = tuple(build_reply(sub) for sub in subs)
         for name, batch in (
             ('query', SubQueryBatch(subs)),
