--- a/tests/scenarios/language.py
+++ b/tests/scenarios/language.py
@@ -31,7 +31,6 @@
     until: timedelta | None = None
     deadline: timedelta = timedelta(milliseconds=300)
     idempotent: bool = True
-    key: str | None = None
     #: The entry host; the hosts take turns when it is absent.
     entry: str | None = None
     urgency: Urgency = Urgency.NORMAL
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -88,7 +88,6 @@
             urgency=ask.urgency,
             min_coverage=ask.coverage,
             idempotent=ask.idempotent,
-            idempotency_key=ask.key,
         )
         asked = Asked(query, entry.deployment)
         self.asked[ask.name].append(asked)
