Read the documents of a revision in few store calls

Cause: a host read each document by a call of its own, about a hundred at start. The store client's limit of 20 calls a second was then in debt for seconds, and the watch had to wait its turn: the first publish after a start came into force late.

Change: documents are read in transactions of up to 64 reads.

--- a/packages/daemon/almonddock_daemon/adapters/_store_client.py
+++ b/packages/daemon/almonddock_daemon/adapters/_store_client.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from typing import Any
 
 import httpx
@@ -35,6 +35,8 @@
 _BROKEN = (*_LOST, StoreUnavailableError)
 _RANGE = '/v3/kv/range'
 _TRANSACTION = '/v3/kv/txn'
+# etcd accepts 128 operations in a transaction unless told otherwise.
+_READS_A_CALL = 64
 
 
 class StoreClient:
@@ -72,6 +74,18 @@
         """Returns the key's value, None when it does not exist."""
         return await self._read_key(self._settings.prefix + key)
 
+    async def read_many(self, keys: Sequence[str]) -> dict[str, StoredValue]:
+        """Returns the values of the keys that exist, in few calls."""
+        prefix = self._settings.prefix
+        found: dict[str, StoredValue] = {}
+        for first in range(0, len(keys), _READS_A_CALL):
+            part = keys[first : first + _READS_A_CALL]
+            request = codec.build_reads(prefix + key for key in part)
+            found.update(
+                codec.parse_reads(await self._read(_TRANSACTION, request)),
+            )
+        return {key.removeprefix(prefix): one for key, one in found.items()}
+
     async def list_keys(self, prefix: str) -> dict[str, int]:
         """Returns all keys with the prefix and their revisions."""
         request = {
--- a/packages/daemon/almonddock_daemon/adapters/_store_steps.py
+++ b/packages/daemon/almonddock_daemon/adapters/_store_steps.py
@@ -47,7 +47,7 @@
 async def _perform(store: StoreClient, call: StoreCall) -> StoreReply:
     match call:
         case ReadValues():
-            return await _read(store, call.keys)
+            return Values(await store.read_many(call.keys))
         case ListRevisions():
             return Revisions(await store.list_keys(call.prefix))
         case PutValues():
@@ -64,9 +64,3 @@
             )
         case DeleteValue():
             return await store.delete(call.key, call.expected)
-
-
-async def _read(store: StoreClient, keys: tuple[str, ...]) -> Values:
-    found = await asyncio.gather(*(store.read(key) for key in keys))
-    pairs = zip(keys, found, strict=True)
-    return Values({key: one for key, one in pairs if one is not None})
--- a/packages/daemon/almonddock_daemon/tests/test_store_client.py
+++ b/packages/daemon/almonddock_daemon/tests/test_store_client.py
@@ -103,6 +103,19 @@
 
 
 class StoreClientTest(unittest.IsolatedAsyncioTestCase):
+    async def test_reads_many_keys_in_few_calls(self) -> None:
+        entry = {**make_value('b', 9), 'key': encode('/a/k1')}
+        replies = [
+            {'succeeded': True, 'responses': [{'response_range': one}]}
+            for one in ({'kvs': [entry]}, {})
+        ]
+        store = Store(*replies)
+        keys = [f'k{number}' for number in range(100)]
+        found = await open_client(store).read_many(keys)
+        self.assertEqual(found, {'k1': StoredValue(b'b', 9)})
+        sizes = [len(request['success']) for request in store.requests]
+        self.assertEqual(sizes, [64, 36])
+
     async def test_tells_apart_every_outcome_of_a_swap(self) -> None:
         for step, expected in SWAPS:
             with self.subTest(step=step):
