--- /dev/null
+++ b/bench/state/restart.py
@@ -0,0 +1,258 @@
+"""Real hosts on loopback: restarted in turn, and one killed, under load."""
+
+import asyncio
+import contextlib
+import pathlib
+import tempfile
+import time
+from collections.abc import AsyncIterator, Iterator, Sequence
+from dataclasses import dataclass, field
+
+import httpx
+
+from almonddock_standins._addresses import (
+    Addresses,
+    choose_addresses,
+    write_settings,
+)
+from almonddock_standins.demo import (
+    start_daemon,
+    start_standins,
+    stop_daemon,
+    wait_ready,
+)
+from bench import experiment
+from bench.measurement import (
+    Measurement,
+    Subject,
+    limit_ratio,
+    limit_value,
+    note_value,
+    require_value,
+)
+
+SEED = 0
+DEPLOYMENT = 'kyushu, 4 hosts'
+WORKERS = 4
+THINK_S = 0.1
+BALANCER_S = 0.2
+SETTLE_S = 3.0
+STEADY_S = 8.0
+#: The stated time after a kill in which the tail may still be longer.
+RECOVER_S = 3.0
+P99 = 0.99
+#: The stated bounds.
+TAIL_RATIO = 1.5
+ANSWERED = 0.999
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """One query of the load."""
+
+    began: float
+    seconds: float
+    url: str
+    #: ``answered``, another outcome, or the error that cut it.
+    outcome: str
+
+
+@dataclass
+class Load:
+    """Workers that ask ready hosts, as behind the platform's balancer."""
+
+    urls: Sequence[str]
+    ready: list[str] = field(default_factory=list)
+    asked: list[Asked] = field(default_factory=list)
+
+    async def balance(self, client: httpx.AsyncClient) -> None:
+        """Keeps the list of ready hosts."""
+        while True:
+            flags = [await _is_ready(client, url) for url in self.urls]
+            pairs = zip(self.urls, flags, strict=True)
+            self.ready = [url for url, flag in pairs if flag]
+            await asyncio.sleep(BALANCER_S)
+
+    async def work(self, client: httpx.AsyncClient, number: int) -> None:
+        """Asks one query after the other."""
+        while True:
+            if self.ready:
+                number += 1
+                url = self.ready[number % len(self.ready)]
+                self.asked.append(await _ask(client, url))
+            await asyncio.sleep(THINK_S)
+
+    def select(self, begin: float, end: float) -> list[Asked]:
+        """Returns the queries that began in a span of time."""
+        return [one for one in self.asked if begin <= one.began < end]
+
+
+async def _is_ready(client: httpx.AsyncClient, url: str) -> bool:
+    try:
+        return (await client.get(f'{url}/v1/ready')).is_success
+    except httpx.HTTPError:
+        return False
+
+
+async def _ask(client: httpx.AsyncClient, url: str) -> Asked:
+    began = time.monotonic()
+    try:
+        response = await client.post(
+            f'{url}/v1/query',
+            json={'workload': 'parts-desk', 'query': {'text': 'reed'}},
+        )
+        content = response.json()
+        outcome = content.get('outcome', content.get('code', 'unknown'))
+    except (httpx.HTTPError, ValueError) as error:
+        outcome = type(error).__name__
+    return Asked(began, time.monotonic() - began, url, str(outcome))
+
+
+@contextlib.asynccontextmanager
+async def run_load(urls: Sequence[str]) -> AsyncIterator[Load]:
+    """Runs the load while the block lasts."""
+    load = Load(urls)
+    async with httpx.AsyncClient(trust_env=False, timeout=10) as client:
+        tasks = [asyncio.create_task(load.balance(client))]
+        tasks += [
+            asyncio.create_task(load.work(client, number))
+            for number in range(WORKERS)
+        ]
+        try:
+            yield load
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def find_tail(asked: Sequence[Asked]) -> float:
+    """Returns the p99 in seconds."""
+    ordered = sorted(one.seconds for one in asked)
+    return ordered[int(len(ordered) * P99)]
+
+
+class Tier:
+    """Four hosts as processes of their own."""
+
+    def __init__(self, addresses: Addresses, folder: str) -> None:
+        self.urls = addresses.urls
+        self.paths = write_settings(pathlib.Path(folder), addresses)
+        self.daemons: list[asyncio.subprocess.Process] = []
+        self.codes: list[int] = []
+
+    async def start(self) -> None:
+        """Starts every host and waits until all are ready."""
+        self.daemons = [await start_daemon(path) for path in self.paths]
+        await wait_ready(self.urls)
+        await asyncio.sleep(SETTLE_S)
+
+    async def restart(self, number: int) -> None:
+        """Shuts one host down gracefully and starts it again."""
+        self.codes.append(await stop_daemon(self.daemons[number]))
+        self.daemons[number] = await start_daemon(self.paths[number])
+        await wait_ready([self.urls[number]])
+        await asyncio.sleep(SETTLE_S)
+
+    async def stop(self) -> None:
+        """Ends the hosts that still run."""
+        for daemon in self.daemons:
+            if daemon.returncode is None:
+                daemon.kill()
+                await daemon.wait()
+
+
+@dataclass(frozen=True, slots=True)
+class Spans:
+    """The queries of each part of the run."""
+
+    steady: list[Asked]
+    restarts: list[Asked]
+    killed: list[Asked]
+    recovered: list[Asked]
+    codes: list[int]
+
+
+async def run_hosts() -> Spans:
+    """Runs the hosts through restarts and a kill."""
+    addresses = choose_addresses()
+    await start_standins(addresses)
+    with tempfile.TemporaryDirectory() as folder:
+        tier = Tier(addresses, folder)
+        await tier.start()
+        try:
+            return await _run_load(tier)
+        finally:
+            await tier.stop()
+
+
+async def _run_load(tier: Tier) -> Spans:
+    async with run_load(tier.urls) as load:
+        marks = [time.monotonic()]
+        await asyncio.sleep(STEADY_S)
+        marks.append(time.monotonic())
+        for number, _ in enumerate(tier.urls):
+            await tier.restart(number)
+        marks.append(time.monotonic())
+        tier.daemons[0].kill()
+        await asyncio.sleep(RECOVER_S + STEADY_S)
+        marks.append(time.monotonic())
+    killed = load.select(marks[2], marks[3])
+    others = [one for one in killed if one.url != tier.urls[0]]
+    return Spans(
+        load.select(marks[0], marks[1]),
+        load.select(marks[1], marks[2]),
+        others,
+        [one for one in others if one.began >= marks[2] + RECOVER_S],
+        tier.codes,
+    )
+
+
+def _count(asked: Sequence[Asked], outcomes: set[str]) -> int:
+    return sum(one.outcome in outcomes for one in asked)
+
+
+@experiment('state.restart', seconds=110)
+def measure_restart() -> Iterator[Measurement]:
+    """Restart of all hosts in turn, then a killed host, under load."""
+    spans = asyncio.run(run_hosts())
+    steady = find_tail(spans.steady)
+    whole = {'answered', 'partial'}
+    cut = len(spans.restarts) - _count(spans.restarts, whole)
+    yield limit_value(
+        Subject('state.restart.cut', DEPLOYMENT, SEED),
+        cut,
+        f'of {len(spans.restarts)} queries',
+        bound=0,
+    )
+    yield note_value(
+        Subject('state.restart.partial', DEPLOYMENT, SEED),
+        _count(spans.restarts, {'partial'}),
+        f'of {len(spans.restarts)} queries',
+    )
+    yield limit_value(
+        Subject('state.restart.exit-codes', DEPLOYMENT, SEED),
+        max(spans.codes),
+        'exit code',
+        bound=0,
+    )
+    yield limit_ratio(
+        Subject('state.restart.p99', DEPLOYMENT, SEED),
+        find_tail(spans.restarts),
+        's',
+        baseline=steady,
+        bound=TAIL_RATIO,
+    )
+    yield require_value(
+        Subject('state.killed.answered', DEPLOYMENT, SEED),
+        _count(spans.killed, {'answered'}) / len(spans.killed),
+        'share',
+        bound=ANSWERED,
+    )
+    yield limit_ratio(
+        Subject('state.killed.p99-after-3s', DEPLOYMENT, SEED),
+        find_tail(spans.recovered),
+        's',
+        baseline=steady,
+        bound=TAIL_RATIO,
+    )
