--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -345,12 +345,19 @@
         }
 
     def _render_metrics(self) -> bytes:
-        state = self._metrics.state
-        state.set({'name': 'targets_owned'}, len(self._targets.owned))
-        state.set({'name': 'queries_running'}, self._running.count)
-        state.set({'name': 'revision'}, self._configuration.view.revision)
-        state.set({'name': 'store_calls'}, self._store.calls)
-        state.set({'name': 'log_store_calls'}, self._log_store.calls)
+        figures = {
+            'targets_owned': len(self._targets.owned),
+            'queries_running': self._running.count,
+            'revision': self._configuration.view.revision,
+            'store_calls': self._store.calls,
+            'pauses': self._membership.pauses,
+            'log_store_calls': self._log_store.calls,
+        }
+        alarms = self._configuration.measure().alarms
+        for code, count in alarms.items():
+            figures[f'alarms_{code}'] = count
+        for name, figure in figures.items():
+            self._metrics.state.set({'name': name}, figure)
         return self._metrics.render()
 
 
