Pause after a target refuses work, and say so to entry hosts

Cause: a target that refuses everything looked idle, so entry hosts kept choosing it. Change: the owner pauses 10 ms after a refusal, doubled for each in a row up to 500 ms, reports the target as closed meanwhile and refuses at once what could not wait that long; entry hosts forget that a target is closed after 0.5 s, since no reply would tell them.

--- a/packages/core/almonddock_core/owners/_settings.py
+++ b/packages/core/almonddock_core/owners/_settings.py
@@ -16,6 +16,10 @@
     deadline_grace: timedelta = timedelta(milliseconds=DEADLINE_GRACE_MS)
     #: How long an inherited target gets nothing from its new owner.
     quiet_period: timedelta = timedelta(seconds=1)
+    #: The first pause after the target refused work; each refusal doubles it.
+    first_pause: timedelta = timedelta(milliseconds=10)
+    #: The longest such pause.
+    longest_pause: timedelta = timedelta(seconds=1) / 2
     #: Service times kept for each target.
     history_size: int = 64
     #: The quantile of the service time that must fit before a deadline.
--- a/packages/core/almonddock_core/owners/_shedding.py
+++ b/packages/core/almonddock_core/owners/_shedding.py
@@ -17,12 +17,22 @@
     reason: Reason
 
 
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """When the target can start and finish work."""
+
+    now: timedelta
+    #: How long nothing may be sent yet.
+    pause: timedelta
+    #: How long a try must be expected to run.
+    finish_time: timedelta
+
+
 def find_hopeless(
     queue: Sequence[Waiting],
     load: TargetLoad,
     settings: OwnerSettings,
-    finish_time: timedelta,
-    now: timedelta,
+    timing: Timing,
 ) -> list[Shed]:
     """Returns the sub-queries that the target cannot serve in time.
 
@@ -30,15 +40,16 @@
     deadline, the one of least value so far is given up, which makes room
     for all behind it.
     """
+    finish_at = timing.now + timing.finish_time
     shed: list[Shed] = []
     kept: list[Waiting] = []
     for waiting in queue:
-        if now + finish_time > waiting.sub.deadline:
+        if finish_at > waiting.sub.deadline:
             shed.append(Shed(waiting, Reason.TIMED_OUT))
             continue
         kept.append(waiting)
-        wait = _estimate_wait(len(kept), load)
-        late = now + wait + finish_time > waiting.sub.deadline
+        wait = timing.pause + _estimate_wait(len(kept), load)
+        late = finish_at + wait > waiting.sub.deadline
         if late or len(kept) > settings.queue_limit:
             least = min(kept, key=compute_value)
             kept.remove(least)
--- a/packages/core/almonddock_core/owners/_state.py
+++ b/packages/core/almonddock_core/owners/_state.py
@@ -28,6 +28,7 @@
         self._settings = settings
         self._closed: dict[Reason, timedelta] = {}
         self._replied_at = timedelta(days=-1)
+        self._refusals = 0
 
     @property
     def closed(self) -> Reason:
@@ -84,9 +85,19 @@
         elif reply.mark.cold or reply.reason is Reason.COLD:
             self.ramp.restart(now)
         elif reply.status is ReplyStatus.OK:
+            self._refusals = 0
             self.ramp.succeed(now - ended.sent_at, ended.sent_at, now)
         elif reply.reason is Reason.OVERLOADED:
             self.ramp.shed(now)
+            self._pause(now)
+
+    def _pause(self, now: timedelta) -> None:
+        """Waits longer after each refusal in a row."""
+        longest = self._settings.longest_pause
+        pause = self._settings.first_pause * 2**self._refusals
+        if pause < longest:
+            self._refusals += 1
+        self.quiet_until = now + min(pause, longest)
 
     def _yield_to_other_sender(self, now: timedelta) -> None:
         """Pauses, since the target runs work that this owner never sent."""
--- a/packages/core/almonddock_core/owners/_target.py
+++ b/packages/core/almonddock_core/owners/_target.py
@@ -23,7 +23,7 @@
 from almonddock_core.owners._replies import refuse
 from almonddock_core.owners._running import RunningTries
 from almonddock_core.owners._settings import OwnerSettings
-from almonddock_core.owners._shedding import find_hopeless
+from almonddock_core.owners._shedding import Timing, find_hopeless
 from almonddock_core.owners._state import TargetState
 
 
@@ -146,8 +146,7 @@
             in_flight=len(self._running),
             allowed=self._state.ramp.allowed,
             service_time=self._state.ramp.times.mean,
-            open=self._state.closed is Reason.NONE
-            and now < self._lease_end(now),
+            open=self._is_open(now),
         )
 
     def next_wake(self, now: timedelta) -> timedelta | None:
@@ -176,6 +175,11 @@
             actions.append(Dispatch(sub))
         return actions
 
+    def _is_open(self, now: timedelta) -> bool:
+        paused = now < self._state.quiet_until
+        closed = self._state.closed is not Reason.NONE
+        return not paused and not closed and now < self._lease_end(now)
+
     def _has_slot(self, now: timedelta, latest: timedelta) -> bool:
         """Returns whether work may start that must end by ``latest``."""
         if now < self._state.quiet_until:
@@ -189,8 +193,11 @@
             tuple(self._queue),
             self.measure(now),
             self._settings,
-            self._state.finish_time,
-            now,
+            Timing(
+                now,
+                max(timedelta(), self._state.quiet_until - now),
+                self._state.finish_time,
+            ),
         )
         for shed in hopeless:
             self._queue.remove(shed.waiting.sub.attempt_id)
--- a/packages/core/almonddock_core/tests/test_owners_target.py
+++ b/packages/core/almonddock_core/tests/test_owners_target.py
@@ -203,10 +203,30 @@
         )
         self.assertEqual(self.owned.measure(START).in_flight, 1)
 
+    def test_pauses_longer_after_each_refusal_in_a_row(self) -> None:
+        now = START
+        pauses = []
+        for number in range(8):
+            sub = make_sub(number, due=9000)
+            self.assertEqual(len(list_sent(self.owned.offer(sub, now))), 1)
+            refused = make_reply(sub, ReplyStatus.NOT_RUN, Reason.OVERLOADED)
+            self.owned.settle(refused, now)
+            self.assertFalse(self.owned.measure(now).open)
+            late = make_sub(100 + number, due=9000)
+            self.assertEqual(self.owned.offer(late, now), [])
+            wake = self.owned.next_wake(now)
+            self.owned.cancel(late.attempt_id, now)
+            pauses.append((wake or now) - now)
+            now += pauses[-1]
+        expected = [10, 20, 40, 80, 160, 320, 500, 500]
+        self.assertEqual(pauses, [millis(one) for one in expected])
+
     def test_an_inherited_target_gets_nothing_in_the_quiet_period(
         self,
     ) -> None:
         self.owned = self.make_owned(inherited=True)
+        soon = self.owned.offer(make_sub(1), START)
+        self.assertEqual(list_refused(soon), [('1', Reason.OVERLOADED)])
         self.owned.offer(make_sub(0, due=5000), START)
         quiet = OwnerSettings().quiet_period
         self.assertEqual(self.owned.next_wake(START), START + quiet)
--- a/packages/daemon/almonddock_daemon/controllers/_scatters.py
+++ b/packages/daemon/almonddock_daemon/controllers/_scatters.py
@@ -37,6 +37,9 @@
 #: Opens a link to an owner; returns whether one is open.
 Connect = Callable[[HostId], Awaitable[bool]]
 
+#: How long a target is avoided after its owner said that it is closed.
+CLOSED_LOAD_S = 0.5
+
 
 class _Running:
     """A scatter, the future of its result and its timer."""
@@ -100,7 +103,7 @@
     def receive(self, batch: SubReplyBatch) -> None:
         """Hands each reply to its scatter and keeps the loads."""
         for load in batch.loads:
-            self._loads[load.target] = load
+            self._keep_load(load)
         now = self._clock.now()
         for reply in batch.replies:
             running = self._running.get(reply.request_id)
@@ -115,6 +118,24 @@
             actions = running.scatter.lose_owner(host, now)
             self._carry_out(running, actions)
 
+    def _keep_load(self, load: TargetLoad) -> None:
+        """Keeps a load; that of a closed target only for a while.
+
+        No replies come from a target that nothing is sent to, so that its
+        load must lapse before it can be used again.
+        """
+        self._loads[load.target] = load
+        if not load.open:
+            asyncio.get_running_loop().call_later(
+                CLOSED_LOAD_S,
+                self._forget_load,
+                load,
+            )
+
+    def _forget_load(self, load: TargetLoad) -> None:
+        if self._loads.get(load.target) is load:
+            self._loads.pop(load.target)
+
     def _carry_out(
         self,
         running: _Running,
