--- /dev/null
+++ b/bench/owners/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the owner side: placement, cold targets and ramps."""
--- /dev/null
+++ b/bench/owners/cold.py
@@ -0,0 +1,133 @@
+"""What a cold target gets through faults, and how fast it is ramped up."""
+
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+from types import MappingProxyType
+
+from almonddock_core.model import HostId
+from almonddock_core.tests.owner_fleet import SERVICE, Fleet
+from bench import (
+    Measurement,
+    Subject,
+    experiment,
+    limit_ratio,
+    limit_value,
+    note_value,
+)
+
+SEEDS = range(1, 11)
+WARM_UP_S = 4
+PAUSE_S = 30
+SETTLE_S = 6
+
+#: Requests that a cold target must serve before it is warm.
+WARM_AFTER = 20
+MAX_RAMP = 2
+STEP = timedelta(milliseconds=1)
+
+
+@experiment('cold')
+def measure_cold() -> Iterator[Measurement]:
+    """Requests above what a cold target bears, with and without guard."""
+    for name, fault in FAULTS.items():
+        for seed in SEEDS:
+            subject = Subject(f'cold.{name}', '4 hosts', seed)
+            excess = count_excess(fault, seed, guarded=True)
+            yield limit_value(subject, excess, 'requests', bound=0)
+        unguarded = [count_excess(fault, seed, guarded=False) for seed in SEEDS]
+        subject = Subject(f'cold.{name}.unguarded', '4 hosts', 0)
+        yield note_value(subject, sum(unguarded), 'requests in all seeds')
+
+
+@experiment('ramp')
+def measure_ramp() -> Iterator[Measurement]:
+    """Time from acquisition to full load over that of an ideal ramp."""
+    for slots in (2, 3, 4):
+        for seed in SEEDS:
+            fleet = Fleet(seed, slots=slots)
+            fleet.hang_share = 0
+            ideal = SERVICE * WARM_AFTER
+            taken = time_ramp(fleet)
+            yield limit_ratio(
+                Subject('ramp', f'{slots} slots', seed),
+                taken.total_seconds(),
+                's',
+                baseline=ideal.total_seconds(),
+                bound=MAX_RAMP,
+            )
+
+
+def count_excess(
+    fault: Callable[[Fleet, HostId], None],
+    seed: int,
+    *,
+    guarded: bool,
+) -> int:
+    """Returns the target's own count of requests above what it bears."""
+    fleet = Fleet(seed, guarded=guarded)
+    fleet.run(WARM_UP_S)
+    owner = fleet.find_owner()
+    assert owner is not None
+    fault(fleet, owner)
+    fleet.run(SETTLE_S)
+    return fleet.target.excess
+
+
+def time_ramp(fleet: Fleet) -> timedelta:
+    """Returns the time from the first request to a full target.
+
+    The target is warm once it has served enough, which an ideal ramp knows:
+    it takes ``WARM_AFTER`` service times and is at full load at once.
+    """
+    target = fleet.target
+    while not target.peak:
+        fleet.run(STEP.total_seconds())
+    started = fleet.now
+    while target.peak < target.slots:
+        if target.served >= WARM_AFTER:
+            target.bears = target.slots
+        fleet.run(STEP.total_seconds())
+    return fleet.now - started
+
+
+def take_over(fleet: Fleet, owner: HostId) -> None:
+    """The owner dies and the others notice at once."""
+    fleet.hosts[owner].dead = True
+    for host in fleet.hosts:
+        fleet.show(host, [owner])
+
+
+def pause(fleet: Fleet, owner: HostId) -> None:
+    """The owner is stopped for 30 s and then goes on."""
+    fleet.pause(owner)
+    fleet.run(1)
+    for host in fleet.hosts:
+        if host != owner:
+            fleet.show(host, [owner])
+    fleet.run(PAUSE_S)
+    fleet.resume(owner)
+
+
+def split(fleet: Fleet, owner: HostId) -> None:
+    """The owner is cut off; each side believes the other dead."""
+    others = [host for host in fleet.hosts if host != owner]
+    fleet.split([owner])
+    fleet.show(owner, others)
+    for host in others:
+        fleet.show(host, [owner])
+
+
+def disagree(fleet: Fleet, owner: HostId) -> None:
+    """Every host believes that it is the only one left."""
+    for host in fleet.hosts:
+        fleet.show(host, [other for other in fleet.hosts if other != host])
+
+
+FAULTS = MappingProxyType(
+    {
+        'takeover': take_over,
+        'pause': pause,
+        'split': split,
+        'stale-list': disagree,
+    },
+)
