--- a/packages/daemon/almonddock_daemon/controllers/__init__.py
+++ b/packages/daemon/almonddock_daemon/controllers/__init__.py
@@ -17,6 +17,7 @@
 )
 from almonddock_daemon.controllers._peers import PeerSender
 from almonddock_daemon.controllers._scatters import ScatterController
+from almonddock_daemon.controllers._snapshots import SnapshotController
 from almonddock_daemon.controllers._targets import TargetController
 
 __all__ = [
@@ -28,5 +29,6 @@
     'PeerSender',
     'Reach',
     'ScatterController',
+    'SnapshotController',
     'TargetController',
 ]
