--- a/packages/cli/almonddock_cli/program.py
+++ b/packages/cli/almonddock_cli/program.py
@@ -6,6 +6,7 @@
 from almonddock_cli._diff import show_difference
 from almonddock_cli._publish import publish_folder
 from almonddock_cli._query import ask_query
+from almonddock_cli._report import show_report
 from almonddock_cli._services import list_services
 from almonddock_cli._status import show_status
 
@@ -23,6 +24,7 @@
 APPLICATION.command('query')(ask_query)
 APPLICATION.command('status')(show_status)
 APPLICATION.command('services')(list_services)
+APPLICATION.command('report')(show_report)
 
 
 def run() -> None:
