--- a/packages/cli/almonddock_cli/tests/test_report.py
+++ b/packages/cli/almonddock_cli/tests/test_report.py
@@ -52,6 +52,7 @@
 
     def test_every_series_becomes_a_plot(self) -> None:
         _, output = self.report(FIGURE)
-        (plot,) = orjson.loads(output)['plots']
-        head = pathlib.Path(plot).read_bytes()[:4]
+        plots = orjson.loads(output)['plots']
+        self.assertEqual(len(plots), 1)
+        head = pathlib.Path(plots[0]).read_bytes()[:4]
         self.assertEqual(head, b'\x89PNG')
