--- a/packages/core/almonddock_core/idempotency/_log.py
+++ b/packages/core/almonddock_core/idempotency/_log.py
@@ -20,13 +20,10 @@
 )
 from almonddock_core.idempotency._pace import Pace
 from almonddock_core.idempotency._segments import StoredSegment
-from almonddock_core.idempotency._settings import LogSettings
+from almonddock_core.idempotency._settings import ENTRY_BYTES, LogSettings
 from almonddock_core.idempotency._table import OutcomeBatch
 from almonddock_core.model import Reason
 
-#: The bytes of an entry that starts a request, with some to spare.
-START_BYTES = 128
-
 
 @dataclass(frozen=True, slots=True)
 class _Batch:
@@ -236,7 +233,7 @@
     """
     if outcomes.left:
         return 0
-    return max((room - outcomes.size) // START_BYTES, 0)
+    return max((room - outcomes.size) // ENTRY_BYTES, 0)
 
 
 def _build_start(claim: Claim) -> Entry:
--- a/packages/core/almonddock_core/idempotency/_settings.py
+++ b/packages/core/almonddock_core/idempotency/_settings.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+#: The bytes of an entry without any answer, with some to spare.
+ENTRY_BYTES = 128
+
 
 @dataclass(frozen=True, slots=True)
 class LogSettings:
@@ -41,6 +44,13 @@
         """Raises ValueError for sizes that contradict each other."""
         if self.partitions < 1:
             raise ValueError(f'expected partitions >= 1: {self.partitions}')
+        # Quotes in an answer are escaped, which may double its length.
+        longest_entry = 2 * self.max_answer_bytes + ENTRY_BYTES
+        if self.segment_bytes < longest_entry:
+            raise ValueError(
+                f'segment_bytes {self.segment_bytes} cannot hold an entry '
+                f'of {longest_entry} bytes',
+            )
         if self.segment_bytes > self.max_value_bytes:
             raise ValueError(
                 f'segment_bytes {self.segment_bytes} is larger than '
