Choose replicas by how late their tries have been

Cause: a slow or refusing target holds little work at a time, so it looked idle; tries went there, and their hedges and retries used up the budget. Change: each target has a smoothed lateness, learned from overtaken tries and from refusals, halved every second, which adds to its expected wait. A refusal because of a data centre that is out costs no token.

--- a/packages/core/almonddock_core/scatter/_choice.py
+++ b/packages/core/almonddock_core/scatter/_choice.py
@@ -10,6 +10,7 @@
 
 def choose_candidate(
     shard: ShardState,
+    now: timedelta,
     lost: Collection[HostId],
     settings: ScatterSettings,
     context: ScatterContext,
@@ -17,7 +18,8 @@
     """Returns the target for the next try of a shard, None for no try.
 
     Of two random candidates it takes the one with the shorter expected
-    wait. A target that takes no new work is asked only when no other is
+    wait, to which it adds how late tries there have been lately. A target
+    that takes no new work is asked only when no other is
     left: its owner decides, because the load seen here may be stale. When
     every target has been tried and a hedge is late too, it is the target of
     the oldest try, which is to be cancelled.
@@ -38,7 +40,10 @@
         return usable[0]
     return min(
         context.random.sample(usable, 2),
-        key=lambda one: estimate_wait(one, settings, context),
+        key=lambda one: (
+            estimate_wait(one, settings, context)
+            + context.latencies.lateness(one.target, now)
+        ),
     )
 
 
--- a/packages/core/almonddock_core/scatter/_latency.py
+++ b/packages/core/almonddock_core/scatter/_latency.py
@@ -11,8 +11,12 @@
 STEP = 0.05
 #: The weight of a new sample in the smoothed network time.
 WEIGHT = 0.1
+#: The weight of a new sample in the smoothed lateness.
+LATE_WEIGHT = 0.3
 #: Replies after which the estimate is used.
 MIN_SAMPLES = 20
+#: Without news the smoothed lateness halves in this time.
+HALF_LIFE = timedelta(seconds=1)
 #: Hedges that a target takes for each other try, and in one burst.
 HEDGE_SHARE = 0.2
 HEDGE_BURST = 5
@@ -26,6 +30,9 @@
     #: The load seen last, and the tries sent since it came.
     load: TargetLoad | None = None
     sent: int = 0
+    #: How much later than others tries have lately been, smoothed.
+    lateness: timedelta = timedelta()
+    late_at: timedelta = timedelta()
     #: Hedges that may go to the target.
     hedges: float = HEDGE_BURST
 
@@ -71,6 +78,23 @@
         known.load = load
         known.hedges = min(known.hedges + HEDGE_SHARE, HEDGE_BURST)
 
+    def note_late(
+        self,
+        target: TargetId,
+        late: timedelta,
+        now: timedelta,
+    ) -> None:
+        """Learns by how much a try was later than another; zero if not."""
+        known = self._find(target)
+        before = _fade(known, now)
+        known.lateness = before + LATE_WEIGHT * (late - before)
+        known.late_at = now
+
+    def lateness(self, target: TargetId, now: timedelta) -> timedelta:
+        """Returns how much later than others a try is likely to be."""
+        known = self._records.get(target)
+        return _fade(known, now) if known else timedelta()
+
     def may_hedge(self, target: TargetId) -> bool:
         """Returns whether the target may take one more hedge."""
         return self._find(target).hedges >= 1
@@ -92,6 +116,12 @@
         return known
 
 
+def _fade(known: _Record, now: timedelta) -> timedelta:
+    if not known.lateness:
+        return known.lateness
+    return known.lateness * 0.5 ** ((now - known.late_at) / HALF_LIFE)
+
+
 def _move_quantile(quantile: timedelta, served: timedelta) -> timedelta:
     if served > quantile:
         return quantile * (1 + STEP * QUANTILE)
--- a/packages/core/almonddock_core/scatter/_messages.py
+++ b/packages/core/almonddock_core/scatter/_messages.py
@@ -22,6 +22,7 @@
     (
         Reason.COLD,
         Reason.DRAINING,
+        Reason.DATA_CENTRE_OUT,
         Reason.WRONG_VERSION,
         Reason.NOT_OWNER,
         Reason.OWNER_UNREACHABLE,
--- a/packages/core/almonddock_core/scatter/_scatter.py
+++ b/packages/core/almonddock_core/scatter/_scatter.py
@@ -188,7 +188,7 @@
         state: ShardState,
         now: timedelta,
     ) -> list[ScatterAction]:
-        candidate = self._choose(state)
+        candidate = self._choose(state, now)
         if candidate is None:
             state.reason = Reason.NO_TARGET
             self._failed[state.shard] = self._open.pop(state.shard)
@@ -200,7 +200,7 @@
         state: ShardState,
         now: timedelta,
     ) -> list[ScatterAction]:
-        candidate = self._choose(state)
+        candidate = self._choose(state, now)
         if candidate is None:
             return []
         waited = now - state.running[0].sent_at
@@ -224,10 +224,12 @@
     ) -> list[ScatterAction]:
         state = self._open[attempt.shard]
         state.end_attempt(attempt, reply)
+        late = self._settings.default_quantile
+        self._context.latencies.note_late(reply.target, late, now)
         if state.running:
             return []
         if self._query.idempotent or not state.may_have_run:
-            candidate = self._choose(state)
+            candidate = self._choose(state, now)
             if candidate is not None and pay_retry(
                 reply,
                 self._context.budget,
@@ -269,6 +271,10 @@
         now: timedelta,
     ) -> list[ScatterAction]:
         state = self._open.pop(attempt.shard)
+        for one in state.running:
+            # Zero for the winner; by how much a loser was overtaken.
+            late = max(attempt.sent_at - one.sent_at, timedelta())
+            self._context.latencies.note_late(one.candidate.target, late, now)
         state.running.remove(attempt)
         self._replies[attempt.shard] = reply
         self._context.latencies.record(reply, now - attempt.sent_at)
