--- a/packages/core/almonddock_core/scatter/_latency.py
+++ b/packages/core/almonddock_core/scatter/_latency.py
@@ -1,5 +1,6 @@
 """What this host has seen of each target."""
 
+import math
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -119,7 +120,7 @@
 def _fade(known: _Record, now: timedelta) -> timedelta:
     if not known.lateness:
         return known.lateness
-    return known.lateness * 0.5 ** ((now - known.late_at) / HALF_LIFE)
+    return known.lateness * math.exp2(-(now - known.late_at) / HALF_LIFE)
 
 
 def _move_quantile(quantile: timedelta, served: timedelta) -> timedelta:
