Space the dials to a target and close silent connections

Cause: connections were dialled all at once, and one that went silent kept its request until the deadline, however long.

--- a/packages/core/almonddock_core/owners/__init__.py
+++ b/packages/core/almonddock_core/owners/__init__.py
@@ -12,6 +12,10 @@
     OwnerAction,
     Reply,
 )
+from almonddock_core.owners._connections import (
+    ConnectionPlan,
+    ConnectionSettings,
+)
 from almonddock_core.owners._guard import OwnershipGuard
 from almonddock_core.owners._health import TargetHealth
 from almonddock_core.owners._leases import (
@@ -38,6 +42,8 @@
 __all__ = [
     'Acquire',
     'CancelAtTarget',
+    'ConnectionPlan',
+    'ConnectionSettings',
     'Dispatch',
     'GuardAction',
     'GuardMessage',
--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_owners_connections.py
@@ -0,0 +1,49 @@
+import unittest
+from dataclasses import replace
+
+from almonddock_core.owners import ConnectionPlan, ConnectionSettings
+from almonddock_core.tests.owner_cases import START, make_target, millis
+
+
+class ConnectionPlanTest(unittest.TestCase):
+    def setUp(self) -> None:
+        entry = replace(make_target().entry, connections=3, connect_ms=6)
+        self.plan = ConnectionPlan(entry, ConnectionSettings())
+
+    def test_dials_at_its_pace_and_within_the_limit(self) -> None:
+        dials = [self.plan.reserve(START) for _ in range(4)]
+        self.assertEqual(
+            dials,
+            [START, START + millis(6), START + millis(12), None],
+        )
+        self.plan.free()
+        self.assertEqual(self.plan.reserve(START), START + millis(18))
+
+    def test_finds_a_connection_that_others_overtake(self) -> None:
+        cases = (
+            (3, True, 1000, ('stuck',)),
+            (3, True, 999, ()),
+            (2, True, 1000, ()),
+            (9, False, 1000, ()),
+        )
+        for count, answered, at, expected in cases:
+            with self.subTest(count=count, answered=answered, at=at):
+                self.setUp()
+                self.plan.begin('stuck', START)
+                for number in range(count):
+                    self.plan.begin('other', START + millis(number + 1))
+                    self.plan.end('other', answered=answered)
+                found = self.plan.find_silent(START + millis(at))
+                self.assertEqual(found, expected)
+
+    def test_earlier_requests_overtake_nothing(self) -> None:
+        for name in 'abc':
+            self.plan.begin(name, START)
+        self.plan.begin('late', START + millis(1))
+        for name in 'abc':
+            self.plan.end(name, answered=True)
+        self.assertEqual(self.plan.find_silent(START + millis(5000)), ())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/packages/daemon/almonddock_daemon/adapters/_target_client.py
+++ b/packages/daemon/almonddock_daemon/adapters/_target_client.py
@@ -14,6 +14,7 @@
     SubQuery,
     SubReply,
 )
+from almonddock_core.owners import ConnectionPlan, ConnectionSettings
 from almonddock_daemon.adapters._http_connection import (
     HttpConnection,
     HttpResponse,
@@ -43,7 +44,7 @@
         self.target = target
         self._clock = clock
         self._idle: deque[HttpConnection] = deque()
-        self._count = 0
+        self._plan = ConnectionPlan(target.entry, ConnectionSettings())
         self._tasks: set[asyncio.Task[None]] = set()
 
     def send(self, sub: SubQuery, handle: HandleReply) -> None:
@@ -52,10 +53,11 @@
         if connection is not None:
             self._request(connection, sub, handle)
             return
-        if self._count >= self.target.entry.connections:
+        dial_at = self._plan.reserve(self._clock.now())
+        if dial_at is None:
             handle(build_reply(sub, ReplyStatus.NOT_RUN, Reason.OVERLOADED))
             return
-        self._spawn(self._dial_and_send(sub, handle))
+        self._spawn(self._dial_and_send(dial_at, sub, handle))
 
     def cancel(self, attempt_id: AttemptId) -> None:
         """Asks the target to stop a try; the reply still arrives."""
@@ -63,8 +65,10 @@
         connection = self._take_idle()
         if connection is not None:
             self._request_and_keep(connection, encoded)
-        elif self._count < self.target.entry.connections:
-            self._spawn(self._dial_and_cancel(encoded))
+            return
+        dial_at = self._plan.reserve(self._clock.now())
+        if dial_at is not None:
+            self._spawn(self._dial_and_cancel(dial_at, encoded))
 
     def close(self) -> None:
         """Closes the idle connections; those in use close when done."""
@@ -99,8 +103,11 @@
 
         def finish(response: HttpResponse | None) -> None:
             timer.cancel()
+            self._plan.end(connection, answered=response is not None)
+            self._close_silent()
             handle(self._settle(connection, sub, response))
 
+        self._plan.begin(connection, now)
         connection.request(
             format_request(sub, self.target.entry.address, now),
             finish,
@@ -134,9 +141,17 @@
 
         connection.request(encoded, keep)
 
-    async def _dial(self) -> HttpConnection | None:
+    def _close_silent(self) -> None:
+        """Ends connections that the network has lost track of."""
+        for connection in self._plan.find_silent(self._clock.now()):
+            if isinstance(connection, HttpConnection):
+                connection.abort()
+
+    async def _dial(self, dial_at: timedelta) -> HttpConnection | None:
         address, _, port = self.target.entry.address.rpartition(':')
-        self._count += 1
+        wait = dial_at - self._clock.now()
+        if wait > timedelta():
+            await asyncio.sleep(wait.total_seconds())
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 (
@@ -148,12 +163,17 @@
                     int(port),
                 )
         except (OSError, TimeoutError):
-            self._count -= 1
+            self._plan.free()
             return None
         return connection
 
-    async def _dial_and_send(self, sub: SubQuery, handle: HandleReply) -> None:
-        connection = await self._dial()
+    async def _dial_and_send(
+        self,
+        dial_at: timedelta,
+        sub: SubQuery,
+        handle: HandleReply,
+    ) -> None:
+        connection = await self._dial(dial_at)
         if connection is None:
             handle(
                 build_reply(
@@ -165,13 +185,17 @@
             return
         self._request(connection, sub, handle)
 
-    async def _dial_and_cancel(self, encoded: bytes) -> None:
-        connection = await self._dial()
+    async def _dial_and_cancel(
+        self,
+        dial_at: timedelta,
+        encoded: bytes,
+    ) -> None:
+        connection = await self._dial(dial_at)
         if connection is not None:
             self._request_and_keep(connection, encoded)
 
     def _forget(self, connection: HttpConnection) -> None:
-        self._count -= 1
+        self._plan.free()
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
