--- a/packages/daemon/almonddock_daemon/adapters/_store_client.py
+++ b/packages/daemon/almonddock_daemon/adapters/_store_client.py
@@ -18,6 +18,11 @@
     Unknown,
 )
 from almonddock_daemon.adapters import _store_codec as codec
+from almonddock_daemon.adapters._store_batches import (
+    READS_A_CALL,
+    build_reads,
+    parse_reads,
+)
 from almonddock_daemon.adapters._store_limits import (
     CallLimiter,
     choose_backoff,
@@ -35,8 +40,6 @@
 _BROKEN = (*_LOST, StoreUnavailableError)
 _RANGE = '/v3/kv/range'
 _TRANSACTION = '/v3/kv/txn'
-# etcd accepts 128 operations in a transaction unless told otherwise.
-_READS_A_CALL = 64
 
 
 class StoreClient:
@@ -78,11 +81,11 @@
         """Returns the values of the keys that exist, in few calls."""
         prefix = self._settings.prefix
         found: dict[str, StoredValue] = {}
-        for first in range(0, len(keys), _READS_A_CALL):
-            part = keys[first : first + _READS_A_CALL]
-            request = codec.build_reads(prefix + key for key in part)
+        for first in range(0, len(keys), READS_A_CALL):
+            part = keys[first : first + READS_A_CALL]
+            request = build_reads(prefix + key for key in part)
             found.update(
-                codec.parse_reads(await self._read(_TRANSACTION, request)),
+                parse_reads(await self._read(_TRANSACTION, request)),
             )
         return {key.removeprefix(prefix): one for key, one in found.items()}
 
--- a/packages/daemon/almonddock_daemon/adapters/_store_codec.py
+++ b/packages/daemon/almonddock_daemon/adapters/_store_codec.py
@@ -5,7 +5,7 @@
 """
 
 import base64
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -58,15 +58,6 @@
     }
 
 
-def build_reads(keys: Iterable[str]) -> JsonObject:
-    """Returns a transaction that reads several keys and writes none."""
-    return {
-        'success': [
-            {'request_range': {_KEY: encode_text(key)}} for key in keys
-        ],
-    }
-
-
 def build_put(key: str, content: bytes) -> JsonObject:
     """Returns a write of one key."""
     return {_KEY: encode_text(key), 'value': encode_text(content)}
@@ -113,14 +104,6 @@
     }
 
 
-def parse_reads(reply: JsonObject) -> dict[str, StoredValue]:
-    """Returns what a transaction of reads found."""
-    found: dict[str, StoredValue] = {}
-    for response in reply.get('responses', ()):
-        found.update(parse_entries(response.get('response_range', {})))
-    return found
-
-
 def parse_watch(message: JsonObject) -> WatchReply:
     """Returns one message of a watch stream."""
     result = message['result']
