--- a/tests/scenarios/checks.py
+++ b/tests/scenarios/checks.py
@@ -10,7 +10,7 @@
 from almonddock_core.model import Answer, IndexVersion, Outcome, TargetId
 from almonddock_core.truth import merge_rows
 from almonddock_standins import build_rows
-from tests.scenarios.runner import Asked, Runner
+from tests.scenarios.runner import WARM_UP, Asked, Runner
 
 #: New work may still come for so long after a data centre is out.
 OUT_GRACE = timedelta(seconds=2)
@@ -127,7 +127,8 @@
     runner: Runner, place: str, begin: timedelta, end: timedelta
 ) -> str:
     found = sum(
-        _count(target.arrivals, begin) - _count(target.arrivals, end)
+        _count(target.arrivals, WARM_UP + begin)
+        - _count(target.arrivals, WARM_UP + end)
         for target in runner.targets.values()
         if target.target.data_centre == place
     )
--- a/tests/scenarios/hosts.py
+++ b/tests/scenarios/hosts.py
@@ -64,6 +64,12 @@
         self._owners: Mapping[model.TargetId, model.HostId] = {}
         self._owned: dict[model.TargetId, owners.OwnedTarget] = {}
         self._origins: dict[model.AttemptId, Origin] = {}
+        self._guard = owners.OwnershipGuard(
+            owners.Holder(member.host, member.incarnation),
+            owners.LeaseSettings(),
+            world.now,
+            world.random,
+        )
         self._versions = truth.VersionTable()
         self._loads: dict[model.TargetId, model.TargetLoad] = {}
         self._context = scatter.ScatterContext(
@@ -86,6 +92,17 @@
         self._owners = owners.place_targets(self.deployment, self._members)
         for name in set(self._owned) | set(self._owners):
             self._place(name)
+        now = self._world.now
+        view = (self.deployment, self._members, self._owners, now)
+        self._follow(self._guard.update_view(*view))
+
+    def hear(self, sender: model.HostId, message: owners.GuardMessage) -> None:
+        now = self._world.now
+        self._follow(self._guard.receive(sender, message, now))
+
+    def renew(self) -> None:
+        self._follow(self._guard.tick(self._world.now))
+        self._schedule(self._guard.next_wake(), self.renew)
 
     def lose(self, host: model.HostId) -> None:
         """The link to another host has closed."""
@@ -185,14 +202,16 @@
 
     def _place(self, name: model.TargetId) -> None:
         if self._owners.get(name) != self.name:
-            self._owned.pop(name, None)
             return
         target = self.deployment.targets[name]
         now = self._world.now
         if name not in self._owned:
-            self._log(f'owns {name}')
             self._owned[name] = owners.OwnedTarget(
-                target, owners.OwnerSettings(), now, inherited=True
+                target,
+                owners.OwnerSettings(),
+                now,
+                inherited=False,
+                lease_end=partial(self._guard.find_lease_end, name),
             )
         if self.deployment.is_out(target.data_centre):
             reason = model.Reason.DATA_CENTRE_OUT
@@ -201,6 +220,23 @@
             out = model.Reason.DATA_CENTRE_OUT
             self._owned[name].reopen(out, now)
 
+    def _follow(self, actions: Iterable[owners.GuardAction]) -> None:
+        now = self._world.now
+        for action in actions:
+            match action:
+                case owners.SendToHost(host, message):
+                    self._send(host, FakeHost.hear, self.name, message)
+                case owners.Acquire(name, allowed):
+                    self._log(f'acquires {name}, bearing {allowed}')
+                    self._owned[name].resume(allowed, now)
+                case owners.Yield(name):
+                    self._yield(name)
+
+    def _yield(self, name: model.TargetId) -> None:
+        self._log(f'yields {name}')
+        reason = model.Reason.NOT_OWNER
+        self._drive(name, lambda one, now: one.close(reason, now))
+
     def _drive(
         self,
         name: model.TargetId,
@@ -225,6 +261,10 @@
                     self._world.after(LOCAL_DELAY, cancel)
                 case owners.Reply(reply):
                     self._reply(reply)
+        load = owned.measure(self._world.now)
+        if not load.open and not load.in_flight:
+            release = (name, load.allowed, self._world.now)
+            self._follow(self._guard.release(*release))
         wake = owned.next_wake(self._world.now)
         if wake is not None:
             tick = partial(self._drive, name, owners.OwnedTarget.tick)
--- a/tests/scenarios/runner.py
+++ b/tests/scenarios/runner.py
@@ -16,6 +16,8 @@
 
 #: Until a change of the configuration or of the hosts is known everywhere.
 CHANGE_DELAY = timedelta(milliseconds=500)
+#: Until the hosts hold their leases; events count from then on.
+WARM_UP = timedelta(seconds=5)
 #: Time for what is still running after the last event.
 TAIL = timedelta(seconds=2)
 
@@ -60,12 +62,13 @@
                 self._start(model.HostId(name), model.DataCentreId(place))
         for host in self.hosts.values():
             host.apply(self._deployment, tuple(self._members.values()))
+        self.world.run_until(WARM_UP)
         end = timedelta()
         for time, event in self.scenario.events:
-            self.world.schedule(time, partial(self._carry_out, event))
+            self.world.schedule(WARM_UP + time, partial(self._carry_out, event))
             until = event.until if isinstance(event, Ask) else None
             end = max(end, until or time)
-        self.world.run_until(end + TAIL)
+        self.world.run_until(WARM_UP + end + TAIL)
 
     def _carry_out(self, event: Ask | Command) -> None:
         if isinstance(event, Ask):
@@ -92,7 +95,9 @@
         asked = Asked(query, entry.deployment)
         self.asked[ask.name].append(asked)
         entry.ask(query, asked.answers.append)
-        if ask.every and self.world.now + ask.every < (ask.until or ask.every):
+        if ask.every and self.world.now + ask.every < WARM_UP + (
+            ask.until or ask.every
+        ):
             self.world.after(ask.every, partial(self._ask, ask))
 
     def _do_target(self, name: str, fault: str, number: float) -> None:
@@ -160,6 +165,7 @@
         host = FakeHost(self.world, member, self.hosts, self.targets)
         self.hosts[name] = host
         host.apply(self._deployment)
+        host.renew()
         self._see(host, model.MemberState.ALIVE)
 
     def _see(self, host: FakeHost, state: model.MemberState) -> None:
