Ask owned targets for their health every five seconds

Cause: nothing called the health endpoint, so that a target seen draining in a reply stayed closed at its owner after it had come back; and the worth that owners shed by was the whole query's and not per unit of work. Change: the owner asks each target beside its sub-queries, with a limit of a second; sub-queries carry the query's worth divided by its shards. Conclusion: replies still count more than the endpoint.

--- a/packages/core/almonddock_core/model/_query.py
+++ b/packages/core/almonddock_core/model/_query.py
@@ -58,6 +58,7 @@
     #: When the reply must be in, on the clock of the host that holds it.
     deadline: timedelta
     urgency: Urgency = Urgency.NORMAL
+    #: The query's worth divided by its shards.
     worth: float = 1
     idempotent: bool = True
     #: Whether this try doubles one that is still running.
--- a/packages/core/almonddock_core/scatter/_messages.py
+++ b/packages/core/almonddock_core/scatter/_messages.py
@@ -49,7 +49,7 @@
         body=query.body,
         deadline=query.deadline,
         urgency=query.urgency,
-        worth=query.worth,
+        worth=query.worth / len(plan.shards),
         idempotent=query.idempotent,
         hedge=bool(state.running),
         traceparent=query.traceparent,
--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -188,6 +188,7 @@
             asyncio.create_task(self._configuration.run()),
             asyncio.create_task(self._membership.run()),
             asyncio.create_task(self._snapshots.run()),
+            asyncio.create_task(self._targets.run()),
         ]
         server = build_server(
             build_application(
--- a/packages/daemon/almonddock_daemon/adapters/_target_client.py
+++ b/packages/daemon/almonddock_daemon/adapters/_target_client.py
@@ -14,15 +14,22 @@
     SubQuery,
     SubReply,
 )
-from almonddock_core.owners import ConnectionPlan, ConnectionSettings
+from almonddock_core.owners import (
+    ConnectionPlan,
+    ConnectionSettings,
+    TargetHealth,
+)
 from almonddock_daemon.adapters._http_connection import (
+    HandleResponse,
     HttpConnection,
     HttpResponse,
 )
 from almonddock_daemon.adapters._target_messages import (
     build_reply,
     format_cancellation,
+    format_health_request,
     format_request,
+    read_health,
     read_reply,
 )
 
@@ -33,7 +40,11 @@
 #: How long a new connection may take, in seconds.
 DIAL_TIMEOUT_S = 1.0
 
+#: How long a cancellation or a health request may take, in seconds.
+ASIDE_TIMEOUT_S = 1.0
+
 HandleReply = Callable[[SubReply], None]
+HandleHealth = Callable[[TargetHealth], None]
 
 
 class TargetClient:
@@ -47,6 +58,11 @@
         self._plan = ConnectionPlan(target.entry, ConnectionSettings())
         self._tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def idle(self) -> int:
+        """Connections that are open and carry nothing."""
+        return len(self._idle)
+
     def send(self, sub: SubQuery, handle: HandleReply) -> None:
         """Sends a sub-query; ``handle`` is called exactly once."""
         connection = self._take_idle()
@@ -62,13 +78,20 @@
     def cancel(self, attempt_id: AttemptId) -> None:
         """Asks the target to stop a try; the reply still arrives."""
         encoded = format_cancellation(attempt_id, self.target.entry.address)
-        connection = self._take_idle()
-        if connection is not None:
-            self._request_and_keep(connection, encoded)
-            return
-        dial_at = self._plan.reserve(self._clock.now())
-        if dial_at is not None:
-            self._spawn(self._dial_and_cancel(dial_at, encoded))
+        self._send_aside(encoded, _ignore_response)
+
+    def ask_health(self, handle: HandleHealth) -> None:
+        """Asks the health endpoint; no answer calls nothing."""
+
+        def read(response: HttpResponse | None) -> None:
+            health = None if response is None else read_health(response)
+            if health is not None:
+                handle(health)
+
+        self._send_aside(
+            format_health_request(self.target.entry.address),
+            read,
+        )
 
     def close(self) -> None:
         """Closes the idle connections; those in use close when done."""
@@ -130,14 +153,32 @@
             self._idle.append(connection)
         return reply
 
+    def _send_aside(self, encoded: bytes, handle: HandleResponse) -> None:
+        """Sends a request that is no sub-query."""
+        connection = self._take_idle()
+        if connection is not None:
+            self._request_and_keep(connection, encoded, handle)
+            return
+        dial_at = self._plan.reserve(self._clock.now())
+        if dial_at is not None:
+            self._spawn(self._dial_aside(dial_at, encoded, handle))
+
     def _request_and_keep(
         self,
         connection: HttpConnection,
         encoded: bytes,
+        handle: HandleResponse,
     ) -> None:
+        timer = asyncio.get_running_loop().call_later(
+            ASIDE_TIMEOUT_S,
+            connection.abort,
+        )
+
         def keep(response: HttpResponse | None) -> None:
+            timer.cancel()
             if response is not None and connection.open:
                 self._idle.append(connection)
+            handle(response)
 
         connection.request(encoded, keep)
 
@@ -185,14 +226,15 @@
             return
         self._request(connection, sub, handle)
 
-    async def _dial_and_cancel(
+    async def _dial_aside(
         self,
         dial_at: timedelta,
         encoded: bytes,
+        handle: HandleResponse,
     ) -> None:
         connection = await self._dial(dial_at)
         if connection is not None:
-            self._request_and_keep(connection, encoded)
+            self._request_and_keep(connection, encoded, handle)
 
     def _forget(self, connection: HttpConnection) -> None:
         self._plan.free()
@@ -201,3 +243,7 @@
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _ignore_response(response: HttpResponse | None) -> None:
+    """Takes the reply to a cancellation, which says nothing new."""
--- a/packages/daemon/almonddock_daemon/adapters/_target_messages.py
+++ b/packages/daemon/almonddock_daemon/adapters/_target_messages.py
@@ -2,6 +2,8 @@
 
 from datetime import timedelta
 
+import orjson
+
 from almonddock_core.model import (
     IndexVersion,
     LoadMark,
@@ -10,6 +12,7 @@
     SubQuery,
     SubReply,
 )
+from almonddock_core.owners import TargetHealth
 from almonddock_daemon.adapters._http_connection import HttpResponse
 
 STATUS_OK = 200
@@ -55,6 +58,22 @@
     ).encode()
 
 
+def format_health_request(address: str) -> bytes:
+    """Returns the bytes of the HTTP request for the target's health."""
+    return (
+        f'GET /v1/health HTTP/1.1\r\nhost: {address}\r\n'
+        'content-length: 0\r\n\r\n'
+    ).encode()
+
+
+def read_health(response: HttpResponse) -> TargetHealth | None:
+    """Returns what the target says of itself; None when it says nothing."""
+    try:
+        return TargetHealth(orjson.loads(response.body)['state'])
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
 def read_reply(sub: SubQuery, response: HttpResponse) -> SubReply:
     """Returns what the response says of the try.
 
--- a/packages/daemon/almonddock_daemon/controllers/_owned.py
+++ b/packages/daemon/almonddock_daemon/controllers/_owned.py
@@ -21,6 +21,7 @@
     OwnerAction,
     OwnerSettings,
     Reply,
+    TargetHealth,
 )
 from almonddock_daemon.adapters import TargetClient
 from almonddock_daemon.telemetry import Tracing
@@ -88,6 +89,15 @@
         self._state.resume(allowed, now)
         self._carry_out(self._state.tick(now))
 
+    def poll_health(self) -> None:
+        """Asks the target for its health, second to what replies say."""
+
+        def observe(health: TargetHealth) -> None:
+            now = self._ports.clock.now()
+            self._carry_out(self._state.observe_health(health, now))
+
+        self._client.ask_health(observe)
+
     def close(self, reason: Reason) -> None:
         """Takes no new work; what runs ends first."""
         now = self._ports.clock.now()
--- a/packages/daemon/almonddock_daemon/controllers/_targets.py
+++ b/packages/daemon/almonddock_daemon/controllers/_targets.py
@@ -1,5 +1,6 @@
 """Runs the targets that this host owns."""
 
+import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -24,6 +25,9 @@
 from almonddock_daemon.telemetry import Tracing
 from almonddock_wire import CancelBatch, SubQueryBatch
 
+#: The time between two health requests to a target, in seconds.
+HEALTH_PERIOD_S = 5.0
+
 #: Learns that nothing runs at a target given up, and what it bears.
 ReportIdle = Callable[[TargetId, int], None]
 
@@ -72,6 +76,13 @@
         """Sub-queries taken on that have no reply yet."""
         return len(self._origins)
 
+    async def run(self) -> None:
+        """Asks each owned target for its health until cancelled."""
+        while True:
+            for owned in tuple(self._owned.values()):
+                owned.poll_health()
+            await asyncio.sleep(HEALTH_PERIOD_S)
+
     def measure_loads(self) -> tuple[TargetLoad, ...]:
         """Returns the load of every owned target, sorted by name."""
         return self._measure(self._owned)
