Be ready only once a peer has answered

Change: readiness says joining until the view is validated; the experiment prints the outcomes of the queries.

--- a/bench/state/restart.py
+++ b/bench/state/restart.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextlib
 import pathlib
+import sys
 import tempfile
 import time
+from collections import Counter
 from collections.abc import AsyncIterator, Iterator, Sequence
 from dataclasses import dataclass, field
 
@@ -219,6 +221,9 @@
     steady = find_tail(spans.steady)
     whole = {'answered', 'partial'}
     cut = len(spans.restarts) - _count(spans.restarts, whole)
+    # Says on the error stream what became of the queries.
+    outcomes = Counter(one.outcome for one in spans.restarts)
+    print(f'outcomes while restarting: {dict(outcomes)}', file=sys.stderr)
     yield limit_value(
         Subject('state.restart.cut', DEPLOYMENT, SEED),
         cut,
--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -319,6 +319,8 @@
     def _explain_unready(self) -> str:
         if self._stopping.is_set():
             return 'shutting_down'
+        if not self._membership.validated:
+            return 'joining'
         unready = self._configuration.measure().unready
         if unready or self._ownership.settled:
             return unready
