Check that a loser's late reply is dropped

Cause: with the guard that forgets cancelled tries switched off, the property test passed. Figures: the new test fails without the guard and passes with it.

--- a/packages/core/almonddock_core/tests/test_scatter_flow.py
+++ b/packages/core/almonddock_core/tests/test_scatter_flow.py
@@ -54,6 +54,21 @@
         self.assertEqual(actions[0], Cancel(late.sub.attempt_id, late.owner))
         self.assertEqual(find_result(actions).extra_tries, 1)
 
+    def test_drops_the_late_reply_of_a_loser(self) -> None:
+        scatter = make_scatter(make_plan(2))
+        first, second = list_sends(scatter.start(ms(0)))
+        hedges = list_sends(scatter.tick(ms(61)))
+        winner = next(
+            one.sub for one in hedges if one.sub.shard == first.sub.shard
+        )
+        actions = scatter.receive(answer(winner), ms(70))
+        cancelled = Cancel(first.sub.attempt_id, first.owner)
+        self.assertEqual(actions, [cancelled])
+        self.assertEqual(scatter.receive(answer(first.sub), ms(71)), [])
+        self.assertEqual(scatter.drops, {Drop.UNKNOWN_ATTEMPT: 1})
+        result = find_result(scatter.receive(answer(second.sub), ms(72)))
+        self.assertEqual(result.replies[winner.shard], answer(winner))
+
     def test_resends_once_what_a_lost_owner_held(self) -> None:
         cases = ((True, 1, Reason.TIMED_OUT), (False, 0, None))
         for idempotent, resent, reason in cases:
