--- a/packages/daemon/almonddock_daemon/adapters/_store_client.py
+++ b/packages/daemon/almonddock_daemon/adapters/_store_client.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from typing import Any
 
 import httpx
@@ -18,6 +18,11 @@
     Unknown,
 )
 from almonddock_daemon.adapters import _store_codec as codec
+from almonddock_daemon.adapters._store_batches import (
+    READS_A_CALL,
+    build_reads,
+    parse_reads,
+)
 from almonddock_daemon.adapters._store_limits import (
     CallLimiter,
     choose_backoff,
@@ -72,6 +77,18 @@
         """Returns the key's value, None when it does not exist."""
         return await self._read_key(self._settings.prefix + key)
 
+    async def read_many(self, keys: Sequence[str]) -> dict[str, StoredValue]:
+        """Returns the values of the keys that exist, in few calls."""
+        prefix = self._settings.prefix
+        found: dict[str, StoredValue] = {}
+        for first in range(0, len(keys), READS_A_CALL):
+            part = keys[first : first + READS_A_CALL]
+            request = build_reads(prefix + key for key in part)
+            found.update(
+                parse_reads(await self._read(_TRANSACTION, request)),
+            )
+        return {key.removeprefix(prefix): one for key, one in found.items()}
+
     async def list_keys(self, prefix: str) -> dict[str, int]:
         """Returns all keys with the prefix and their revisions."""
         request = {
