--- a/packages/wire/almonddock_wire/_codec.py
+++ b/packages/wire/almonddock_wire/_codec.py
@@ -162,7 +162,7 @@
     """
     frame = FRAME.new_message()
     _WRITERS[type(message)](frame, message, now)
-    encoded: bytes = frame.to_bytes()
+    encoded: bytes = frame.to_bytes_packed()
     return encoded
 
 
@@ -183,6 +183,6 @@
 
 
 def _decode_checked(encoded: bytes, now: timedelta) -> Message:
-    with FRAME.from_bytes(encoded) as frame:
-        kind = str(frame.which())
-        return _READERS[kind](getattr(frame, kind), now)
+    frame = FRAME.from_bytes_packed(encoded)
+    kind = str(frame.which())
+    return _READERS[kind](getattr(frame, kind), now)
