Admit queries by urgency and worth, and abandon those whose caller left

Cause: the daemon only counted queries, so that under overload it took them in order of arrival; a scatter whose caller had gone ran on; and a message that never left its host counted as 'may have run'. Change: the admission of the core is wired in, one line a workload; scatters are abandoned and their tries cancelled; unsent sub-queries are settled as not run.

--- a/packages/daemon/almonddock_daemon/_host.py
+++ b/packages/daemon/almonddock_daemon/_host.py
@@ -6,6 +6,7 @@
 import time
 from typing import Any
 
+from almonddock_core.admission import AdmissionSettings
 from almonddock_core.deployment import Deployment, MergeRule
 from almonddock_core.membership import (
     ShutdownPhase,
@@ -35,6 +36,7 @@
 from almonddock_daemon.adapters import StoreClient
 from almonddock_daemon.adapters import StoreSettings as StoreLimits
 from almonddock_daemon.controllers import (
+    AdmissionController,
     ConfigurationController,
     IdempotencyController,
     MembershipController,
@@ -47,6 +49,7 @@
     TargetController,
 )
 from almonddock_daemon.filters import (
+    AdmissionPorts,
     Exchange,
     Handler,
     RunningQueries,
@@ -92,6 +95,10 @@
         self._metrics = Metrics()
         self._tracing = Tracing(settings.traces, settings.host)
         self._running = RunningQueries()
+        self._admission = AdmissionController(
+            AdmissionSettings(),
+            self._clock,
+        )
         self._stopping = asyncio.Event()
         own = _describe_self(settings)
         self._own = own
@@ -246,7 +253,11 @@
                 build_admission_filter(
                     self._settings.limits,
                     self._running,
-                    self._refuses_work,
+                    AdmissionPorts(
+                        self._admission.enter,
+                        self._admission.leave,
+                        self._refuses_work,
+                    ),
                     clock,
                 ),
                 build_at_most_once_filter(
@@ -309,13 +320,17 @@
         return deployment.services[name].merge
 
     def _apply_deployment(self, deployment: Deployment) -> None:
-        self._ownership.update(deployment, self._membership.view)
+        view = self._membership.view
+        self._admission.update(deployment, len(view.list_owners()))
+        self._ownership.update(deployment, view)
 
     def _apply_membership(self, view: MembershipView) -> None:
         self._idempotency.update_hosts(
             member.host for member in view.list_owners()
         )
-        self._ownership.update(self._configuration.view, view)
+        deployment = self._configuration.view
+        self._admission.update(deployment, len(view.list_owners()))
+        self._ownership.update(deployment, view)
 
     def _explain_unready(self) -> str:
         if self._stopping.is_set():
--- a/packages/daemon/almonddock_daemon/controllers/__init__.py
+++ b/packages/daemon/almonddock_daemon/controllers/__init__.py
@@ -3,6 +3,7 @@
 A controller publishes immutable views; filters only read views.
 """
 
+from almonddock_daemon.controllers._admission import AdmissionController
 from almonddock_daemon.controllers._configuration import (
     ConfigurationController,
 )
@@ -21,6 +22,7 @@
 from almonddock_daemon.controllers._targets import TargetController
 
 __all__ = [
+    'AdmissionController',
     'ConfigurationController',
     'IdempotencyController',
     'MembershipController',
--- a/packages/daemon/almonddock_daemon/controllers/_scatters.py
+++ b/packages/daemon/almonddock_daemon/controllers/_scatters.py
@@ -13,6 +13,8 @@
     IndexVersion,
     Plan,
     Query,
+    Reason,
+    ReplyStatus,
     RequestId,
     ScatterResult,
     SubQuery,
@@ -31,6 +33,7 @@
     Send,
     TryBudget,
 )
+from almonddock_daemon.adapters import build_reply
 from almonddock_wire import CancelBatch, SubQueryBatch, SubReplyBatch
 
 #: Sends a message to an owner; returns False when no link is open.
@@ -117,7 +120,7 @@
             self._carry_out(running, scatter.start(self._clock.now()))
             return await running.done
         finally:
-            running.stop_timer()
+            self._end(running)
             self._running.pop(query.request_id, None)
 
     def receive(self, batch: SubReplyBatch) -> None:
@@ -157,6 +160,13 @@
         if self._loads.get(load.target) is load:
             self._loads.pop(load.target)
 
+    def _end(self, running: _Running) -> None:
+        """Cancels what still runs if the caller has gone."""
+        if not running.done.done():
+            now = self._clock.now()
+            self._carry_out(running, running.scatter.abandon(now))
+        running.stop_timer()
+
     def _carry_out(
         self,
         running: _Running,
@@ -199,8 +209,18 @@
     ) -> None:
         connected = await self._connect(owner)
         if not connected or not self._send(owner, batch):
-            now = self._clock.now()
-            self._carry_out(running, running.scatter.lose_owner(owner, now))
+            self._settle_unsent(running, batch)
+
+    def _settle_unsent(self, running: _Running, batch: SubQueryBatch) -> None:
+        """Tells the scatter that nothing of a message has left."""
+        now = self._clock.now()
+        for sub in batch.subs:
+            reply = build_reply(
+                sub,
+                ReplyStatus.NOT_RUN,
+                Reason.OWNER_UNREACHABLE,
+            )
+            self._carry_out(running, running.scatter.receive(reply, now))
 
     def _set_timer(self, running: _Running) -> None:
         running.stop_timer()
--- a/packages/daemon/almonddock_daemon/filters/__init__.py
+++ b/packages/daemon/almonddock_daemon/filters/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from almonddock_daemon.filters._admission import (
+    AdmissionPorts,
     RunningQueries,
     build_admission_filter,
 )
@@ -22,6 +23,7 @@
 from almonddock_daemon.filters._trace import build_trace_filter
 
 __all__ = [
+    'AdmissionPorts',
     'Exchange',
     'Filter',
     'Handler',
