Look up the end of a lease only when votes have changed

Cause: a profile of a host at 1,200 sub-queries a second spent 9% of its time in counting votes again, five times a sub-query, for loads that nobody asked for. Change: the end of a lease is kept until a vote or the set of voters changes; an idle check no longer measures; an empty queue is not shed; a deadline that does not change is not copied.

--- a/packages/core/almonddock_core/owners/_claims.py
+++ b/packages/core/almonddock_core/owners/_claims.py
@@ -45,6 +45,9 @@
         self._votes: dict[HostId, timedelta] = {}
         self._handover: Handover | None = None
         self._handover_at = timedelta()
+        # The end of the lease, and until when it needs no new look.
+        self._end = timedelta.min
+        self._end_known_until = timedelta.min
 
     @property
     def has_votes(self) -> bool:
@@ -56,11 +59,13 @@
         if voters != self._current:
             self.require(self._current, now)
             self._current = voters
+            self._end_known_until = timedelta.min
 
     def require(self, voters: VoterSet, now: timedelta) -> None:
         """Requires a second set of voters to agree until it has settled."""
         if voters.voters:
             self._former[voters] = now + self._settings.settle
+            self._end_known_until = timedelta.min
 
     def list_voters(self, now: timedelta) -> frozenset[HostId]:
         """Returns all hosts whose votes count."""
@@ -71,21 +76,23 @@
     def add_vote(self, voter: HostId, asked_at: timedelta) -> None:
         """Records that a voter agreed to a request sent at a time."""
         self._votes[voter] = max(asked_at, self._votes.get(voter, asked_at))
+        self._end_known_until = timedelta.min
 
     def clear_votes(self) -> None:
         """Forgets all votes, as after giving them back."""
         self._votes.clear()
+        self._end_known_until = timedelta.min
         self.failed_rounds = 0
 
     def find_end(self, now: timedelta) -> timedelta:
         """Returns the end of the lease; ``timedelta.min`` without one."""
-        ends = [
-            voters.find_agreed(self._votes) for voters in self._list_sets(now)
-        ]
-        agreed = [one for one in ends if one is not None]
-        if len(agreed) < len(ends):
-            return timedelta.min
-        return min(agreed) + self._settings.duration
+        if now >= self._end_known_until:
+            self._end = self._compute_end(now)
+            self._end_known_until = min(
+                (until for until in self._former.values() if now < until),
+                default=timedelta.max,
+            )
+        return self._end
 
     def take_handover(self, now: timedelta) -> int | None:
         """Returns the allowance that was handed over a short while ago."""
@@ -108,6 +115,15 @@
         self.failed_rounds = 0
         return [Acquire(self.target.target, self.take_handover(now))]
 
+    def _compute_end(self, now: timedelta) -> timedelta:
+        ends = [
+            voters.find_agreed(self._votes) for voters in self._list_sets(now)
+        ]
+        agreed = [one for one in ends if one is not None]
+        if len(agreed) < len(ends):
+            return timedelta.min
+        return min(agreed) + self._settings.duration
+
     def _list_sets(self, now: timedelta) -> list[VoterSet]:
         former = [one for one, until in self._former.items() if now < until]
         return [self._current, *former]
--- a/packages/core/almonddock_core/owners/_target.py
+++ b/packages/core/almonddock_core/owners/_target.py
@@ -170,7 +170,9 @@
         while self._queue and self._has_slot(now, latest):
             first = self._queue.take_first()
             due = min(first.sub.deadline, latest)
-            sub = dataclasses.replace(first.sub, deadline=due)
+            sub = first.sub
+            if due < sub.deadline:
+                sub = dataclasses.replace(sub, deadline=due)
             self._running.start(sub, now - first.since, now)
             actions.append(Dispatch(sub))
         return actions
@@ -189,6 +191,8 @@
         return len(self._running) < self._state.ramp.allowed
 
     def _shed(self, now: timedelta) -> list[OwnerAction]:
+        if not self._queue:
+            return []
         hopeless = find_hopeless(
             tuple(self._queue),
             self.measure(now),
--- a/packages/daemon/almonddock_daemon/controllers/_targets.py
+++ b/packages/daemon/almonddock_daemon/controllers/_targets.py
@@ -172,6 +172,8 @@
 
     def _finish_if_idle(self, owned: OwnedRunner) -> None:
         """Ends an idle target that is given up or takes on its changes."""
+        if not owned.leaving and owned.changed is None:
+            return
         name = owned.target.target
         load = owned.measure()
         if load.in_flight or self._owned.get(name) is not owned:
