End clearly when an address is taken, and draw no port twice

The daemon ended with a traceback. Change: each port is drawn once in a process; the daemon logs listen_failed and exits with 1.

--- a/bench/sockets/ports.py
+++ b/bench/sockets/ports.py
@@ -10,14 +10,22 @@
 LAST_PORT = 20_000
 
 
+#: Every port once, so that two draws never give the same one.
+_PORTS = iter(
+    random.SystemRandom().sample(
+        range(FIRST_PORT, LAST_PORT),
+        LAST_PORT - FIRST_PORT,
+    ),
+)
+
+
 def draw_addresses(count: int) -> list[str]:
     """Returns addresses on which nothing listens now."""
-    source = random.SystemRandom()
-    candidates = source.sample(range(FIRST_PORT, LAST_PORT), 4 * count)
     found: list[str] = []
     with contextlib.ExitStack() as stack:
-        for port in candidates:
-            if len(found) < count and _take(stack, port):
+        while len(found) < count:
+            port = next(_PORTS)
+            if _take(stack, port):
                 found.append(f'{LOOPBACK}:{port}')
     return found
 
--- a/packages/daemon/almonddock_daemon/program.py
+++ b/packages/daemon/almonddock_daemon/program.py
@@ -12,8 +12,9 @@
 from almonddock_core.model import FindingsError
 from almonddock_daemon._host import Host
 from almonddock_daemon.settings import HostSettings, load_settings
-from almonddock_daemon.telemetry import start_logs
+from almonddock_daemon.telemetry import LOG, start_logs
 
+EXIT_CANNOT_LISTEN = 1
 EXIT_INVALID_SETTINGS = 2
 
 #: Collections of the youngest generation happen after so many allocations.
@@ -47,7 +48,11 @@
         return
     start_logs(checked.logs.level, checked.host, checked.data_centre)
     gc.set_threshold(GC_THRESHOLD)
-    asyncio.run(_serve(checked))
+    try:
+        asyncio.run(_serve(checked))
+    except OSError as fault:
+        LOG.error('listen_failed', message=str(fault))
+        sys.exit(EXIT_CANNOT_LISTEN)
 
 
 async def _serve(settings: HostSettings) -> None:
