--- a/packages/standins/almonddock_standins/demo.py
+++ b/packages/standins/almonddock_standins/demo.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import os
 import pathlib
 import random
+import signal
 import sys
 import tempfile
 from collections.abc import Iterable, Mapping, Sequence
@@ -122,10 +124,20 @@
         targets[LOST].switch_faults(Faults(down=True))
         print(f'{STRAGGLER} is slow and {LOST} is down:')
         ill = await _ask_all(urls)
+        if os.environ.get('DEMO_KEEP'):
+            await _keep(urls[0])
         codes = [await stop_daemon(daemon) for daemon in daemons]
     return _summarise([*well, *ill], targets.values(), codes)
 
 
+async def _keep(url: str) -> None:
+    """Waits for Ctrl-C."""
+    stopped = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGINT, stopped.set)
+    print(f'The hosts stay up: {url}/v1/query answers. Stop with Ctrl-C.')
+    await stopped.wait()
+
+
 def _summarise(
     answers: list[Answer],
     targets: Iterable[StandInTarget],
