--- a/bench/measurement.py
+++ b/bench/measurement.py
@@ -1,7 +1,7 @@
 """What an experiment yields: figures with their bounds, and curves."""
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 Point = tuple[float, float]
 Curve = tuple[Point, ...]
@@ -52,81 +52,62 @@
     curves: Mapping[str, Curve]
 
 
-def limit_value(
+def note_value(
     subject: Subject,
     value: float,
     unit: str,
     *,
-    bound: float,
+    baseline: float | None = None,
 ) -> Measurement:
-    """Returns a figure that must not exceed the bound."""
+    """Returns a figure without a bound."""
     return Measurement(
         subject.experiment,
         subject.deployment,
         subject.seed,
         value,
         unit,
-        bound=bound,
-        holds=value <= bound,
+        baseline=baseline,
+        ratio=value / baseline if baseline else None,
     )
 
 
-def require_value(
+def limit_value(
     subject: Subject,
     value: float,
     unit: str,
     *,
     bound: float,
 ) -> Measurement:
-    """Returns a figure that must reach the bound."""
-    return Measurement(
-        subject.experiment,
-        subject.deployment,
-        subject.seed,
-        value,
-        unit,
-        bound=bound,
-        holds=value >= bound,
-    )
+    """Returns a figure that must not exceed the bound."""
+    noted = note_value(subject, value, unit)
+    return replace(noted, bound=bound, holds=value <= bound)
 
 
-def limit_ratio(
+def require_value(
     subject: Subject,
     value: float,
     unit: str,
     *,
-    baseline: float,
     bound: float,
 ) -> Measurement:
-    """Returns a figure whose ratio to a baseline must not exceed a bound."""
-    ratio = value / baseline
-    return Measurement(
-        subject.experiment,
-        subject.deployment,
-        subject.seed,
-        value,
-        unit,
-        baseline=baseline,
-        ratio=ratio,
-        bound=bound,
-        holds=ratio <= bound,
-    )
+    """Returns a figure that must reach the bound."""
+    noted = note_value(subject, value, unit)
+    return replace(noted, bound=bound, holds=value >= bound)
 
 
-def note_value(
+def limit_ratio(
     subject: Subject,
     value: float,
     unit: str,
     *,
-    baseline: float | None = None,
+    baseline: float,
+    bound: float,
 ) -> Measurement:
-    """Returns a figure without a bound."""
-    return Measurement(
-        subject.experiment,
-        subject.deployment,
-        subject.seed,
-        value,
-        unit,
-        baseline=baseline,
-        ratio=value / baseline if baseline else None,
-    )
+    """Returns a figure whose ratio to a baseline must not exceed a bound.
+
+    Raises:
+        ZeroDivisionError: the baseline is zero, so there is no ratio.
+    """
+    ratio = value / baseline
+    noted = note_value(subject, value, unit, baseline=baseline)
+    return replace(noted, bound=bound, holds=ratio <= bound)
