--- /dev/null
+++ b/packages/core/almonddock_core/dispatch/__init__.py
@@ -0,0 +1,76 @@
+"""Carries one request to one target, or to one target of every shard.
+
+A host keeps one :class:`DispatchContext` for all its requests. For each, build
+a :class:`Dispatch`, call ``start``, and carry out the actions that it and
+every later call return::
+
+    dispatch = Dispatch(request, context)
+    actions = dispatch.start(now)
+    actions = dispatch.receive(attempt, reply, now)
+    actions = dispatch.fail(attempt, Failure.UNSENT, now)
+    actions = dispatch.tick(now)  # no later than ``dispatch.wake_at``
+
+:class:`Send` and :class:`Cancel` are about one attempt; :class:`Finish` comes
+exactly once.
+"""
+
+from almonddock_core.dispatch._actions import (
+    Action,
+    Answer,
+    Cancel,
+    Failure,
+    Finish,
+    MergedAnswer,
+    PassedAnswer,
+    Refusal,
+    RefusalReason,
+    Send,
+    Withdraw,
+)
+from almonddock_core.dispatch._budget import (
+    BudgetLimits,
+    RetryBudget,
+    SlidingCount,
+)
+from almonddock_core.dispatch._context import DispatchContext
+from almonddock_core.dispatch._dispatch import Dispatch
+from almonddock_core.dispatch._records import RECORD_BYTES, merge_records
+from almonddock_core.dispatch._requests import (
+    DispatchedRequest,
+    ReplyKind,
+    TargetReply,
+)
+from almonddock_core.dispatch._timing import (
+    HEDGE_SHARE,
+    PARTIAL_SHARE,
+    DispatchTiming,
+    plan_timing,
+)
+
+__all__ = [
+    'Action',
+    'Answer',
+    'BudgetLimits',
+    'Cancel',
+    'Dispatch',
+    'DispatchContext',
+    'DispatchTiming',
+    'DispatchedRequest',
+    'Failure',
+    'Finish',
+    'HEDGE_SHARE',
+    'MergedAnswer',
+    'PARTIAL_SHARE',
+    'PassedAnswer',
+    'RECORD_BYTES',
+    'Refusal',
+    'RefusalReason',
+    'ReplyKind',
+    'RetryBudget',
+    'Send',
+    'SlidingCount',
+    'TargetReply',
+    'Withdraw',
+    'merge_records',
+    'plan_timing',
+]
--- /dev/null
+++ b/packages/core/almonddock_core/dispatch/_actions.py
@@ -0,0 +1,92 @@
+"""What a dispatch asks its host to do, and the answers it ends with."""
+
+import enum
+from dataclasses import dataclass
+from datetime import timedelta
+
+from almonddock_core.dispatch._requests import TargetReply
+from almonddock_core.routing import KnownTarget
+
+
+class Failure(enum.Enum):
+    """How an attempt ended without a reply."""
+
+    #: No byte of the request reached the target.
+    UNSENT = 'unsent'
+    #: The request may have run.
+    LOST = 'lost'
+
+
+class RefusalReason(enum.Enum):
+    """Why a request ends without an answer from a target."""
+
+    #: No usable target, or too few shards with one; the request has not run.
+    NO_TARGET = 'no_target'
+    #: Every target that could be asked refused; the request has not run.
+    TARGETS_FULL = 'targets_full'
+    #: A target may have run the request, and no answer came.
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    #: The time of the request ended; it may have run.
+    TIMED_OUT = 'timed_out'
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """The request failed at this host."""
+
+    reason: RefusalReason
+    #: Whether the request surely has not run and will not run.
+    not_run: bool
+    #: When the caller may come back; None if that would not help.
+    retry_after: timedelta | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PassedAnswer:
+    """The reply of one target, passed on unchanged."""
+
+    reply: TargetReply
+
+
+@dataclass(frozen=True, slots=True)
+class MergedAnswer:
+    """The greatest records of the shards that answered."""
+
+    replies: tuple[TargetReply, ...]
+    #: Shards that are not in the answer.
+    missing: tuple[str, ...]
+
+
+Answer = PassedAnswer | MergedAnswer | Refusal
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send the request to a target; report how that ends."""
+
+    attempt: int
+    target: KnownTarget
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """End an attempt whose reply is no longer wanted; report nothing."""
+
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """End an attempt if no byte of it was sent; report it as unsent then."""
+
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """Answer the caller."""
+
+    answer: Answer
+
+
+Action = Send | Cancel | Withdraw | Finish
--- /dev/null
+++ b/packages/core/almonddock_core/dispatch/_branch.py
@@ -0,0 +1,45 @@
+"""The part of a request that goes to one service."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from almonddock_core.dispatch._requests import TargetReply
+from almonddock_core.routing import KnownTarget
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One try at one target, until it is answered or ends."""
+
+    number: int
+    branch: 'Branch'
+    target: KnownTarget
+    started: timedelta
+    #: Whether a second try was sent, or could not be, because this one waits.
+    hedged: bool = False
+
+
+@dataclass(slots=True)
+class Branch:
+    """What has become of the request at one service."""
+
+    service: str
+    #: Tries without an outcome yet.
+    open: list[Attempt] = field(default_factory=list)
+    #: Targets that were tried; a target is asked once for each request.
+    tried: set[str] = field(default_factory=set)
+    #: Targets that the request was sent to, or may have been.
+    sent: int = 0
+    #: Whether a target may have run the request without a success.
+    may_have_run: bool = False
+    #: Whether a target refused because it is full or leaving.
+    refused: bool = False
+    #: The success, or the failure to pass on if nothing better comes.
+    reply: TargetReply | None = None
+    #: Whether ``reply`` is a success.
+    succeeded: bool = False
+
+    @property
+    def ended(self) -> bool:
+        """Whether nothing more can come."""
+        return self.succeeded or not self.open
--- /dev/null
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -0,0 +1,242 @@
+"""The state machine of one request."""
+
+from datetime import timedelta
+
+from almonddock_core.dispatch._actions import (
+    Action,
+    Answer,
+    Cancel,
+    Failure,
+    Finish,
+    Send,
+    Withdraw,
+)
+from almonddock_core.dispatch._branch import Attempt, Branch
+from almonddock_core.dispatch._context import DispatchContext
+from almonddock_core.dispatch._outcome import (
+    build_merged,
+    build_single,
+    count_needed,
+    refuse_unreachable,
+)
+from almonddock_core.dispatch._requests import (
+    DispatchedRequest,
+    ReplyKind,
+    TargetReply,
+)
+from almonddock_core.dispatch._timing import plan_timing
+from almonddock_core.placement import choose_target
+from almonddock_core.routing import KnownTarget
+
+
+class Dispatch:
+    """Sends one request and decides when and how it is answered."""
+
+    def __init__(
+        self,
+        request: DispatchedRequest,
+        context: DispatchContext,
+    ) -> None:
+        self.request = request
+        self.timing = plan_timing(request)
+        #: The answer, once the dispatch has finished.
+        self.answer: Answer | None = None
+        #: Tries beyond one for each service.
+        self.extra_tries = 0
+        self._context = context
+        self._latency = context.get_latency(request.route)
+        self._branches = [Branch(service) for service in request.services]
+        self._attempts: dict[int, Attempt] = {}
+        self._next_attempt = 0
+        self._now = request.arrived
+
+    @property
+    def wake_at(self) -> timedelta:
+        """When to call :meth:`tick` at the latest."""
+        timing = self.timing
+        wakes = [timing.give_up]
+        if self.request.route.shards:
+            wakes.extend((timing.partial_from, timing.late_from))
+        for attempt in self._attempts.values():
+            if not attempt.hedged:
+                wakes.append(attempt.started + timing.hedge_after)
+                # Later attempts of the same kind start later.
+                break
+        now = self._now
+        return min(
+            (wake for wake in wakes if wake > now),
+            default=timing.give_up,
+        )
+
+    def start(self, now: timedelta) -> list[Action]:
+        """Sends the first try of every branch."""
+        self._now = now
+        self._context.budget.count_request(self.request.route.name, now)
+        chosen = [
+            (branch, target)
+            for branch in self._branches
+            if (target := self._choose(branch)) is not None
+        ]
+        if len(chosen) < count_needed(self.request.route):
+            return self._finish(refuse_unreachable())
+        return self._conclude(
+            [self._send(branch, target) for branch, target in chosen],
+        )
+
+    def receive(
+        self,
+        number: int,
+        reply: TargetReply,
+        now: timedelta,
+    ) -> list[Action]:
+        """Takes the reply to an attempt."""
+        self._now = now
+        attempt = self._take(number)
+        if attempt is None:
+            return []
+        if reply.kind is ReplyKind.SUCCESS:
+            return self._conclude(self._succeed(attempt, reply))
+        branch = attempt.branch
+        health = attempt.target.health
+        health.observe_failure(now)
+        if reply.kind is ReplyKind.FAILED:
+            branch.may_have_run = True
+            branch.reply = reply
+        else:
+            branch.refused = True
+            if reply.kind is ReplyKind.MISDIRECTED:
+                attempt.target.replaced = True
+        return self._conclude(self._try_again(branch))
+
+    def fail(
+        self,
+        number: int,
+        failure: Failure,
+        now: timedelta,
+    ) -> list[Action]:
+        """Takes the end of an attempt without a reply."""
+        self._now = now
+        attempt = self._take(number)
+        if attempt is None:
+            return []
+        branch = attempt.branch
+        attempt.target.health.observe_break(now)
+        if failure is Failure.LOST:
+            branch.may_have_run = True
+        else:
+            branch.sent -= 1
+        return self._conclude(self._try_again(branch))
+
+    def tick(self, now: timedelta) -> list[Action]:
+        """Hedges, answers with shards missing, or gives up, when due."""
+        self._now = now
+        if self.answer is not None:
+            return []
+        actions: list[Action] = []
+        due = now - self.timing.hedge_after
+        waiting = [
+            attempt
+            for attempt in self._attempts.values()
+            if not attempt.hedged and attempt.started <= due
+        ]
+        for attempt in waiting:
+            attempt.hedged = True
+            actions.extend(self._hedge(attempt))
+        return self._conclude(actions)
+
+    def abandon(self, now: timedelta) -> list[Action]:
+        """Ends the work, because the caller has left."""
+        self._now = now
+        return [Cancel(number) for number in self._drain_attempts()]
+
+    def _succeed(self, attempt: Attempt, reply: TargetReply) -> list[Action]:
+        branch = attempt.branch
+        branch.reply = reply
+        branch.succeeded = True
+        elapsed = (self._now - attempt.started).total_seconds()
+        slowness = self._latency.observe(elapsed)
+        attempt.target.health.observe_reply(slowness, self._now)
+        return [self._cancel(rest) for rest in tuple(branch.open)]
+
+    def _hedge(self, attempt: Attempt) -> list[Action]:
+        branch = attempt.branch
+        if not self.request.route.idempotent:
+            return [Withdraw(attempt.number)]
+        if len(branch.open) > 1:
+            return []
+        return self._try_again(branch)
+
+    def _try_again(self, branch: Branch) -> list[Action]:
+        """Sends another try, if one is allowed and a target is left."""
+        route = self.request.route
+        if branch.sent >= route.max_attempts:
+            return []
+        if branch.may_have_run and not route.idempotent:
+            return []
+        target = self._choose(branch)
+        if target is None:
+            return []
+        if branch.sent:
+            routes = self._context.list_routes_to(branch.service)
+            budget = self._context.budget
+            if not budget.spend(branch.service, routes, self._now):
+                return []
+            self.extra_tries += 1
+        return [self._send(branch, target)]
+
+    def _choose(self, branch: Branch) -> KnownTarget | None:
+        usable = self._context.targets.list_usable(branch.service, self._now)
+        if branch.tried:
+            usable = [
+                target
+                for target in usable
+                if target.entry.target_id not in branch.tried
+            ]
+        return choose_target(usable, self._context.data_centre, self._now)
+
+    def _send(self, branch: Branch, target: KnownTarget) -> Send:
+        number = self._next_attempt
+        self._next_attempt = number + 1
+        attempt = Attempt(number, branch, target, self._now)
+        self._attempts[number] = attempt
+        branch.open.append(attempt)
+        branch.tried.add(target.entry.target_id)
+        branch.sent += 1
+        target.health.in_flight += 1
+        return Send(number, target)
+
+    def _take(self, number: int) -> Attempt | None:
+        attempt = self._attempts.pop(number, None)
+        if attempt is not None:
+            attempt.branch.open.remove(attempt)
+            attempt.target.health.in_flight -= 1
+        return attempt
+
+    def _cancel(self, attempt: Attempt) -> Cancel:
+        self._take(attempt.number)
+        elapsed = (self._now - attempt.started).total_seconds()
+        slowness = elapsed / self._latency.seconds
+        attempt.target.health.observe_wait(slowness, self._now)
+        return Cancel(attempt.number)
+
+    def _drain_attempts(self) -> list[int]:
+        numbers = list(self._attempts)
+        for number in numbers:
+            self._take(number)
+        return numbers
+
+    def _conclude(self, actions: list[Action]) -> list[Action]:
+        """Adds the answer and the end of all work, once it is decided."""
+        build = build_merged if self.request.route.shards else build_single
+        answer = build(self.request, self.timing, self._branches, self._now)
+        if answer is None:
+            return actions
+        return [
+            *(action for action in actions if not isinstance(action, Send)),
+            *self._finish(answer),
+        ]
+
+    def _finish(self, answer: Answer) -> list[Action]:
+        self.answer = answer
+        rest = [self._cancel(left) for left in tuple(self._attempts.values())]
+        return [*rest, Finish(answer)]
--- /dev/null
+++ b/packages/core/almonddock_core/dispatch/_outcome.py
@@ -0,0 +1,134 @@
+"""Decides whether a request is answered now, and with what.
+
+Load it answers: shards whose targets are dark or slow would hold every
+answer until the caller's deadline. An answer in time with a few shards
+missing, which it names, is worth more to a caller than a whole one too late;
+a request that cannot reach its smallest share is refused at once.
+"""
+
+import math
+from collections.abc import Sequence
+from datetime import timedelta
+
+from almonddock_core.dispatch._actions import (
+    Answer,
+    MergedAnswer,
+    PassedAnswer,
+    Refusal,
+    RefusalReason,
+)
+from almonddock_core.dispatch._branch import Branch
+from almonddock_core.dispatch._requests import DispatchedRequest
+from almonddock_core.dispatch._timing import DispatchTiming
+from almonddock_core.routing import Route
+
+#: When a caller may come back after a refusal: a target that restarts, or a
+#: full queue, takes about this long.
+RETRY_AFTER = timedelta(milliseconds=500)
+
+
+#: Absorbs the rounding error of a share times a number of shards.
+ROUNDING = 1e-9
+
+
+def count_needed(route: Route) -> int:
+    """Returns how many services must answer to make an answer."""
+    exact = route.min_share * len(route.shards)
+    return max(1, math.ceil(exact - ROUNDING))
+
+
+def refuse_unreachable() -> Refusal:
+    """Returns the refusal of a request that no target can serve now."""
+    return Refusal(
+        RefusalReason.NO_TARGET,
+        not_run=True,
+        retry_after=RETRY_AFTER,
+    )
+
+
+def build_single(
+    request: DispatchedRequest,
+    timing: DispatchTiming,
+    branches: Sequence[Branch],
+    now: timedelta,
+) -> Answer | None:
+    """Returns the answer of a request to one target, None while it waits."""
+    branch = branches[0]
+    if branch.reply is not None and branch.ended:
+        return PassedAnswer(branch.reply)
+    if now >= timing.give_up:
+        return _give_up(branches)
+    return _refuse(branches) if branch.ended else None
+
+
+def build_merged(
+    request: DispatchedRequest,
+    timing: DispatchTiming,
+    branches: Sequence[Branch],
+    now: timedelta,
+) -> Answer | None:
+    """Returns the merged answer, None while it is worth waiting."""
+    answered = 0
+    waiting = 0
+    for branch in branches:
+        if branch.succeeded:
+            answered += 1
+        elif branch.open:
+            waiting += 1
+    needed = count_needed(request.route)
+    if answered + waiting < needed:
+        return _refuse(branches)
+    if answered >= needed:
+        if not waiting or _is_due(request, timing, now):
+            return _merge(branches)
+    elif now >= timing.give_up:
+        return _give_up(branches)
+    return None
+
+
+def _is_due(
+    request: DispatchedRequest,
+    timing: DispatchTiming,
+    now: timedelta,
+) -> bool:
+    """Whether shards that have not answered are no longer awaited."""
+    goal = request.arrived + request.route.latency_goal
+    if now < goal:
+        return now >= timing.partial_from
+    return now >= timing.late_from
+
+
+def _merge(branches: Sequence[Branch]) -> MergedAnswer:
+    return MergedAnswer(
+        replies=tuple(
+            branch.reply
+            for branch in branches
+            if branch.succeeded and branch.reply is not None
+        ),
+        missing=tuple(
+            branch.service for branch in branches if not branch.succeeded
+        ),
+    )
+
+
+def _give_up(branches: Sequence[Branch]) -> Refusal:
+    """The time has ended; what was sent may have run."""
+    not_run = not any(branch.sent for branch in branches)
+    reason = RefusalReason.TIMED_OUT
+    return Refusal(RefusalReason.NO_TARGET if not_run else reason, not_run)
+
+
+def _refuse(branches: Sequence[Branch]) -> Refusal:
+    """No target is left to ask."""
+    may_have_run = any(
+        branch.may_have_run or branch.succeeded or branch.open
+        for branch in branches
+    )
+    if may_have_run:
+        return Refusal(RefusalReason.OUTCOME_UNKNOWN, not_run=False)
+    refused = any(branch.refused for branch in branches)
+    return Refusal(
+        RefusalReason.TARGETS_FULL if refused else RefusalReason.NO_TARGET,
+        not_run=True,
+        retry_after=RETRY_AFTER,
+    )
--- /dev/null
+++ b/packages/core/almonddock_core/dispatch/_records.py
@@ -0,0 +1,23 @@
+"""Merges the records of several shards."""
+
+from collections.abc import Iterable
+
+#: The size of one record in bytes (users' page on queries over shards).
+RECORD_BYTES = 16
+
+
+def merge_records(bodies: Iterable[bytes], top: int) -> bytes:
+    """Returns the greatest ``top`` records, greatest first.
+
+    Records are compared byte by byte and equal ones all count. A rest of a
+    body that is shorter than a record is ignored.
+    """
+    records: list[bytes] = []
+    for body in bodies:
+        whole = len(body) - len(body) % RECORD_BYTES
+        records.extend(
+            body[start : start + RECORD_BYTES]
+            for start in range(0, whole, RECORD_BYTES)
+        )
+    records.sort(reverse=True)
+    return b''.join(records[:top])
--- /dev/null
+++ b/packages/core/almonddock_core/dispatch/_requests.py
@@ -0,0 +1,48 @@
+"""The request that is dispatched, and the replies of targets."""
+
+import enum
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from almonddock_core.routing import Route
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchedRequest:
+    """What the dispatch needs to know of a caller's request."""
+
+    request_id: str
+    route: Route
+    #: The services that the request goes to: one, or every shard.
+    services: tuple[str, ...]
+    #: When the whole request was read.
+    arrived: timedelta
+    #: When the caller stops waiting.
+    deadline: timedelta
+
+
+class ReplyKind(enum.Enum):
+    """What a target's reply says about the request."""
+
+    #: The request ran and succeeded.
+    SUCCESS = 'success'
+    #: The request ran and failed, or the target says nothing about it.
+    FAILED = 'failed'
+    #: The target refused the request for now; it has not run.
+    REFUSED = 'refused'
+    #: Another target has this address; the request has not run.
+    MISDIRECTED = 'misdirected'
+
+
+@dataclass(frozen=True, slots=True)
+class TargetReply:
+    """A whole reply of a target."""
+
+    kind: ReplyKind
+    status: int
+    #: Header names and contents as received, without per-connection ones.
+    headers: Sequence[tuple[bytes, bytes]]
+    body: bytes
+    #: The target's proof of this reply; None if it gave none.
+    stamp: bytes | None
--- /dev/null
+++ b/packages/core/almonddock_core/placement/__init__.py
@@ -0,0 +1,19 @@
+"""Which target of a service gets a request.
+
+Load it answers: targets that pause, turn slow, fail part of their requests
+or stop answering, while a query waits for the slowest of all its shards.
+What a host knows of a target comes from the replies to its own requests::
+
+    target = choose_target(candidates, 'kyushu-a', now)
+"""
+
+from almonddock_core.placement._choice import Candidate, choose_target
+from almonddock_core.placement._health import TargetHealth
+from almonddock_core.placement._latency import TypicalLatency
+
+__all__ = [
+    'Candidate',
+    'TargetHealth',
+    'TypicalLatency',
+    'choose_target',
+]
--- /dev/null
+++ b/packages/core/almonddock_core/routing/__init__.py
@@ -0,0 +1,41 @@
+"""Routes, services and targets of the deployment in force.
+
+A :class:`RoutingTable` is one version of the operators' configuration; a
+request pins one and keeps it. A :class:`TargetTable` holds what hosts know of
+the targets that serve it::
+
+    route = table.find_route('parts.example', '/plates/2f')
+    usable = targets.list_usable('parts-desk-01', now)
+"""
+
+from almonddock_core.routing._routes import (
+    CallerLimits,
+    Route,
+    RoutingTable,
+    Service,
+    WeightedService,
+    build_routing_table,
+)
+from almonddock_core.routing._splits import WeightedRotation
+from almonddock_core.routing._targets import (
+    KnownTarget,
+    TargetChange,
+    TargetEntry,
+    TargetState,
+    TargetTable,
+)
+
+__all__ = [
+    'CallerLimits',
+    'KnownTarget',
+    'Route',
+    'RoutingTable',
+    'Service',
+    'TargetChange',
+    'TargetEntry',
+    'TargetState',
+    'TargetTable',
+    'WeightedRotation',
+    'WeightedService',
+    'build_routing_table',
+]
--- /dev/null
+++ b/packages/core/almonddock_core/routing/_routes.py
@@ -0,0 +1,126 @@
+"""One version of the operators' configuration, ready for lookups."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take."""
+
+    #: Bytes of a request's start line and headers.
+    header_bytes: int
+    #: Bytes of a request's body.
+    body_bytes: int
+    #: Time from the first byte of a request to the end of its headers.
+    header_timeout: timedelta
+    #: Time that a connection may stay idle between two requests.
+    idle_timeout: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """What the operators state of the targets of one service."""
+
+    name: str
+    #: Connections that one target accepts from all hosts together.
+    max_connections: int
+    #: Requests a second that a cold target bears; 0 if it is not bounded.
+    cold_requests_per_second: float
+    #: How long a target stays cold after its start.
+    cold_time: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """One part of a route whose requests are split over services."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where requests of one host name and path prefix go.
+
+    Exactly one of ``services`` and ``shards`` is filled: a request goes to one
+    of the weighted services, or to all shards at once.
+    """
+
+    name: str
+    #: The host name in lower case, without a port.
+    host: str
+    #: Begins and ends with a slash.
+    prefix: str
+    #: Whether a request may run more than once.
+    idempotent: bool
+    #: How long a caller may be kept waiting.
+    timeout: timedelta
+    #: The time within which an answer has its full value.
+    latency_goal: timedelta
+    #: Targets of one service that one request may be sent to.
+    max_attempts: int
+    #: The rank of the route; 0 is the most urgent.
+    priority: int
+    services: tuple[WeightedService, ...] = ()
+    shards: tuple[str, ...] = ()
+    #: Records in the merged answer of a route with shards.
+    top_records: int = 0
+    #: The smallest share of the shards that makes an answer.
+    min_share: float = 1
+
+    def list_services(self) -> tuple[str, ...]:
+        """Returns every service that a request may go to."""
+        return self.shards or tuple(part.service for part in self.services)
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingTable:
+    """One version of the configuration; made by `build_routing_table`."""
+
+    version: int
+    limits: CallerLimits
+    services: Mapping[str, Service]
+    #: Routes by host name, then by prefix.
+    routes: Mapping[str, Mapping[str, Route]]
+    #: The names of the routes that lead to each service.
+    routes_to: Mapping[str, tuple[str, ...]]
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix that begins the path.
+
+        ``host`` is in lower case without a port; ``path`` has no query.
+        """
+        by_prefix = self.routes.get(host)
+        if by_prefix is None:
+            return None
+        end = len(path)
+        while (end := path.rfind('/', 0, end)) >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+
+def build_routing_table(
+    version: int,
+    limits: CallerLimits,
+    services: Iterable[Service],
+    routes: Iterable[Route],
+) -> RoutingTable:
+    """Builds the lookups of one version of the configuration."""
+    by_host: dict[str, dict[str, Route]] = defaultdict(dict)
+    routes_to: dict[str, list[str]] = defaultdict(list)
+    for route in routes:
+        by_host[route.host][route.prefix] = route
+        for service in route.list_services():
+            routes_to[service].append(route.name)
+    return RoutingTable(
+        version=version,
+        limits=limits,
+        services={service.name: service for service in services},
+        routes=dict(by_host),
+        routes_to={name: tuple(found) for name, found in routes_to.items()},
+    )
--- /dev/null
+++ b/packages/core/almonddock_core/routing/_splits.py
@@ -0,0 +1,30 @@
+"""Splits the requests of a route over services by weight."""
+
+from almonddock_core.routing._routes import WeightedService
+
+
+class WeightedRotation:
+    """Deals requests out in proportion to the weights, without chance.
+
+    Smooth weighted round robin: every prefix of the sequence is as close to
+    the weights as whole requests allow, so short spans keep to them too.
+    """
+
+    def __init__(self, parts: tuple[WeightedService, ...]) -> None:
+        self._parts = parts
+        self._total = sum(part.weight for part in parts)
+        self._credit = [float()] * len(parts)
+
+    @property
+    def parts(self) -> tuple[WeightedService, ...]:
+        """The parts that this rotation deals to."""
+        return self._parts
+
+    def take(self) -> str:
+        """Returns the service of the next request."""
+        credit = self._credit
+        for index, part in enumerate(self._parts):
+            credit[index] += part.weight
+        chosen = credit.index(max(credit))
+        credit[chosen] -= self._total
+        return self._parts[chosen].service
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/controllers/_configuration.py
@@ -0,0 +1,99 @@
+"""The configuration in force, and the data centres without work."""
+
+from collections.abc import Callable
+
+from almonddock_core.dispatch import DispatchContext
+from almonddock_core.model import AlmonddockError
+from almonddock_core.routing import RoutingTable
+from almonddock_gateway.entry import EntryState
+from almonddock_gateway.settings import StoreKeys
+from almonddock_gateway.store import StoreItem, StoreView
+from almonddock_gateway.telemetry import Telemetry
+
+#: Reads the configuration as the operators wrote it.
+DecodeTable = Callable[[bytes], RoutingTable]
+
+
+class ConfigurationController:
+    """Puts each newer version in force; never goes back."""
+
+    def __init__(
+        self,
+        keys: StoreKeys,
+        decode: DecodeTable,
+        state: EntryState,
+        context: DispatchContext,
+        telemetry: Telemetry,
+    ) -> None:
+        self._keys = keys
+        self._decode = decode
+        self._state = state
+        self._context = context
+        self._telemetry = telemetry
+
+    def take_all(self, view: StoreView) -> None:
+        """Takes everything that the operators have written."""
+        drained = frozenset(
+            name for item in view.items if (name := self._read_drained(item))
+        )
+        self._drain(drained, view.revision)
+        for item in view.items:
+            self._take_configuration(item)
+
+    def take_changes(self, view: StoreView) -> None:
+        """Takes changes in the order in which they were made."""
+        for item in view.items:
+            self._take_configuration(item)
+            name = self._read_drained(item)
+            if not name:
+                continue
+            drained = self._context.targets.drained
+            if item.content is None:
+                drained -= {name}
+            else:
+                drained |= {name}
+            self._drain(drained, item.revision)
+
+    def _read_drained(self, item: StoreItem) -> str:
+        prefix = self._keys.drained_prefix
+        if not item.key.startswith(prefix):
+            return ''
+        return item.key.removeprefix(prefix)
+
+    def _drain(self, drained: frozenset[str], revision: int) -> None:
+        before = self._context.targets.drained
+        if drained == before:
+            return
+        self._context.targets.drained = drained
+        self._telemetry.note(
+            'data_centres_drained',
+            drained=sorted(drained),
+            before=sorted(before),
+            store_revision=revision,
+        )
+
+    def _take_configuration(self, item: StoreItem) -> None:
+        if item.key != self._keys.configuration or item.content is None:
+            return
+        before = self._state.table
+        try:
+            table = self._decode(item.content)
+        except AlmonddockError as fault:
+            self._telemetry.note(
+                'configuration_unreadable',
+                store_revision=item.revision,
+                reason=fault.message,
+                in_force=before.version if before else None,
+            )
+            return
+        if before is not None and table.version <= before.version:
+            return
+        self._state.table = table
+        self._context.table = table
+        self._telemetry.note(
+            'configuration_in_force',
+            version=table.version,
+            before=before.version if before else None,
+            routes=sum(len(found) for found in table.routes.values()),
+            store_revision=item.revision,
+        )
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/controllers/_follower.py
@@ -0,0 +1,120 @@
+"""Follows the changes under one prefix of the store."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from almonddock_core.model import Clock
+from almonddock_gateway.store import (
+    HistoryLostError,
+    Store,
+    StoreLostError,
+    StoreView,
+)
+from almonddock_gateway.telemetry import Telemetry
+
+#: The first wait after the store did not answer; it doubles to the last one.
+FIRST_RETRY = timedelta(milliseconds=100)
+LAST_RETRY = timedelta(milliseconds=800)
+
+
+@dataclass(frozen=True, slots=True)
+class FollowSettings:
+    """How one prefix is followed."""
+
+    prefix: str
+    #: How long the store may hold a watch without a change.
+    wait: timedelta
+    #: The pause between two watches, which gathers changes into one call.
+    pause: timedelta
+    #: Takes everything under the prefix.
+    take_all: Callable[[StoreView], None]
+    #: Takes changes.
+    take_changes: Callable[[StoreView], None]
+    #: Called when the store answers again.
+    store_back: Callable[[], None]
+
+
+class Follower:
+    """Reads a prefix once, then watches it; reads again if history is lost."""
+
+    def __init__(
+        self,
+        settings: FollowSettings,
+        store: Store,
+        clock: Clock,
+        telemetry: Telemetry,
+    ) -> None:
+        #: When the store last answered; None before the first answer.
+        self.fresh_at: timedelta | None = None
+        self._settings = settings
+        self._store = store
+        self._clock = clock
+        self._telemetry = telemetry
+        self._revision: int | None = None
+        self._lost_since: timedelta | None = None
+        self._retry = FIRST_RETRY
+
+    async def run(self) -> None:
+        """Follows the prefix until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except HistoryLostError as lost:
+                self._telemetry.note(
+                    'store_history_lost',
+                    prefix=self._settings.prefix,
+                    revision=self._revision,
+                    reason=lost.message,
+                )
+                self._revision = None
+            except StoreLostError as lost:
+                await self._wait_for_store(lost)
+            else:
+                self._note_answer()
+
+    async def _step(self) -> None:
+        settings = self._settings
+        if self._revision is None:
+            view = await self._store.read_prefix(settings.prefix)
+            self._note_answer()
+            settings.take_all(view)
+        else:
+            view = await self._store.watch(
+                settings.prefix,
+                self._revision,
+                settings.wait,
+            )
+            self._note_answer()
+            settings.take_changes(view)
+        self._revision = max(view.revision, self._revision or 0)
+        if settings.pause:
+            await asyncio.sleep(settings.pause.total_seconds())
+
+    async def _wait_for_store(self, lost: StoreLostError) -> None:
+        now = self._clock.now()
+        if self._lost_since is None:
+            self._lost_since = now
+            self._telemetry.note(
+                'store_lost',
+                prefix=self._settings.prefix,
+                reason=lost.message,
+                fresh_at=self.fresh_at,
+            )
+        await asyncio.sleep(self._retry.total_seconds())
+        self._retry = min(self._retry * 2, LAST_RETRY)
+
+    def _note_answer(self) -> None:
+        now = self._clock.now()
+        self.fresh_at = now
+        self._retry = FIRST_RETRY
+        if self._lost_since is None:
+            return
+        self._telemetry.note(
+            'store_back',
+            prefix=self._settings.prefix,
+            lost_for=now - self._lost_since,
+        )
+        self._lost_since = None
+        self._settings.store_back()
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -0,0 +1,103 @@
+"""The hosts of the tier, registered in the store under leases.
+
+Bounds that hold for all hosts together are shared by their number, so each
+host must not take the number for smaller than it is. A host that cannot read
+the store keeps the last number.
+"""
+
+import asyncio
+from collections import deque
+from datetime import timedelta
+
+from almonddock_core.model import Clock
+from almonddock_gateway.settings import GatewaySettings
+from almonddock_gateway.store import (
+    LeaseEndedError,
+    Store,
+    StoreLostError,
+)
+from almonddock_gateway.telemetry import Telemetry
+
+#: How long a host stays registered without a renewal.
+REGISTRATION = timedelta(seconds=15)
+
+#: The pause between two renewals, each with a read of the list.
+RENEWAL = timedelta(seconds=5)
+
+#: The first pauses are short, so that hosts started together find each other.
+FIRST_RENEWALS = 3
+FIRST_RENEWAL = timedelta(seconds=1)
+
+#: The largest number of the last reads counts: lists may be seconds old.
+READS_KEPT = 3
+
+
+class HostController:
+    """Registers this host and counts all."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        store: Store,
+        clock: Clock,
+        telemetry: Telemetry,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._clock = clock
+        self._telemetry = telemetry
+        self._lease: int | None = None
+        self._counts: deque[int] = deque(maxlen=READS_KEPT)
+
+    @property
+    def count(self) -> int:
+        """The number of hosts, this one included; at least one."""
+        return max(self._counts, default=1)
+
+    async def run(self) -> None:
+        """Keeps the registration and the count until cancelled."""
+        renewals = 0
+        while True:
+            try:
+                await self._renew()
+            except StoreLostError as lost:
+                self._telemetry.note('registration_failed', reason=lost.message)
+            except LeaseEndedError:
+                self._telemetry.note('registration_ended', lease=self._lease)
+                self._lease = None
+                continue
+            renewals += 1
+            pause = FIRST_RENEWAL if renewals <= FIRST_RENEWALS else RENEWAL
+            await asyncio.sleep(pause.total_seconds())
+
+    async def leave(self) -> None:
+        """Ends the registration, so that others count one less at once."""
+        if self._lease is None:
+            return
+        try:
+            await self._store.end_lease(self._lease)
+        except (StoreLostError, LeaseEndedError) as lost:
+            self._telemetry.note('deregistration_failed', reason=lost.message)
+
+    async def _renew(self) -> None:
+        prefix = self._settings.keys.host_prefix
+        if self._lease is None:
+            lease = await self._store.grant_lease(REGISTRATION)
+            await self._store.put(
+                f'{prefix}{self._settings.host}',
+                self._settings.data_centre.encode(),
+                lease,
+            )
+            self._lease = lease
+        else:
+            await self._store.renew_lease(self._lease)
+        view = await self._store.read_prefix_stale(prefix)
+        before = self.count
+        self._counts.append(max(len(view.items), 1))
+        if self.count != before:
+            self._telemetry.note(
+                'host_count_changed',
+                hosts=self.count,
+                before=before,
+                store_revision=view.revision,
+            )
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/controllers/_targets.py
@@ -0,0 +1,88 @@
+"""The targets that the store lists."""
+
+from collections.abc import Callable, Iterator
+
+from almonddock_core.model import AlmonddockError, Clock
+from almonddock_core.routing import TargetEntry, TargetTable
+from almonddock_gateway.settings import StoreKeys
+from almonddock_gateway.store import StoreItem, StoreView
+from almonddock_gateway.telemetry import Telemetry
+
+#: Reads the entry of the target with the id given.
+DecodeTarget = Callable[[str, bytes], TargetEntry]
+
+
+class TargetController:
+    """Keeps the target table true to the store."""
+
+    def __init__(
+        self,
+        keys: StoreKeys,
+        decode: DecodeTarget,
+        table: TargetTable,
+        clock: Clock,
+        telemetry: Telemetry,
+    ) -> None:
+        #: Whether the store has listed its targets once.
+        self.listed = False
+        self._prefix = keys.target_prefix
+        self._decode = decode
+        self._table = table
+        self._clock = clock
+        self._telemetry = telemetry
+        self._unreadable: set[str] = set()
+
+    def note_store_back(self) -> None:
+        """Lets lapsed entries come back for a while."""
+        self._table.note_store_back(self._clock.now())
+
+    def take_all(self, view: StoreView) -> None:
+        """Takes all entries in place of those known."""
+        entries = tuple(self._decode_all(view))
+        changes = self._table.replace_all(entries, self._clock.now())
+        self._telemetry.note_targets(changes, view.revision)
+        self.listed = True
+
+    def take_changes(self, view: StoreView) -> None:
+        """Takes new, changed and removed entries in their order."""
+        for item in view.items:
+            self._take_change(item)
+
+    def forget_lapsed(self) -> None:
+        """Drops targets whose entries did not come back."""
+        changes = self._table.forget_lapsed(self._clock.now())
+        self._telemetry.note_targets(changes, 0)
+
+    def _take_change(self, item: StoreItem) -> None:
+        now = self._clock.now()
+        target_id = item.key.removeprefix(self._prefix)
+        entry = self._decode_item(item)
+        if entry is None:
+            change = self._table.remove(target_id, now)
+        else:
+            change = self._table.put(entry, now)
+        if change is not None:
+            self._telemetry.note_targets((change,), item.revision)
+
+    def _decode_all(self, view: StoreView) -> Iterator[TargetEntry]:
+        for item in view.items:
+            entry = self._decode_item(item)
+            if entry is not None:
+                yield entry
+
+    def _decode_item(self, item: StoreItem) -> TargetEntry | None:
+        if item.content is None:
+            return None
+        target_id = item.key.removeprefix(self._prefix)
+        try:
+            return self._decode(target_id, item.content)
+        except AlmonddockError as fault:
+            if target_id not in self._unreadable:
+                self._unreadable.add(target_id)
+                self._telemetry.note(
+                    'target_unreadable',
+                    target=target_id,
+                    store_revision=item.revision,
+                    reason=fault.message,
+                )
+        return None
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -0,0 +1,187 @@
+"""Carries out what the dispatch of one request asks for."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from almonddock_core.dispatch import (
+    Action,
+    Answer,
+    Cancel,
+    Dispatch,
+    Failure,
+    Finish,
+    Send,
+    Withdraw,
+)
+from almonddock_core.model import Clock
+from almonddock_core.routing import KnownTarget
+from almonddock_gateway.entry._replies import read_reply
+from almonddock_gateway.http import CallerRequest, HttpReply, Reply
+from almonddock_gateway.settings import HeaderNames
+from almonddock_gateway.targets import TargetAttempt, TargetPool, TargetPools
+
+#: A target gets at least this many milliseconds, so that none gets zero.
+MIN_DEADLINE_MS = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeSettings:
+    """What all exchanges of a host share."""
+
+    names: HeaderNames
+    pools: TargetPools
+    clock: Clock
+
+
+@dataclass(frozen=True, slots=True)
+class OutgoingRequest:
+    """The request as targets get it."""
+
+    #: Start line and headers, without what differs between targets.
+    head: bytes
+    body: bytes
+    attempt_id: bytes
+    method: bytes
+
+
+class TargetExchange:
+    """Runs one dispatch over the connections to targets."""
+
+    def __init__(
+        self,
+        dispatch: Dispatch,
+        outgoing: OutgoingRequest,
+        settings: ExchangeSettings,
+        finish: 'Callable[[TargetExchange, Answer | None], None]',
+    ) -> None:
+        self.dispatch = dispatch
+        #: Targets asked, in order, for the log.
+        self.asked: list[tuple[timedelta, KnownTarget]] = []
+        self._outgoing = outgoing
+        self._settings = settings
+        self._finish = finish
+        self._attempts: dict[int, tuple[TargetPool, TargetAttempt]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = timedelta()
+
+    def start(self) -> None:
+        """Sends the first attempts."""
+        self._run(self.dispatch.start(self._settings.clock.now()))
+
+    def abandon(self) -> None:
+        """Ends the work, because the caller has left."""
+        if self.dispatch.answer is not None:
+            return
+        self._run(self.dispatch.abandon(self._settings.clock.now()))
+        self._stop_timer()
+        self._finish(self, None)
+
+    def _run(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(action)
+            elif isinstance(action, Cancel):
+                self._cancel(action.attempt)
+            elif isinstance(action, Withdraw):
+                self._withdraw(action.attempt)
+            elif isinstance(action, Finish):
+                self._stop_timer()
+                self._finish(self, action.answer)
+                return
+        self._set_timer()
+
+    def _send(self, action: Send) -> None:
+        target = action.target
+        number = action.attempt
+        self.asked.append((self._settings.clock.now(), target))
+        pool = self._settings.pools.get(target.entry)
+        request = self.dispatch.request
+        attempt = TargetAttempt(
+            encode=lambda: self._encode(target),
+            receive=lambda reply: self._receive(number, reply),
+            fail=lambda failure: self._fail(number, failure),
+            fresh_only=not request.route.idempotent,
+            priority=request.route.priority,
+            without_body=self._outgoing.method == b'HEAD',
+        )
+        self._attempts[number] = (pool, attempt)
+        pool.submit(attempt)
+
+    def _cancel(self, number: int) -> None:
+        found = self._attempts.pop(number, None)
+        if found is not None:
+            pool, attempt = found
+            pool.cancel(attempt)
+
+    def _withdraw(self, number: int) -> None:
+        found = self._attempts.get(number)
+        if found is None or found[1].connection is not None:
+            return
+        self._cancel(number)
+        self._fail(number, Failure.UNSENT)
+
+    def _encode(self, target: KnownTarget) -> bytes:
+        names = self._settings.names
+        left = self.dispatch.timing.give_up - self._settings.clock.now()
+        left_ms = max(MIN_DEADLINE_MS, int(left.total_seconds() * 1000))
+        return b'%b%b: %b\r\n%b: %d\r\n\r\n%b' % (
+            self._outgoing.head,
+            names.expected_target,
+            target.entry.target_id.encode(),
+            names.deadline,
+            left_ms,
+            self._outgoing.body,
+        )
+
+    def _receive(self, number: int, raw: HttpReply) -> Reply:
+        names = self._settings.names
+        reply = read_reply(raw, self._outgoing.attempt_id, names)
+        if reply is None:
+            return Reply.FOREIGN
+        self._attempts.pop(number, None)
+        now = self._settings.clock.now()
+        self._run(self.dispatch.receive(number, reply, now))
+        return Reply.ACCEPTED
+
+    def _fail(self, number: int, failure: Failure) -> None:
+        self._attempts.pop(number, None)
+        now = self._settings.clock.now()
+        self._run(self.dispatch.fail(number, failure, now))
+
+    def _set_timer(self) -> None:
+        wake_at = self.dispatch.wake_at
+        if self._timer is not None:
+            if self._timer_at == wake_at:
+                return
+            self._timer.cancel()
+        wait = wake_at - self._settings.clock.now()
+        self._timer_at = wake_at
+        self._timer = asyncio.get_running_loop().call_later(
+            max(0, wait.total_seconds()),
+            self._tick,
+        )
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._run(self.dispatch.tick(self._settings.clock.now()))
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def build_outgoing(
+    request: CallerRequest,
+    head: bytes,
+    attempt_id: bytes,
+) -> OutgoingRequest:
+    """Returns a caller's request in the form that targets get."""
+    return OutgoingRequest(
+        head=head,
+        body=request.body,
+        attempt_id=attempt_id,
+        method=request.method,
+    )
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/entry/_requests.py
@@ -0,0 +1,80 @@
+"""Reads what the gateway needs from a caller's request."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+from almonddock_core.routing import Route, RoutingTable
+from almonddock_gateway.http import CallerRequest, drop_hop_headers
+from almonddock_gateway.settings import HeaderNames
+
+BAD_REQUEST = 400
+NOT_FOUND = 404
+
+#: A caller that states no deadline waits as long as its route allows.
+MAX_DEADLINE = timedelta(hours=1)
+
+
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """The request cannot be served as it is."""
+
+    status: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedRequest:
+    """A request with its route and what the caller states."""
+
+    request_id: str
+    route: Route
+    #: How long the caller waits from now.
+    patience: timedelta
+
+
+def route_request(
+    request: CallerRequest,
+    table: RoutingTable,
+    names: HeaderNames,
+) -> RoutedRequest | Rejection:
+    """Returns the route of a request, or why it has none."""
+    request_id = request.find(names.attempt_id)
+    host, path = _read_place(request)
+    if not request_id or not host or not path.startswith('/'):
+        return Rejection(BAD_REQUEST, 'id, host or path is missing')
+    stated = request.find(names.deadline)
+    if stated is not None and not stated.isdigit():
+        return Rejection(BAD_REQUEST, 'the deadline is not a number')
+    route = table.find_route(host, path)
+    if route is None:
+        return Rejection(NOT_FOUND, 'no route')
+    patience = MAX_DEADLINE
+    if stated is not None:
+        patience = min(timedelta(milliseconds=int(stated[:9])), MAX_DEADLINE)
+    return RoutedRequest(request_id.decode('latin-1'), route, patience)
+
+
+def format_head(request: CallerRequest, names: HeaderNames) -> bytes:
+    """Returns the start line and the headers that every target gets."""
+    kept = drop_hop_headers(
+        request.headers,
+        frozenset((names.deadline, names.expected_target)),
+    )
+    lines = [b'%b: %b\r\n' % pair for pair in kept]
+    if request.body or request.find(b'content-length') is not None:
+        lines.append(b'content-length: %d\r\n' % len(request.body))
+    elif request.find(b'transfer-encoding') is not None:
+        lines.append(b'content-length: 0\r\n')
+    start = b'%b %b HTTP/1.1\r\n' % (request.method, request.url)
+    return start + b''.join(lines)
+
+
+def _read_place(request: CallerRequest) -> tuple[str, str]:
+    """Returns the host in lower case without its port, and the path."""
+    host = (request.find(b'host') or b'').decode('latin-1')
+    url = request.url.decode('latin-1')
+    if url.startswith('http://'):
+        host, _, rest = url.removeprefix('http://').partition('/')
+        url = f'/{rest}'
+    name = host.rpartition(':')[0] if ':' in host else host
+    return name.lower(), url.partition('?')[0]
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -0,0 +1,337 @@
+"""One gateway process, from its settings to its end."""
+
+import asyncio
+import gc
+import signal
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from almonddock_core.dispatch import DispatchContext, RetryBudget
+from almonddock_core.routing import CallerLimits, TargetTable
+from almonddock_gateway._clock import SteadyClock
+from almonddock_gateway.controllers import (
+    ConfigurationController,
+    Follower,
+    FollowSettings,
+    HostController,
+    TargetController,
+)
+from almonddock_gateway.controllers._configuration import DecodeTable
+from almonddock_gateway.controllers._targets import DecodeTarget
+from almonddock_gateway.entry import Entry, EntryState
+from almonddock_gateway.entry._exchange import ExchangeSettings
+from almonddock_gateway.http import (
+    CallerConnection,
+    CallerRequest,
+    ConnectionSettings,
+)
+from almonddock_gateway.settings import GatewaySettings
+from almonddock_gateway.store import Store
+from almonddock_gateway.targets import TargetPools
+from almonddock_gateway.telemetry import (
+    GatewayMetrics,
+    LineWriter,
+    Telemetry,
+)
+
+#: Limits for callers before the first configuration was read.
+START_LIMITS = CallerLimits(
+    header_bytes=16 * 1024,
+    body_bytes=256 * 1024,
+    header_timeout=timedelta(seconds=3),
+    idle_timeout=timedelta(seconds=15),
+)
+
+#: How long the store holds a watch without a change. The store counts every
+#: call; a connection that went silent is noticed one second later.
+CONFIGURATION_WAIT = timedelta(seconds=3)
+TARGET_WAIT = timedelta(seconds=3)
+
+#: The pause between two watches of the targets. They write about once a
+#: second each, so a watch without a pause returns at once.
+TARGET_PAUSE = timedelta(milliseconds=900)
+
+#: The pause between sweeps over connections and lapsed entries.
+SWEEP = timedelta(milliseconds=500)
+
+#: The pause between writes of log lines.
+LOG_FLUSH = timedelta(milliseconds=100)
+
+#: While it stops, a host still serves new requests for this share of its
+#: time, because the balancer takes a while to notice.
+SERVE_SHARE = 0.5
+
+#: Connections that are still idle are closed after this share of the time.
+CLOSE_IDLE_SHARE = 0.42
+
+#: The process ends at this share of the time at the latest.
+END_SHARE = 0.95
+
+#: Connections to one target for each of its slots, over which further
+#: requests wait in this host, by priority, rather than in the target's queue.
+CONNECTIONS_PER_SLOT = 2
+
+#: Each host may keep at least this many connections to a target.
+MIN_CONNECTIONS = 2
+
+#: Collections of the youngest generation happen after so many allocations.
+GC_THRESHOLD = 50_000
+
+BACKLOG = 1024
+OK = 200
+NOT_FOUND = 404
+UNAVAILABLE = 503
+
+
+@dataclass(frozen=True, slots=True)
+class Decoders:
+    """How an adapter reads what others write to the store."""
+
+    table: DecodeTable
+    target: DecodeTarget
+
+
+class GatewayHost:
+    """Builds the parts of a gateway and runs them."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        store: Store,
+        decoders: Decoders,
+        reload: Callable[[], GatewaySettings],
+    ) -> None:
+        self._settings = settings
+        self._reload = reload
+        self._clock = SteadyClock()
+        self.telemetry = Telemetry(
+            LineWriter(
+                sys.stdout.fileno(),
+                {'host': settings.host, 'data_centre': settings.data_centre},
+            ),
+            GatewayMetrics(),
+            self._clock,
+        )
+        self._state = EntryState()
+        self._budget = RetryBudget(settings.budget)
+        self._targets = TargetTable()
+        self._context = DispatchContext(
+            settings.data_centre,
+            self._targets,
+            self._budget,
+        )
+        self._pools = TargetPools(self._get_connection_limit)
+        self._entry = Entry(
+            self._state,
+            self._context,
+            ExchangeSettings(settings.headers, self._pools, self._clock),
+            self.telemetry,
+        )
+        self._hosts = HostController(
+            settings,
+            store,
+            self._clock,
+            self.telemetry,
+        )
+        configuration = ConfigurationController(
+            settings.keys,
+            decoders.table,
+            self._state,
+            self._context,
+            self.telemetry,
+        )
+        self._listing = TargetController(
+            settings.keys,
+            decoders.target,
+            self._targets,
+            self._clock,
+            self.telemetry,
+        )
+        self._followers = (
+            Follower(
+                FollowSettings(
+                    prefix=settings.keys.operator_prefix,
+                    wait=CONFIGURATION_WAIT,
+                    pause=timedelta(),
+                    take_all=configuration.take_all,
+                    take_changes=configuration.take_changes,
+                    store_back=_ignore,
+                ),
+                store,
+                self._clock,
+                self.telemetry,
+            ),
+            Follower(
+                FollowSettings(
+                    prefix=settings.keys.target_prefix,
+                    wait=TARGET_WAIT,
+                    pause=TARGET_PAUSE,
+                    take_all=self._listing.take_all,
+                    take_changes=self._listing.take_changes,
+                    store_back=self._listing.note_store_back,
+                ),
+                store,
+                self._clock,
+                self.telemetry,
+            ),
+        )
+        self._connections: set[CallerConnection] = set()
+        self._stopping = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serves until a signal asks to stop, then ends in good order."""
+        gc.set_threshold(GC_THRESHOLD)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._take_settings)
+        settings = self._settings
+        self.telemetry.note('started', callers=settings.callers)
+        servers = [
+            await self._listen(settings.callers.host, settings.callers.port),
+            await self._listen_aside(
+                settings.readiness.host,
+                settings.readiness.port,
+            ),
+            await self._listen_aside(
+                settings.metrics.host,
+                settings.metrics.port,
+            ),
+        ]
+        tasks = [loop.create_task(part.run()) for part in self._followers]
+        tasks.append(loop.create_task(self._hosts.run()))
+        tasks.append(loop.create_task(self._sweep()))
+        tasks.append(loop.create_task(self._flush_logs()))
+        await self._stopping.wait()
+        await self._stop(servers[0])
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.telemetry.note('stopped', running=self._entry.running)
+        self.telemetry.flush()
+
+    @property
+    def _ready(self) -> bool:
+        return (
+            not self._stopping.is_set()
+            and self._state.table is not None
+            and self._listing.listed
+        )
+
+    def _get_limits(self) -> CallerLimits:
+        table = self._state.table
+        return START_LIMITS if table is None else table.limits
+
+    def _get_connection_limit(self, service: str) -> int:
+        """Returns this host's share of a target's connections."""
+        table = self._state.table
+        known = table.services.get(service) if table else None
+        if known is None:
+            return MIN_CONNECTIONS
+        share = known.max_connections // (self._hosts.count + 1)
+        return max(MIN_CONNECTIONS, share)
+
+    async def _listen(self, host: str, port: int) -> asyncio.Server:
+        shared = self._share_connections(self._entry.handle)
+        return await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(shared),
+            host,
+            port,
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+
+    async def _listen_aside(self, host: str, port: int) -> asyncio.Server:
+        shared = self._share_connections(self._answer_aside)
+        return await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(shared),
+            host,
+            port,
+            reuse_address=True,
+        )
+
+    def _share_connections(
+        self,
+        handle: Callable[[CallerRequest, CallerConnection], object],
+    ) -> ConnectionSettings:
+        return ConnectionSettings(
+            handle=handle,  # type: ignore[arg-type]
+            get_limits=self._get_limits,
+            is_stopping=self._stopping.is_set,
+            opened=self._connections.add,
+            closed=self._connections.discard,
+            clock=self._clock,
+        )
+
+    def _answer_aside(
+        self,
+        request: CallerRequest,
+        connection: CallerConnection,
+    ) -> None:
+        """Answers the balancer and the reader of metrics."""
+        path = request.url.decode('latin-1').partition('?')[0]
+        if path == self._settings.readiness_path:
+            connection.send(OK if self._ready else UNAVAILABLE, (), b'')
+        elif path == self._settings.metrics_path:
+            connection.send(OK, (), self._render_metrics())
+        else:
+            connection.send(NOT_FOUND, (), b'')
+
+    def _render_metrics(self) -> bytes:
+        table = self._state.table
+        numbers = {
+            'configuration_version': table.version if table else 0,
+            'targets': len(self._targets),
+            'hosts': self._hosts.count,
+            'connections_opened': self._pools.count_dials(),
+            'requests_running': self._entry.running,
+        }
+        for name, number in numbers.items():
+            self.telemetry.metrics.state.set({'name': name}, number)
+        return self.telemetry.metrics.render()
+
+    def _take_settings(self) -> None:
+        """Reads the settings file again; limits of bounds may change."""
+        settings = self._reload()
+        self._budget.change_limits(settings.budget)
+        self.telemetry.note('settings_reloaded', budget=settings.budget)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP.total_seconds())
+            self._budget.hosts = self._hosts.count
+            self._listing.forget_lapsed()
+            self._pools.close_idle()
+            for connection in tuple(self._connections):
+                connection.check_time()
+
+    async def _flush_logs(self) -> None:
+        while True:
+            await asyncio.sleep(LOG_FLUSH.total_seconds())
+            self.telemetry.flush()
+
+    async def _stop(self, callers: asyncio.Server) -> None:
+        """Lets the balancer notice, then finishes accepted requests."""
+        total = self._settings.stop_time
+        asked = self._clock.now()
+        self.telemetry.note('stopping', running=self._entry.running)
+        self.telemetry.flush()
+        await self._sleep_until(asked + total * CLOSE_IDLE_SHARE)
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+        await self._sleep_until(asked + total * SERVE_SHARE)
+        self._state.closing = True
+        end = asked + total * END_SHARE
+        while self._entry.running and self._clock.now() < end:
+            await asyncio.sleep(LOG_FLUSH.total_seconds())
+        callers.close()
+        await self._hosts.leave()
+
+    async def _sleep_until(self, moment: timedelta) -> None:
+        wait = moment - self._clock.now()
+        await asyncio.sleep(max(0, wait.total_seconds()))
+
+
+def _ignore() -> None:
+    """Takes the store's return where nothing depends on it."""
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/http/__init__.py
@@ -0,0 +1,33 @@
+"""HTTP/1.1 on plain asyncio protocols, parsed with httptools."""
+
+from almonddock_gateway.http._caller_connection import (
+    CallerConnection,
+    CallerRequest,
+    ConnectionSettings,
+    Exchange,
+)
+from almonddock_gateway.http._client_connection import (
+    ClientConnection,
+    HttpReply,
+    Reply,
+)
+from almonddock_gateway.http._messages import (
+    Headers,
+    drop_hop_headers,
+    format_headers,
+    format_response,
+)
+
+__all__ = [
+    'CallerConnection',
+    'CallerRequest',
+    'ClientConnection',
+    'ConnectionSettings',
+    'Exchange',
+    'Headers',
+    'HttpReply',
+    'Reply',
+    'drop_hop_headers',
+    'format_headers',
+    'format_response',
+]
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -0,0 +1,272 @@
+"""One connection of a caller."""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import httptools
+
+from almonddock_core.model import Clock
+from almonddock_core.routing import CallerLimits
+from almonddock_gateway.http._messages import Headers, format_response
+
+#: Requests that one connection may send ahead of their answers.
+MAX_PIPELINED = 16
+
+#: How long a connection is read after its last answer, in seconds, so that
+#: bytes still under way do not reset it before the caller has the answer.
+LINGER_S = 1.0
+
+#: How long written bytes may stay unconfirmed, in milliseconds.
+UNCONFIRMED_MS = 10_000
+
+#: What the headers of one request may take beyond the limit, in bytes, before
+#: the rest of what was read with them is known not to be a body.
+BAD_REQUEST = 400
+REQUEST_TIMEOUT = 408
+BODY_TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+@dataclass(slots=True)
+class CallerRequest:
+    """A whole request of a caller."""
+
+    method: bytes = b''
+    #: The request target as received.
+    url: bytes = b''
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body: bytes = b''
+    keep_alive: bool = True
+
+    def find(self, name: bytes) -> bytes | None:
+        """Returns the first header of a name, None without one."""
+        for found, content in self.headers:
+            if found == name:
+                return content
+        return None
+
+
+class Exchange(Protocol):
+    """A request that is being worked on."""
+
+    def abandon(self) -> None:
+        """Ends the work, because the caller has left."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionSettings:
+    """What all connections of callers share."""
+
+    #: Starts work on a request; the answer comes by ``CallerConnection.send``.
+    handle: 'Callable[[CallerRequest, CallerConnection], Exchange | None]'
+    #: The limits in force now.
+    get_limits: Callable[[], CallerLimits]
+    #: Whether connections are to end with the next answer.
+    is_stopping: Callable[[], bool]
+    opened: 'Callable[[CallerConnection], None]'
+    closed: 'Callable[[CallerConnection], None]'
+    clock: Clock
+
+
+class CallerConnection(asyncio.Protocol):
+    """Reads requests, hands them on one by one, and writes the answers."""
+
+    def __init__(self, settings: ConnectionSettings) -> None:
+        #: When a request began, or the connection became idle.
+        self.since = settings.clock.now()
+        self._settings = settings
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._request = CallerRequest()
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._reading_head = False
+        self._reading_body = False
+        self._waiting: deque[CallerRequest] = deque()
+        self._current: CallerRequest | None = None
+        self._exchange: Exchange | None = None
+        self._ended = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request is being read or worked on."""
+        busy = self._current is not None or self._waiting
+        return not (busy or self._reading_head or self._reading_body)
+
+    def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Writes the answer to the current request."""
+        request = self._current
+        transport = self._transport
+        if request is None or transport is None:
+            return
+        close = not request.keep_alive or self._settings.is_stopping()
+        encoded = format_response(
+            status,
+            headers,
+            body,
+            close=close,
+            with_body=request.method != b'HEAD',
+        )
+        transport.write(encoded)
+        self._current = None
+        self._exchange = None
+        self.since = self._settings.clock.now()
+        if close:
+            self._linger()
+        elif self._waiting:
+            self._start_next()
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is under way."""
+        if self.idle and self._transport is not None:
+            self._transport.close()
+
+    def check_time(self) -> None:
+        """Ends the connection if the caller takes too long."""
+        limits = self._settings.get_limits()
+        waited = self._settings.clock.now() - self.since
+        if self._reading_head and self._current is None:
+            if waited > limits.header_timeout:
+                self._reject(REQUEST_TIMEOUT)
+        elif self._current is None and waited > limits.idle_timeout:
+            if self._transport is not None:
+                self._transport.close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        endpoint = transport.get_extra_info('socket')
+        if endpoint is not None:
+            endpoint.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                UNCONFIRMED_MS,
+            )
+        self._settings.opened(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Ends the work for a caller that has left."""
+        self._transport = None
+        self._waiting.clear()
+        exchange = self._exchange
+        self._exchange = None
+        self._current = None
+        self._settings.closed(self)
+        if exchange is not None:
+            exchange.abandon()
+
+    def data_received(self, received: bytes) -> None:
+        """Feeds the parser."""
+        if self._ended:
+            return
+        if self.idle:
+            self.since = self._settings.clock.now()
+            self._reading_head = True
+        if self._reading_head:
+            self._head_bytes += len(received)
+        try:
+            self._parser.feed_data(received)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._reject(BAD_REQUEST)
+            return
+        limits = self._settings.get_limits()
+        if self._reading_head and self._head_bytes > limits.header_bytes:
+            self._reject(HEADERS_TOO_LARGE)
+
+    def on_message_begin(self) -> None:
+        """Starts a request; called by the parser."""
+        self._request = CallerRequest()
+        self._body = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._reading_head = True
+
+    def on_url(self, url: bytes) -> None:
+        """Keeps the request target; called by the parser."""
+        self._request.url += url
+
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Keeps a header; called by the parser."""
+        self._request.headers.append((name.lower(), content))
+
+    def on_headers_complete(self) -> None:
+        """Checks the limits; called by the parser."""
+        request = self._request
+        self._reading_head = False
+        self._reading_body = True
+        request.method = self._parser.get_method()
+        limits = self._settings.get_limits()
+        size = sum(
+            len(name) + len(content) + len(': \r\n')
+            for name, content in request.headers
+        )
+        if size + len(request.url) > limits.header_bytes:
+            self._reject(HEADERS_TOO_LARGE)
+            return
+        length = request.find(b'content-length')
+        if length is not None and int(length) > limits.body_bytes:
+            self._reject(BODY_TOO_LARGE)
+        elif request.find(b'expect') == b'100-continue':
+            if self._transport is not None and self._current is None:
+                self._transport.write(CONTINUE)
+
+    def on_body(self, part: bytes) -> None:
+        """Keeps a part of the body; called by the parser."""
+        self._body_bytes += len(part)
+        if self._body_bytes > self._settings.get_limits().body_bytes:
+            self._reject(BODY_TOO_LARGE)
+        elif not self._ended:
+            self._body.append(part)
+
+    def on_message_complete(self) -> None:
+        """Hands the request on; called by the parser."""
+        self._reading_body = False
+        if self._ended:
+            return
+        request = self._request
+        request.body = b''.join(self._body)
+        request.keep_alive = self._parser.should_keep_alive()
+        self._waiting.append(request)
+        if self._current is None:
+            self._start_next()
+        elif len(self._waiting) > MAX_PIPELINED:
+            self._reject(BAD_REQUEST)
+
+    def _start_next(self) -> None:
+        request = self._waiting.popleft()
+        self._current = request
+        exchange = self._settings.handle(request, self)
+        if self._current is request:
+            self._exchange = exchange
+
+    def _reject(self, status: int) -> None:
+        """Answers a request that cannot be read, and ends the connection."""
+        if self._ended or self._transport is None:
+            return
+        self._waiting.clear()
+        if self._current is None:
+            encoded = format_response(status, (), b'', close=True)
+            self._transport.write(encoded)
+            self._linger()
+            return
+        # The answer under way is the last one on this connection.
+        self._ended = True
+        self._current.keep_alive = False
+
+    def _linger(self) -> None:
+        """Ends the connection once the caller has had time to read."""
+        self._ended = True
+        transport = self._transport
+        if transport is None:
+            return
+        if transport.can_write_eof():
+            transport.write_eof()
+        asyncio.get_running_loop().call_later(LINGER_S, transport.close)
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/http/_client_connection.py
@@ -0,0 +1,215 @@
+"""One connection to a server, which carries one request at a time."""
+
+import asyncio
+import enum
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import httptools
+
+from almonddock_gateway.http._messages import Headers
+
+#: Bytes of one reply that are held in memory; a longer one ends in failure.
+MAX_REPLY_BYTES = 16 * 1024 * 1024
+
+#: How long written bytes may stay unconfirmed before the kernel gives up, in
+#: milliseconds; ends connections that the network has lost track of.
+UNCONFIRMED_MS = 2000
+
+FIRST_FINAL_STATUS = 200
+NO_BODY_STATUSES = frozenset((204, 304))
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """A whole reply; header names are in lower case."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def find(self, name: bytes) -> bytes | None:
+        """Returns the first header of a name, None without one."""
+        for field, content in self.headers:
+            if field == name:
+                return content
+        return None
+
+
+class Reply(enum.Enum):
+    """What the receiver of a reply says about it."""
+
+    #: It answers the request.
+    ACCEPTED = 'accepted'
+    #: It answers another request; the right one may follow.
+    FOREIGN = 'foreign'
+
+
+#: Receives a reply, or None when the connection ended without one.
+HandleReply = Callable[[HttpReply | None], Reply]
+
+
+class ClientConnection(asyncio.Protocol):
+    """Sends requests and reads their replies.
+
+    ``released`` is called after each reply that leaves the connection usable,
+    ``closed`` once it has ended.
+    """
+
+    def __init__(
+        self,
+        released: 'Callable[[ClientConnection], None]',
+        closed: 'Callable[[ClientConnection], None]',
+    ) -> None:
+        #: When the connection became idle, kept by its pool.
+        self.idle_since = float()
+        #: Seconds for which the server keeps an idle connection, if stated.
+        self.keep_alive: float | None = None
+        self._released = released
+        self._closed = closed
+        self._transport: asyncio.Transport | None = None
+        self._handle: HandleReply | None = None
+        self._without_body = False
+        self._parser = httptools.HttpResponseParser(self)
+        self._reset()
+
+    @property
+    def usable(self) -> bool:
+        """Whether a request can be sent."""
+        transport = self._transport
+        return (
+            transport is not None
+            and not transport.is_closing()
+            and self._handle is None
+        )
+
+    def request(
+        self,
+        encoded: bytes,
+        handle: HandleReply,
+        *,
+        without_body: bool = False,
+    ) -> None:
+        """Sends a request; ``without_body`` is true for HEAD."""
+        assert self._transport is not None
+        self._handle = handle
+        self._without_body = without_body
+        self._transport.write(encoded)
+
+    def close(self) -> None:
+        """Closes at once; a request under way gets nothing."""
+        self._handle = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        endpoint = transport.get_extra_info('socket')
+        if endpoint is not None:
+            endpoint.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                UNCONFIRMED_MS,
+            )
+
+    def data_received(self, received: bytes) -> None:
+        """Feeds the parser; bytes that nobody asked for end the connection."""
+        if self._handle is None:
+            self._abort()
+            return
+        self._size += len(received)
+        if self._size > MAX_REPLY_BYTES:
+            self._abort()
+            return
+        try:
+            self._parser.feed_data(received)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._abort()
+
+    def eof_received(self) -> bool:
+        """Completes a reply whose end is the end of the connection."""
+        if self._head_complete and not self._has_length:
+            self.on_message_complete()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Reports the end to a request under way and to the pool."""
+        self._transport = None
+        handle = self._handle
+        self._handle = None
+        self._closed(self)
+        if handle is not None:
+            handle(None)
+
+    def on_message_begin(self) -> None:
+        """Starts a reply; called by the parser."""
+        if self._handle is None:
+            self._abort()
+        self._reset()
+
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Keeps a header; called by the parser."""
+        name = name.lower()
+        self._headers.append((name, content))
+        if name in {b'content-length', b'transfer-encoding'}:
+            self._has_length = True
+
+    def on_headers_complete(self) -> None:
+        """Notes that the body follows; called by the parser."""
+        status = self._parser.get_status_code()
+        if status < FIRST_FINAL_STATUS:
+            return
+        self._head_complete = True
+        if status in NO_BODY_STATUSES:
+            self._has_length = True
+        elif self._without_body:
+            self.on_message_complete()
+            self._abort()
+
+    def on_body(self, part: bytes) -> None:
+        """Keeps a part of the body; called by the parser."""
+        self._body.append(part)
+
+    def on_message_complete(self) -> None:
+        """Hands the reply on; called by the parser."""
+        handle = self._handle
+        if handle is None or not self._head_complete:
+            return
+        reply = HttpReply(
+            status=self._parser.get_status_code(),
+            headers=self._headers,
+            body=b''.join(self._body),
+        )
+        keep = self._has_length and self._parser.should_keep_alive()
+        self._reset()
+        if handle(reply) is Reply.FOREIGN:
+            if not keep:
+                self._abort()
+            return
+        self._handle = None
+        self._read_keep_alive(reply)
+        if not keep:
+            self._abort()
+        elif self.usable:
+            self._released(self)
+
+    def _read_keep_alive(self, reply: HttpReply) -> None:
+        stated = reply.find(b'keep-alive')
+        if stated is not None and stated.startswith(b'timeout='):
+            seconds = stated[len(b'timeout=') :].split(b',')[0]
+            if seconds.isdigit():
+                self.keep_alive = float(seconds)
+
+    def _reset(self) -> None:
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._head_complete = False
+        self._has_length = False
+        self._size = 0
+
+    def _abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/http/_messages.py
@@ -0,0 +1,72 @@
+"""Parts of HTTP/1.1 messages."""
+
+import http
+from collections.abc import Iterable, Sequence
+
+#: Header names in lower case, and contents, in the order received.
+Headers = Sequence[tuple[bytes, bytes]]
+
+#: Headers that concern one connection only (RFC 9110, 7.6.1), and the length,
+#: which is set anew because bodies are passed on whole.
+HOP_HEADERS = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'expect',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    ),
+)
+
+STATUS_LINES = {
+    int(status): f'HTTP/1.1 {int(status)} {status.phrase}\r\n'.encode()
+    for status in http.HTTPStatus
+}
+
+NO_BODY_STATUSES = frozenset((204, 304))
+
+
+def drop_hop_headers(
+    headers: Headers,
+    dropped: frozenset[bytes] = frozenset(),
+) -> list[tuple[bytes, bytes]]:
+    """Returns the headers that are passed on, without those ``dropped``."""
+    named = frozenset(
+        name.strip().lower()
+        for field, content in headers
+        if field == b'connection'
+        for name in content.split(b',')
+    )
+    unwanted = HOP_HEADERS | named | dropped
+    return [pair for pair in headers if pair[0] not in unwanted]
+
+
+def format_headers(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Returns header lines without the empty line that ends them."""
+    return b''.join(
+        b'%b: %b\r\n' % (name, content) for name, content in headers
+    )
+
+
+def format_response(
+    status: int,
+    headers: Iterable[tuple[bytes, bytes]],
+    body: bytes,
+    *,
+    close: bool,
+    with_body: bool = True,
+) -> bytes:
+    """Returns a whole response; ``with_body`` is false for HEAD."""
+    line = STATUS_LINES.get(status) or b'HTTP/1.1 %d Unknown\r\n' % status
+    length = b''
+    if status not in NO_BODY_STATUSES:
+        length = b'content-length: %d\r\n' % len(body)
+    ending = b'connection: close\r\n\r\n' if close else b'\r\n'
+    sent = body if with_body and length else b''
+    return b''.join((line, format_headers(headers), length, ending, sent))
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/store.py
@@ -0,0 +1,86 @@
+"""The store, as the gateway needs it; an adapter implements it."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
+
+from almonddock_core.model import AlmonddockError
+
+
+class StoreLostError(AlmonddockError):
+    """The store did not answer, or turned this host away."""
+
+    code = 'store_lost'
+
+
+class HistoryLostError(AlmonddockError):
+    """The store no longer has the changes after the revision asked for."""
+
+    code = 'history_lost'
+
+
+class LeaseEndedError(AlmonddockError):
+    """The lease ran out or was revoked."""
+
+    code = 'lease_ended'
+
+
+@dataclass(frozen=True, slots=True)
+class StoreItem:
+    """A key of the store and what it holds; None if it was removed."""
+
+    key: str
+    content: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreView:
+    """Items, and the revision of the store that they reflect."""
+
+    items: Sequence[StoreItem]
+    revision: int
+
+
+class Store(Protocol):
+    """The calls that the gateway makes.
+
+    All raise :class:`StoreLostError` when no answer came.
+    """
+
+    async def read_prefix(self, prefix: str) -> StoreView:
+        """Returns all items under a prefix."""
+        ...
+
+    async def read_prefix_stale(self, prefix: str) -> StoreView:
+        """Returns all items under a prefix; they may be seconds old."""
+        ...
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait: timedelta,
+    ) -> StoreView:
+        """Returns the changes after a revision, waiting for the first.
+
+        Raises :class:`HistoryLostError` if they are no longer kept.
+        """
+        ...
+
+    async def grant_lease(self, time_to_live: timedelta) -> int:
+        """Returns a new lease."""
+        ...
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renews a lease; raises :class:`LeaseEndedError` if it is gone."""
+        ...
+
+    async def end_lease(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
+        ...
+
+    async def put(self, key: str, content: bytes, lease: int) -> None:
+        """Writes a key that lives as long as the lease."""
+        ...
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/targets/__init__.py
@@ -0,0 +1,12 @@
+"""Connections to targets, one pool for each target."""
+
+from almonddock_gateway.targets._attempts import TargetAttempt
+from almonddock_gateway.targets._pool import PoolSettings, TargetPool
+from almonddock_gateway.targets._pools import TargetPools
+
+__all__ = [
+    'PoolSettings',
+    'TargetAttempt',
+    'TargetPool',
+    'TargetPools',
+]
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/targets/_pool.py
@@ -0,0 +1,199 @@
+"""The connections of this host to one target."""
+
+import asyncio
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from almonddock_core.dispatch import Failure
+from almonddock_gateway.http import ClientConnection, HttpReply, Reply
+from almonddock_gateway.targets._attempts import TargetAttempt
+
+#: How long a new connection may take, in seconds. Targets take some
+#: milliseconds for one; a host that is gone never answers.
+DIAL_TIMEOUT_S = 0.5
+
+#: Idle connections are dropped this long before the target would, in seconds.
+KEEP_ALIVE_MARGIN_S = 0.4
+
+#: How long an idle connection is kept if the target states no time, seconds.
+DEFAULT_IDLE_S = 4.0
+
+#: A connection idle for at most so long carries requests that must not be
+#: sent twice, in seconds.
+FRESH_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class PoolSettings:
+    """Limits of one pool."""
+
+    host: str
+    port: int
+    #: Connections that may be open or opening at once, read each time because
+    #: it changes with the number of hosts.
+    get_limit: Callable[[], int]
+
+
+class TargetPool:
+    """Sends attempts over kept connections; the rest wait by priority."""
+
+    def __init__(self, settings: PoolSettings) -> None:
+        self.dials = 0
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._idle: list[ClientConnection] = []
+        self._open: set[ClientConnection] = set()
+        self._dialling: set[asyncio.Task[None]] = set()
+        self._waiting: list[tuple[int, int, TargetAttempt]] = []
+        self._order = itertools.count()
+
+    @property
+    def unused(self) -> bool:
+        """Whether the pool holds neither connections nor attempts."""
+        return not (self._open or self._dialling or self._waiting)
+
+    def submit(self, attempt: TargetAttempt) -> None:
+        """Sends the attempt as soon as a connection is free."""
+        connection = self._take_idle(fresh_only=attempt.fresh_only)
+        if connection is not None:
+            self._send(connection, attempt)
+            return
+        ranked = (attempt.priority, next(self._order), attempt)
+        heapq.heappush(self._waiting, ranked)
+        self._dial_if_needed()
+
+    def cancel(self, attempt: TargetAttempt) -> None:
+        """Ends an attempt; the target stops when its connection closes."""
+        attempt.ended = True
+        if attempt.connection is not None:
+            attempt.connection.close()
+
+    def close_idle(self) -> None:
+        """Closes connections that have been idle too long."""
+        now = self._loop.time()
+        keep = [
+            connection
+            for connection in self._idle
+            if not _is_stale(connection, now)
+        ]
+        stale = [
+            connection for connection in self._idle if connection not in keep
+        ]
+        self._idle = keep
+        for connection in stale:
+            connection.close()
+
+    def close(self) -> None:
+        """Closes all idle connections; others close when they are done."""
+        idle = self._idle
+        self._idle = []
+        for connection in idle:
+            connection.close()
+
+    def _take_idle(self, *, fresh_only: bool) -> ClientConnection | None:
+        now = self._loop.time()
+        while self._idle:
+            connection = self._idle[-1]
+            if fresh_only and now - connection.idle_since > FRESH_S:
+                return None
+            self._idle.pop()
+            if connection.usable and not _is_stale(connection, now):
+                return connection
+            connection.close()
+        return None
+
+    def _send(
+        self,
+        connection: ClientConnection,
+        attempt: TargetAttempt,
+    ) -> None:
+        attempt.connection = connection
+
+        def finish(reply: HttpReply | None) -> Reply:
+            if attempt.ended:
+                return Reply.ACCEPTED
+            if reply is None:
+                attempt.ended = True
+                attempt.fail(Failure.LOST)
+                return Reply.ACCEPTED
+            verdict = attempt.receive(reply)
+            attempt.ended = verdict is Reply.ACCEPTED
+            return verdict
+
+        connection.request(
+            attempt.encode(),
+            finish,
+            without_body=attempt.without_body,
+        )
+
+    def _release(self, connection: ClientConnection) -> None:
+        """Takes back a connection whose reply was read."""
+        connection.idle_since = self._loop.time()
+        attempt = self._pop_waiting()
+        if attempt is None:
+            self._idle.append(connection)
+        else:
+            self._send(connection, attempt)
+
+    def _pop_waiting(self) -> TargetAttempt | None:
+        while self._waiting:
+            attempt = heapq.heappop(self._waiting)[-1]
+            if not attempt.ended:
+                return attempt
+        return None
+
+    def _forget(self, connection: ClientConnection) -> None:
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._dial_if_needed()
+
+    def _dial_if_needed(self) -> None:
+        wanted = len(self._waiting) - len(self._dialling)
+        used = len(self._open) + len(self._dialling)
+        if wanted > 0 and used >= self._settings.get_limit() and self._idle:
+            # An idle connection too old for these attempts makes room.
+            self._idle.pop(0).close()
+            return
+        room = self._settings.get_limit() - used
+        for _ in range(min(wanted, room)):
+            self.dials += 1
+            task = self._loop.create_task(self._dial())
+            self._dialling.add(task)
+            task.add_done_callback(self._dialling.discard)
+
+    async def _dial(self) -> None:
+        settings = self._settings
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                _, connection = await self._loop.create_connection(
+                    lambda: ClientConnection(self._release, self._forget),
+                    settings.host,
+                    settings.port,
+                )
+        except (OSError, TimeoutError):
+            self._fail_waiting()
+            return
+        self._open.add(connection)
+        if connection.usable:
+            self._release(connection)
+        else:
+            self._forget(connection)
+
+    def _fail_waiting(self) -> None:
+        """Reports attempts that no connection is left to carry."""
+        if self._open:
+            return
+        waiting = self._waiting
+        self._waiting = []
+        for _, _, attempt in waiting:
+            if not attempt.ended:
+                attempt.ended = True
+                attempt.fail(Failure.UNSENT)
+
+
+def _is_stale(connection: ClientConnection, now: float) -> bool:
+    kept = connection.keep_alive or DEFAULT_IDLE_S
+    return now - connection.idle_since > kept - KEEP_ALIVE_MARGIN_S
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/targets/_pools.py
@@ -0,0 +1,41 @@
+"""The pools of all targets."""
+
+from collections.abc import Callable
+
+from almonddock_core.routing import TargetEntry
+from almonddock_gateway.targets._pool import PoolSettings, TargetPool
+
+
+class TargetPools:
+    """Makes a pool when a target is first used, and drops unused ones."""
+
+    def __init__(self, get_limit: Callable[[str], int]) -> None:
+        """Takes the connection limit of a service's target."""
+        self._get_limit = get_limit
+        self._pools: dict[tuple[str, str, int], TargetPool] = {}
+
+    def get(self, entry: TargetEntry) -> TargetPool:
+        """Returns the pool of one incarnation's address."""
+        key = (entry.target_id, entry.host, entry.port)
+        pool = self._pools.get(key)
+        if pool is None:
+            pool = TargetPool(
+                PoolSettings(
+                    host=entry.host,
+                    port=entry.port,
+                    get_limit=lambda: self._get_limit(entry.service),
+                ),
+            )
+            self._pools[key] = pool
+        return pool
+
+    def close_idle(self) -> None:
+        """Closes connections that are idle for too long, in all pools."""
+        for key, pool in tuple(self._pools.items()):
+            pool.close_idle()
+            if pool.unused:
+                del self._pools[key]
+
+    def count_dials(self) -> int:
+        """Returns the connections that the present pools have opened."""
+        return sum(pool.dials for pool in self._pools.values())
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/telemetry/_metrics.py
@@ -0,0 +1,52 @@
+"""Counters and histograms of the gateway, in the Prometheus text format."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+#: Upper bounds of the latency buckets, in seconds.
+LATENCY_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
+
+
+class GatewayMetrics:
+    """Every metric of a gateway, each registered once."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        #: Answers by route and status.
+        self.answers = Counter(
+            'almonddock_gateway_answers_total',
+            'Answers to callers by route and status; 0 is a caller that left.',
+            registry=self._registry,
+        )
+        #: Time from the whole request to its answer, by route.
+        self.latency = Histogram(
+            'almonddock_gateway_answer_seconds',
+            'Seconds from a whole request to its answer by route.',
+            buckets=list(LATENCY_BUCKETS_S),
+            registry=self._registry,
+        )
+        #: Tries beyond one for each service, by route.
+        self.extra_tries = Counter(
+            'almonddock_gateway_extra_tries_total',
+            'Hedges and retries by route.',
+            registry=self._registry,
+        )
+        #: Shards left out of merged answers, by route.
+        self.missing_shards = Counter(
+            'almonddock_gateway_missing_shards_total',
+            'Shards left out of answers by route.',
+            registry=self._registry,
+        )
+        #: Numbers of the host by name.
+        self.state = Gauge(
+            'almonddock_gateway_state',
+            'Numbers of the host by name: configuration version, targets, '
+            'hosts, connections opened, requests running.',
+            registry=self._registry,
+        )
+
+    def render(self) -> bytes:
+        """Returns all metrics as text."""
+        text, _ = render(self._registry, ['text/plain'])
+        encoded: bytes = text
+        return encoded
