--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,12 @@
 VENV ?= .venv
 PYTHON ?= python3.11
 BIN := $(VENV)/bin
-PACKAGES := core wire daemon cli standins
-SOURCES := $(foreach name,$(PACKAGES),$(CURDIR)/packages/$(name))
+PACKAGES := core wire daemon cli standins gateway
+SOURCES := $(foreach name,$(PACKAGES),$(CURDIR)/packages/$(name)) $(CURDIR)/platform
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(SOURCES)):$(CURDIR)
-CODE := packages tests bench tools
+CODE := packages platform tests bench tools
 STAMP := $(VENV)/.almonddock-$(shell cat constraints.txt requirements.txt | cksum | cut -d' ' -f1)
 
 .PHONY: setup test lint format demo bench report
--- a/packages/core/almonddock_core/dispatch/_outcome.py
+++ b/packages/core/almonddock_core/dispatch/_outcome.py
@@ -24,7 +24,8 @@
 
 #: When a caller may come back after a refusal: a target that restarts, or a
 #: full queue, takes about this long.
-RETRY_AFTER = timedelta(milliseconds=500)
+RETRY_AFTER_MS = 500
+RETRY_AFTER = timedelta(milliseconds=RETRY_AFTER_MS)
 
 
 #: Absorbs the rounding error of a share times a number of shards.
--- a/packages/core/almonddock_core/dispatch/_timing.py
+++ b/packages/core/almonddock_core/dispatch/_timing.py
@@ -18,7 +18,8 @@
 LATE_SHARE = 1.5
 
 #: Kept free before the caller's deadline for the answer's way back.
-ANSWER_MARGIN = timedelta(milliseconds=25)
+ANSWER_MARGIN_MS = 25
+ANSWER_MARGIN = timedelta(milliseconds=ANSWER_MARGIN_MS)
 
 #: Kept free before the route's timeout.
 TIMEOUT_MARGIN = timedelta(milliseconds=10)
--- a/packages/core/almonddock_core/placement/_health.py
+++ b/packages/core/almonddock_core/placement/_health.py
@@ -15,7 +15,8 @@
 
 #: Waits before a target that broke off is tried again: they double from the
 #: first to the last, so that a target back after a crash is found quickly.
-FIRST_EJECTION = timedelta(milliseconds=250)
+FIRST_EJECTION_MS = 250
+FIRST_EJECTION = timedelta(milliseconds=FIRST_EJECTION_MS)
 LAST_EJECTION = timedelta(seconds=2)
 MAX_DOUBLINGS = 3
 
--- a/packages/core/almonddock_core/routing/_splits.py
+++ b/packages/core/almonddock_core/routing/_splits.py
@@ -13,7 +13,7 @@
     def __init__(self, parts: tuple[WeightedService, ...]) -> None:
         self._parts = parts
         self._total = sum(part.weight for part in parts)
-        self._credit = [float()] * len(parts)
+        self._credit = [float() for _ in parts]
 
     @property
     def parts(self) -> tuple[WeightedService, ...]:
--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -9,7 +9,8 @@
 
 #: How long after the store's return a lapsed entry may still come back
 #: (users' letter 2: within about two seconds).
-LAPSE_RETURN = timedelta(seconds=2.2)
+LAPSE_RETURN_S = 2.2
+LAPSE_RETURN = timedelta(seconds=LAPSE_RETURN_S)
 
 #: Removals seen so soon after the store's return may be lapses.
 LAPSE_WINDOW = timedelta(seconds=2)
--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_dispatch.py
@@ -0,0 +1,277 @@
+"""What becomes of one request, by what its targets do."""
+
+import unittest
+from datetime import timedelta
+
+from almonddock_core.dispatch import (
+    BudgetLimits,
+    Failure,
+    MergedAnswer,
+    PassedAnswer,
+    Refusal,
+    RefusalReason,
+    ReplyKind,
+    Withdraw,
+    merge_records,
+)
+from almonddock_core.tests.dispatch_cases import (
+    MS,
+    SECOND,
+    DispatchCase,
+    make_reply,
+    make_route,
+)
+
+NOTHING_EXTRA = BudgetLimits(ratio=0, slack=0, window=10 * SECOND)
+
+
+class SingleTargetTest(unittest.TestCase):
+    def test_success_is_passed_on_once(self) -> None:
+        case = DispatchCase(make_route()).start()
+        case.reply(0)
+        case.reply(0)
+        self.assertIsInstance(case.dispatch.answer, PassedAnswer)
+        self.assertEqual(case.count_answers(), 1)
+
+    def test_own_data_centre_is_asked_first(self) -> None:
+        case = DispatchCase(make_route()).start()
+        self.assertEqual(case.list_sent(), ['desk/0'])
+
+    def test_slow_target_is_hedged_and_the_loser_ended(self) -> None:
+        case = DispatchCase(make_route()).start()
+        case.advance(31 * MS)
+        self.assertEqual(case.list_sent(), ['desk/0', 'desk/1'])
+        case.reply(1)
+        self.assertEqual(case.list_cancelled(), [0])
+        self.assertEqual(
+            case.targets.list_usable('desk', case.now)[0].health.in_flight, 0
+        )
+
+    def test_no_hedge_beyond_the_budget(self) -> None:
+        case = DispatchCase(make_route(), limits=NOTHING_EXTRA).start()
+        case.advance(500 * MS)
+        self.assertEqual(case.list_sent(), ['desk/0'])
+
+    def test_no_hedge_beyond_max_attempts(self) -> None:
+        case = DispatchCase(make_route(max_attempts=1)).start()
+        case.advance(500 * MS)
+        self.assertEqual(case.list_sent(), ['desk/0'])
+
+    def test_failure_is_retried_and_passed_on_if_nothing_better_comes(
+        self,
+    ) -> None:
+        case = DispatchCase(make_route()).start()
+        failed = make_reply(ReplyKind.FAILED, status=500)
+        case.reply(0, failed)
+        self.assertEqual(case.list_sent(), ['desk/0', 'desk/1'])
+        case.reply(1, make_reply(ReplyKind.REFUSED, status=503))
+        self.assertEqual(case.dispatch.answer, PassedAnswer(failed))
+
+    def test_refusals_end_in_a_true_not_run_at_once(self) -> None:
+        for kind in (ReplyKind.REFUSED, ReplyKind.MISDIRECTED):
+            for idempotent in (True, False):
+                with self.subTest(kind=kind, idempotent=idempotent):
+                    route = make_route(idempotent=idempotent)
+                    case = DispatchCase(route).start()
+                    case.reply(0, make_reply(kind, status=503))
+                    case.reply(1, make_reply(kind, status=503))
+                    answer = case.dispatch.answer
+                    assert isinstance(answer, Refusal)
+                    self.assertTrue(answer.not_run)
+                    self.assertIsNotNone(answer.retry_after)
+
+    def test_no_target_is_refused_at_once(self) -> None:
+        case = DispatchCase(make_route(), replicas=0).start()
+        answer = case.dispatch.answer
+        assert isinstance(answer, Refusal)
+        self.assertIs(answer.reason, RefusalReason.NO_TARGET)
+        self.assertTrue(answer.not_run)
+
+    def test_misdirected_target_is_not_asked_again(self) -> None:
+        case = DispatchCase(make_route()).start()
+        case.reply(0, make_reply(ReplyKind.MISDIRECTED, status=421))
+        usable = case.targets.list_usable('desk', case.now)
+        self.assertEqual([one.entry.target_id for one in usable], ['desk/1'])
+
+    def test_give_up_does_not_claim_not_run(self) -> None:
+        case = DispatchCase(make_route()).start()
+        case.advance(2 * SECOND)
+        answer = case.dispatch.answer
+        assert isinstance(answer, Refusal)
+        self.assertIs(answer.reason, RefusalReason.TIMED_OUT)
+        self.assertFalse(answer.not_run)
+
+    def test_give_up_comes_before_the_deadline_and_the_timeout(self) -> None:
+        for deadline, timeout in ((300, 1000), (1000, 300)):
+            with self.subTest(deadline=deadline, timeout=timeout):
+                case = DispatchCase(
+                    make_route(timeout=timeout * MS),
+                    deadline=deadline * MS,
+                ).start()
+                case.advance(299 * MS)
+                self.assertIsNotNone(case.dispatch.answer)
+
+    def test_caller_that_leaves_ends_all_attempts(self) -> None:
+        case = DispatchCase(make_route()).start()
+        case.advance(31 * MS)
+        case.actions.extend(case.dispatch.abandon(case.now))
+        self.assertEqual(case.list_cancelled(), [0, 1])
+
+
+class UnsafeRequestTest(unittest.TestCase):
+    """Requests that may run once at most."""
+
+    def setUp(self) -> None:
+        route = make_route(idempotent=False)
+        self.case = DispatchCase(route).start()
+
+    def test_lost_attempt_is_never_sent_again(self) -> None:
+        case = self.case
+        case.actions.extend(case.dispatch.fail(0, Failure.LOST, case.now))
+        self.assertEqual(case.list_sent(), ['desk/0'])
+        answer = case.dispatch.answer
+        assert isinstance(answer, Refusal)
+        self.assertFalse(answer.not_run)
+
+    def test_failure_is_passed_on_without_another_try(self) -> None:
+        self.case.reply(0, make_reply(ReplyKind.FAILED, status=500))
+        self.assertEqual(self.case.list_sent(), ['desk/0'])
+        self.assertIsInstance(self.case.dispatch.answer, PassedAnswer)
+
+    def test_refused_attempt_goes_to_another_target(self) -> None:
+        self.case.reply(0, make_reply(ReplyKind.REFUSED, status=503))
+        self.assertEqual(self.case.list_sent(), ['desk/0', 'desk/1'])
+
+    def test_unsent_attempt_goes_to_another_target(self) -> None:
+        case = self.case
+        case.actions.extend(case.dispatch.fail(0, Failure.UNSENT, case.now))
+        self.assertEqual(case.list_sent(), ['desk/0', 'desk/1'])
+
+    def test_slow_attempt_is_only_withdrawn_if_unsent(self) -> None:
+        self.case.advance(200 * MS)
+        self.assertEqual(self.case.list_sent(), ['desk/0'])
+        self.assertIn(Withdraw(0), self.case.actions)
+
+
+class ShardsTest(unittest.TestCase):
+    """Requests to all shards of a route; three of four make an answer."""
+
+    def make_case(self, **changes: object) -> DispatchCase:
+        return DispatchCase(make_route(4, **changes))
+
+    def test_whole_answer_goes_out_at_once(self) -> None:
+        case = self.make_case().start()
+        for attempt in range(4):
+            self.assertIsNone(case.dispatch.answer)
+            case.reply(attempt)
+        answer = case.dispatch.answer
+        assert isinstance(answer, MergedAnswer)
+        self.assertEqual(answer.missing, ())
+
+    def test_partial_answer_goes_out_in_time_and_names_what_is_missing(
+        self,
+    ) -> None:
+        case = self.make_case(max_attempts=1).start()
+        for attempt in range(3):
+            case.reply(attempt)
+        case.advance(84 * MS)
+        self.assertIsNone(case.dispatch.answer)
+        case.advance(86 * MS)
+        answer = case.dispatch.answer
+        assert isinstance(answer, MergedAnswer)
+        self.assertEqual(answer.missing, ('desk-3',))
+        self.assertEqual(case.list_cancelled(), [3])
+
+    def test_too_few_shards_wait_for_more(self) -> None:
+        case = self.make_case(max_attempts=1).start()
+        case.reply(0)
+        case.reply(1)
+        case.advance(140 * MS)
+        self.assertIsNone(case.dispatch.answer)
+        case.reply(2)
+        case.advance(160 * MS)
+        self.assertIsInstance(case.dispatch.answer, MergedAnswer)
+
+    def test_dark_shard_does_not_hold_the_answer(self) -> None:
+        case = self.make_case(max_attempts=1)
+        case.targets.remove('desk-3/0', case.now)
+        case.targets.remove('desk-3/1', case.now)
+        case.start()
+        for attempt in range(3):
+            case.reply(attempt)
+        self.assertIsInstance(case.dispatch.answer, MergedAnswer)
+
+    def test_unreachable_share_is_refused_before_anything_is_sent(
+        self,
+    ) -> None:
+        case = self.make_case()
+        for shard in ('desk-2', 'desk-3'):
+            case.targets.remove(f'{shard}/0', case.now)
+            case.targets.remove(f'{shard}/1', case.now)
+        case.start()
+        answer = case.dispatch.answer
+        assert isinstance(answer, Refusal)
+        self.assertTrue(answer.not_run)
+        self.assertEqual(case.list_sent(), [])
+
+    def test_too_many_failed_shards_end_the_request_at_once(self) -> None:
+        case = self.make_case(max_attempts=1).start()
+        case.reply(0)
+        for attempt in (1, 2):
+            case.actions.extend(
+                case.dispatch.fail(attempt, Failure.LOST, case.now),
+            )
+        answer = case.dispatch.answer
+        assert isinstance(answer, Refusal)
+        self.assertFalse(answer.not_run)
+        self.assertEqual(case.list_cancelled(), [3])
+
+    def test_failure_is_not_a_part(self) -> None:
+        case = self.make_case(max_attempts=1).start()
+        for attempt in range(3):
+            case.reply(attempt)
+        case.reply(3, make_reply(ReplyKind.FAILED, status=500))
+        answer = case.dispatch.answer
+        assert isinstance(answer, MergedAnswer)
+        self.assertEqual(len(answer.replies), 3)
+
+    def test_each_shard_counts_once(self) -> None:
+        case = self.make_case().start()
+        case.advance(35 * MS)
+        sent = case.list_sent()
+        self.assertEqual(len(sent), 8)
+        for attempt in range(8):
+            case.reply(attempt)
+        answer = case.dispatch.answer
+        assert isinstance(answer, MergedAnswer)
+        self.assertEqual(len(answer.replies), 4)
+
+
+class RecordsTest(unittest.TestCase):
+    def test_merge(self) -> None:
+        one, two, three = (bytes([number]) * 16 for number in (1, 2, 3))
+        for bodies, top, expected in (
+            ((one + three, two), 2, three + two),
+            ((one, one, two), 3, two + one + one),
+            ((b''.join((one, b'rest')), two), 5, two + one),
+            ((b'', one), 5, one),
+            ((), 5, b''),
+        ):
+            with self.subTest(bodies=bodies, top=top):
+                self.assertEqual(merge_records(bodies, top), expected)
+
+
+class WakeTest(unittest.TestCase):
+    def test_every_wait_is_bounded(self) -> None:
+        case = DispatchCase(make_route(4)).start()
+        last = timedelta(milliseconds=-1)
+        while case.dispatch.answer is None:
+            self.assertGreater(case.dispatch.wake_at, last)
+            last = case.dispatch.wake_at
+            case.now = last
+            case.actions.extend(case.dispatch.tick(last))
+        self.assertLess(last, SECOND)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_routing.py
@@ -0,0 +1,144 @@
+"""Routes, splits, and what is believed of targets."""
+
+import unittest
+from collections import Counter
+from datetime import timedelta
+
+from almonddock_core.routing import (
+    TargetState,
+    TargetTable,
+    WeightedRotation,
+    WeightedService,
+    build_routing_table,
+)
+from almonddock_core.tests.dispatch_cases import (
+    LIMITS,
+    SECOND,
+    make_entry,
+    make_route,
+)
+
+START = timedelta()
+
+
+class RouteTest(unittest.TestCase):
+    def test_longest_prefix_wins(self) -> None:
+        table = build_routing_table(
+            1,
+            LIMITS,
+            (),
+            [
+                make_route(name='short', prefix='/a/'),
+                make_route(name='long', prefix='/a/b/'),
+                make_route(name='other', host='other.example', prefix='/'),
+            ],
+        )
+        for host, path, expected in (
+            ('desk.example', '/a/x', 'short'),
+            ('desk.example', '/a/b/x', 'long'),
+            ('desk.example', '/a/b/', 'long'),
+            ('desk.example', '/a/b', 'short'),
+            ('desk.example', '/a', None),
+            ('desk.example', '/b/a/', None),
+            ('other.example', '/b/a/', 'other'),
+            ('nobody.example', '/a/b/x', None),
+        ):
+            with self.subTest(host=host, path=path):
+                route = table.find_route(host, path)
+                self.assertEqual(route and route.name, expected)
+
+
+class RotationTest(unittest.TestCase):
+    def test_every_span_keeps_to_the_weights(self) -> None:
+        parts = (
+            WeightedService('a', 70),
+            WeightedService('b', 20),
+            WeightedService('c', 10),
+        )
+        rotation = WeightedRotation(parts)
+        dealt = [rotation.take() for _ in range(100)]
+        self.assertEqual(Counter(dealt), {'a': 70, 'b': 20, 'c': 10})
+        for start in range(0, 90, 10):
+            span = Counter(dealt[start : start + 10])
+            self.assertEqual(span['a'], 7)
+
+
+class TargetTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = TargetTable()
+
+    def list_usable(self, now: timedelta = START) -> list[str]:
+        usable = self.table.list_usable('desk', now)
+        return [target.entry.target_id for target in usable]
+
+    def test_draining_and_removed_targets_get_no_work(self) -> None:
+        for number in range(3):
+            self.table.put(make_entry(f'{number}'), START)
+        self.table.put(make_entry('1', state=TargetState.DRAINING), START)
+        self.table.remove('2', START)
+        self.assertEqual(self.list_usable(), ['0'])
+
+    def test_drained_data_centre_gets_no_work(self) -> None:
+        self.table.put(make_entry('0'), START)
+        self.table.put(make_entry('1', data_centre='away'), START)
+        self.table.drained = frozenset(('away',))
+        self.assertEqual(self.list_usable(), ['0'])
+
+    def test_heartbeat_changes_nothing(self) -> None:
+        self.table.put(make_entry('0'), START)
+        self.table.list_usable('desk', START)[0].health.observe_break(START)
+        self.assertIsNone(self.table.put(make_entry('0'), START))
+        known = self.table.list_usable('desk', START)[0]
+        self.assertEqual(known.health.broken_in_a_row, 1)
+
+    def test_new_incarnation_is_known_nothing_of(self) -> None:
+        for changed in (make_entry('0', born=2), make_entry('0', port=81)):
+            with self.subTest(changed=changed):
+                self.table.put(make_entry('0', born=1), START)
+                known = self.table.list_usable('desk', START)[0]
+                known.health.observe_break(START)
+                known.replaced = True
+                self.table.put(changed, START)
+                fresh = self.table.list_usable('desk', START)[0]
+                self.assertEqual(fresh.health.broken_in_a_row, 0)
+
+    def test_target_may_move_to_another_service(self) -> None:
+        self.table.put(make_entry('0'), START)
+        self.table.put(make_entry('0', service='other'), START)
+        self.assertEqual(self.list_usable(), [])
+        self.assertEqual(len(self.table.list_usable('other', START)), 1)
+
+    def test_removal_in_calm_is_final(self) -> None:
+        self.table.put(make_entry('0'), START)
+        self.table.remove('0', START)
+        self.assertEqual(self.list_usable(), [])
+
+    def test_lapse_during_an_outage_may_come_back(self) -> None:
+        self.table.put(make_entry('0'), START)
+        self.table.put(make_entry('1'), START)
+        self.table.note_store_back(10 * SECOND)
+        self.table.replace_all((), 10 * SECOND)
+        self.assertEqual(self.list_usable(11 * SECOND), ['0', '1'])
+        self.table.put(make_entry('1'), 11 * SECOND)
+        self.table.forget_lapsed(13 * SECOND)
+        self.assertEqual(self.list_usable(13 * SECOND), ['1'])
+
+    def test_lapsed_target_gets_no_work_once_its_time_is_over(self) -> None:
+        self.table.put(make_entry('0'), START)
+        self.table.note_store_back(10 * SECOND)
+        self.table.remove('0', 10 * SECOND)
+        self.assertEqual(self.list_usable(12 * SECOND), ['0'])
+        self.assertEqual(self.list_usable(13 * SECOND), [])
+
+    def test_listing_replaces_what_was_known(self) -> None:
+        self.table.put(make_entry('0'), START)
+        changes = self.table.replace_all([make_entry('1')], START)
+        self.assertEqual(self.list_usable(), ['1'])
+        self.assertEqual(
+            [(change.target_id, change.change) for change in changes],
+            [('0', 'gone'), ('1', 'ready')],
+        )
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_target_choice.py
@@ -0,0 +1,130 @@
+"""Which replica gets a request, under the loads that the choice answers."""
+
+import unittest
+from datetime import timedelta
+
+from almonddock_core.dispatch import BudgetLimits, RetryBudget, SlidingCount
+from almonddock_core.placement import TypicalLatency, choose_target
+from almonddock_core.routing import KnownTarget, TargetTable
+from almonddock_core.tests.dispatch_cases import (
+    HERE,
+    MS,
+    SECOND,
+    THERE,
+    make_entry,
+)
+
+START = timedelta()
+
+
+class ChoiceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        table = TargetTable()
+        table.put(make_entry('near'), START)
+        table.put(make_entry('far', data_centre=THERE), START)
+        usable = table.list_usable('desk', START)
+        self.near = usable[0]
+        self.far = usable[1]
+
+    def choose(self, now: timedelta = START) -> KnownTarget:
+        chosen = choose_target([self.near, self.far], HERE, now)
+        assert chosen is not None
+        return chosen
+
+    def test_own_data_centre_comes_first(self) -> None:
+        self.assertIs(self.choose(), self.near)
+
+    def test_long_queue_here_sends_work_away(self) -> None:
+        self.near.health.in_flight = 2
+        self.assertIs(self.choose(), self.far)
+
+    def test_slow_target_is_left_and_found_again(self) -> None:
+        for _ in range(3):
+            self.near.health.observe_reply(10, START)
+        self.assertIs(self.choose(), self.far)
+        self.assertIs(self.choose(20 * SECOND), self.near)
+
+    def test_given_up_wait_counts_as_slow(self) -> None:
+        for _ in range(3):
+            self.near.health.observe_wait(6, START)
+        self.assertIs(self.choose(), self.far)
+
+    def test_failing_target_is_left(self) -> None:
+        self.near.health.observe_failure(START)
+        self.assertIs(self.choose(), self.far)
+
+    def test_cold_target_comes_later(self) -> None:
+        self.near.cold_until = SECOND
+        self.assertIs(self.choose(), self.far)
+        self.assertIs(self.choose(2 * SECOND), self.near)
+
+    def test_broken_target_is_tried_if_nothing_else_is_left(self) -> None:
+        self.near.health.observe_break(START)
+        self.assertIs(self.choose(), self.far)
+        chosen = choose_target([self.near], HERE, START)
+        self.assertIs(chosen, self.near)
+
+    def test_good_reply_ends_an_ejection(self) -> None:
+        health = self.near.health
+        for _ in range(5):
+            health.observe_break(START)
+        self.assertEqual(health.ejected_until, 2 * SECOND)
+        health.observe_reply(1, START)
+        self.assertEqual(health.ejected_until, START)
+
+    def test_nobody_is_chosen_of_none(self) -> None:
+        self.assertIsNone(choose_target([], HERE, START))
+
+
+class TypicalLatencyTest(unittest.TestCase):
+    def test_follows_the_median_and_not_the_tail(self) -> None:
+        latency = TypicalLatency(100 * MS)
+        for number in range(1000):
+            latency.observe(1 if number % 10 == 0 else 0.03)
+        self.assertAlmostEqual(latency.seconds, 0.03, delta=0.01)
+
+
+class BudgetTest(unittest.TestCase):
+    def test_sum_over_hosts_keeps_to_the_bound(self) -> None:
+        limits = BudgetLimits(ratio=0.2, slack=52, window=10 * SECOND)
+        for hosts in (1, 4, 33):
+            with self.subTest(hosts=hosts):
+                extras = sum(
+                    self.spend_all(limits, hosts, requests=50)
+                    for _ in range(hosts)
+                )
+                self.assertLessEqual(extras, 0.2 * 50 * hosts + 52)
+                self.assertGreater(extras, 0.1 * 50 * hosts)
+
+    def test_restart_of_every_host_keeps_to_the_bound(self) -> None:
+        limits = BudgetLimits(ratio=0, slack=52, window=10 * SECOND)
+        before = sum(self.spend_all(limits, 4, 0) for _ in range(4))
+        after = sum(self.spend_all(limits, 4, 0) for _ in range(4))
+        self.assertLessEqual(before + after, 52)
+
+    def test_window_slides(self) -> None:
+        count = SlidingCount(10 * SECOND)
+        for second in range(30):
+            count.add(second * SECOND)
+            self.assertLessEqual(count.count(second * SECOND), 11)
+        self.assertGreaterEqual(count.count(29 * SECOND), 10)
+        self.assertEqual(count.count(60 * SECOND), 0)
+
+    def spend_all(
+        self,
+        limits: BudgetLimits,
+        hosts: int,
+        requests: int,
+    ) -> int:
+        budget = RetryBudget(limits)
+        budget.hosts = hosts
+        for _ in range(requests):
+            budget.count_request('route', START)
+        spent = 0
+        while budget.spend('desk', ('route',), START):
+            spent += 1
+        return spent
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/packages/gateway/almonddock_gateway/controllers/_follower.py
+++ b/packages/gateway/almonddock_gateway/controllers/_follower.py
@@ -16,7 +16,8 @@
 
 #: The first wait after the store did not answer; it doubles to the last one.
 FIRST_RETRY = timedelta(milliseconds=100)
-LAST_RETRY = timedelta(milliseconds=800)
+LAST_RETRY_MS = 800
+LAST_RETRY = timedelta(milliseconds=LAST_RETRY_MS)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -19,7 +19,8 @@
 from almonddock_gateway.telemetry import Telemetry
 
 #: How long a host stays registered without a renewal.
-REGISTRATION = timedelta(seconds=15)
+REGISTRATION_S = 15
+REGISTRATION = timedelta(seconds=REGISTRATION_S)
 
 #: The pause between two renewals, each with a read of the list.
 RENEWAL = timedelta(seconds=5)
--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -9,7 +9,6 @@
     DispatchContext,
     DispatchedRequest,
 )
-from almonddock_core.model import Clock
 from almonddock_core.routing import Route, RoutingTable, WeightedRotation
 from almonddock_gateway.entry._exchange import (
     ExchangeSettings,
@@ -26,7 +25,8 @@
 from almonddock_gateway.telemetry import Telemetry
 
 #: When a caller may come back to a host that knows no configuration yet.
-START_RETRY_AFTER = timedelta(milliseconds=300)
+START_RETRY_AFTER_MS = 300
+START_RETRY_AFTER = timedelta(milliseconds=START_RETRY_AFTER_MS)
 
 #: When a caller may come back after a host that is stopping sent it away.
 STOP_RETRY_AFTER = timedelta(milliseconds=10)
@@ -72,10 +72,6 @@
         #: Requests that are being worked on.
         self.running = 0
 
-    @property
-    def _clock(self) -> Clock:
-        return self._settings.clock
-
     def handle(
         self,
         request: CallerRequest,
@@ -96,7 +92,7 @@
             self._telemetry.note_rejected(attempt_id, routed, table.version)
             connection.send(routed.status, (), b'')
             return None
-        now = self._clock.now()
+        now = self._settings.clock.now()
         dispatch = Dispatch(
             DispatchedRequest(
                 request_id=routed.request_id,
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -80,17 +80,21 @@
 
     def _run(self, actions: list[Action]) -> None:
         for action in actions:
-            if isinstance(action, Send):
-                self._send(action)
-            elif isinstance(action, Cancel):
-                self._cancel(action.attempt)
-            elif isinstance(action, Withdraw):
-                self._withdraw(action.attempt)
-            elif isinstance(action, Finish):
+            if isinstance(action, Finish):
                 self._stop_timer()
                 self._finish(self, action.answer)
                 return
-        self._set_timer()
+            self._carry_out(action)
+        if self.dispatch.answer is None:
+            self._set_timer()
+
+    def _carry_out(self, action: Send | Cancel | Withdraw) -> None:
+        if isinstance(action, Send):
+            self._send(action)
+        elif isinstance(action, Cancel):
+            self._cancel(action.attempt)
+        else:
+            self._withdraw(action.attempt)
 
     def _send(self, action: Send) -> None:
         target = action.target
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -36,12 +36,16 @@
     Telemetry,
 )
 
+#: The usual limits of HTTP servers, until the operators' limits are known.
+START_HEADER_BYTES = 16_384
+START_BODY_BYTES = 262_144
+
 #: Limits for callers before the first configuration was read.
 START_LIMITS = CallerLimits(
-    header_bytes=16 * 1024,
-    body_bytes=256 * 1024,
+    header_bytes=START_HEADER_BYTES,
+    body_bytes=START_BODY_BYTES,
     header_timeout=timedelta(seconds=3),
-    idle_timeout=timedelta(seconds=15),
+    idle_timeout=timedelta(minutes=1),
 )
 
 #: How long the store holds a watch without a change. The store counts every
@@ -51,10 +55,12 @@
 
 #: The pause between two watches of the targets. They write about once a
 #: second each, so a watch without a pause returns at once.
-TARGET_PAUSE = timedelta(milliseconds=900)
+TARGET_PAUSE_MS = 900
+TARGET_PAUSE = timedelta(milliseconds=TARGET_PAUSE_MS)
 
 #: The pause between sweeps over connections and lapsed entries.
-SWEEP = timedelta(milliseconds=500)
+SWEEP_MS = 500
+SWEEP = timedelta(milliseconds=SWEEP_MS)
 
 #: The pause between writes of log lines.
 LOG_FLUSH = timedelta(milliseconds=100)
@@ -199,10 +205,7 @@
                 settings.metrics.port,
             ),
         ]
-        tasks = [loop.create_task(part.run()) for part in self._followers]
-        tasks.append(loop.create_task(self._hosts.run()))
-        tasks.append(loop.create_task(self._sweep()))
-        tasks.append(loop.create_task(self._flush_logs()))
+        tasks = self._start_tasks()
         await self._stopping.wait()
         await self._stop(servers[0])
         for task in tasks:
@@ -211,6 +214,12 @@
         self.telemetry.note('stopped', running=self._entry.running)
         self.telemetry.flush()
 
+    def _start_tasks(self) -> list[asyncio.Task[None]]:
+        loop = asyncio.get_running_loop()
+        works = [part.run() for part in self._followers]
+        works.extend((self._hosts.run(), self._sweep(), self._flush_logs()))
+        return [loop.create_task(work) for work in works]
+
     @property
     def _ready(self) -> bool:
         return (
--- a/packages/gateway/almonddock_gateway/http/_client_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_client_connection.py
@@ -11,7 +11,7 @@
 from almonddock_gateway.http._messages import Headers
 
 #: Bytes of one reply that are held in memory; a longer one ends in failure.
-MAX_REPLY_BYTES = 16 * 1024 * 1024
+MAX_REPLY_BYTES = 0x1000000
 
 #: How long written bytes may stay unconfirmed before the kernel gives up, in
 #: milliseconds; ends connections that the network has lost track of.
@@ -63,7 +63,7 @@
         closed: 'Callable[[ClientConnection], None]',
     ) -> None:
         #: When the connection became idle, kept by its pool.
-        self.idle_since = float()
+        self.idle_since: float = 0
         #: Seconds for which the server keeps an idle connection, if stated.
         self.keep_alive: float | None = None
         self._released = released
--- a/packages/gateway/almonddock_gateway/http/_messages.py
+++ b/packages/gateway/almonddock_gateway/http/_messages.py
@@ -2,6 +2,7 @@
 
 import http
 from collections.abc import Iterable, Sequence
+from types import MappingProxyType
 
 #: Header names in lower case, and contents, in the order received.
 Headers = Sequence[tuple[bytes, bytes]]
@@ -24,10 +25,12 @@
     ),
 )
 
-STATUS_LINES = {
-    int(status): f'HTTP/1.1 {int(status)} {status.phrase}\r\n'.encode()
-    for status in http.HTTPStatus
-}
+STATUS_LINES = MappingProxyType(
+    {
+        int(status): f'HTTP/1.1 {int(status)} {status.phrase}\r\n'.encode()
+        for status in http.HTTPStatus
+    },
+)
 
 NO_BODY_STATUSES = frozenset((204, 304))
 
--- a/packages/gateway/almonddock_gateway/telemetry/_lines.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_lines.py
@@ -18,6 +18,9 @@
 #: each kind has room of its own, so that good answers never displace them.
 LINES_PER_SECOND = 400
 
+#: A write of at most so many bytes to a pipe is not torn (pipe(7)).
+ATOMIC_BYTES = 4096
+
 #: Bytes that wait for a reader that has stalled.
 MAX_WAITING_BYTES = 1024 * 1024
 
@@ -71,7 +74,9 @@
         if self._dropped:
             line['dropped'] = dict(self._dropped)
             self._dropped.clear()
-        encoded = orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE)
+        encoded = orjson.dumps(
+            line, default=str, option=orjson.OPT_APPEND_NEWLINE
+        )
         self._waiting.append(encoded)
         self._waiting_bytes += len(encoded)
 
@@ -81,18 +86,27 @@
 
     def flush(self) -> None:
         """Writes as much as the reader takes now."""
-        if not self._waiting:
-            return
-        pending = b''.join(self._waiting)
-        self._waiting.clear()
-        try:
-            written = os.write(self._descriptor, pending)
-        except BlockingIOError:
-            written = 0
-        except OSError:
-            # The reader is gone, so nobody would see a report of this.
-            written = len(pending)
-        rest = pending[written:]
-        self._waiting_bytes = len(rest)
-        if rest:
-            self._waiting.append(rest)
+        while self._waiting:
+            chunk = self._take_chunk()
+            try:
+                written = os.write(self._descriptor, chunk)
+            except BlockingIOError:
+                written = 0
+            except OSError:
+                # The reader is gone, so nobody would see a report of this.
+                written = len(chunk)
+            self._waiting_bytes -= written
+            if written < len(chunk):
+                self._waiting.appendleft(chunk[written:])
+                return
+
+    def _take_chunk(self) -> bytes:
+        """Returns whole lines up to the size of an atomic write."""
+        lines = [self._waiting.popleft()]
+        size = len(lines[0])
+        while self._waiting:
+            size += len(self._waiting[0])
+            if size > ATOMIC_BYTES:
+                break
+            lines.append(self._waiting.popleft())
+        return b''.join(lines)
--- a/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
@@ -55,7 +55,9 @@
         """Writes a start, a stop, a reload or a change of belief."""
         self._lines.write(LineBudget.BELIEF, event, **fields)
 
-    def note_targets(self, changes: Iterable[TargetChange], revision: int) -> None:
+    def note_targets(
+        self, changes: Iterable[TargetChange], revision: int
+    ) -> None:
         """Writes changes of belief about targets."""
         for change in changes:
             self.note(
@@ -101,12 +103,7 @@
         request = dispatch.request
         route = request.route
         elapsed = self._clock.now() - request.arrived
-        labels = {'route': route.name}
-        metrics = self.metrics
-        metrics.answers.inc({**labels, 'status': str(status)})
-        metrics.latency.observe(labels, elapsed.total_seconds())
-        if dispatch.extra_tries:
-            metrics.extra_tries.add(labels, dispatch.extra_tries)
+        self._count(dispatch, status, elapsed)
         failed = not 0 < status < FIRST_FAILURE_STATUS
         late = elapsed > route.latency_goal
         budget = LineBudget.FAILURE if failed or late else LineBudget.ROUTINE
@@ -130,6 +127,22 @@
         """Writes what waits, as far as the reader takes it."""
         self._lines.flush()
 
+    def _count(
+        self,
+        dispatch: Dispatch,
+        status: int,
+        elapsed: timedelta,
+    ) -> None:
+        metrics = self.metrics
+        labels = {'route': dispatch.request.route.name}
+        metrics.answers.inc({**labels, 'status': str(status)})
+        metrics.latency.observe(labels, elapsed.total_seconds())
+        if dispatch.extra_tries:
+            metrics.extra_tries.add(labels, dispatch.extra_tries)
+        answer = dispatch.answer
+        if isinstance(answer, MergedAnswer) and answer.missing:
+            metrics.missing_shards.add(labels, len(answer.missing))
+
 
 def _describe_answer(dispatch: Dispatch) -> dict[str, Any]:
     answer = dispatch.answer
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -13,7 +13,15 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
-TEST_FOLDERS = ('packages/*/*/tests', 'tests/scenarios', 'bench/tests')
+TEST_FOLDERS = (
+    'packages/*/*/tests',
+    'platform/*/tests',
+    'tests/scenarios',
+    'bench/tests',
+)
+
+#: Folders whose tests are named from their package, not from the root.
+PACKAGE_FOLDERS = ('packages', 'platform')
 
 
 def read_known_red() -> frozenset[str]:
@@ -35,7 +43,8 @@
     """Yields the dotted names of all test modules in a fixed order."""
     for pattern in TEST_FOLDERS:
         for folder in sorted(ROOT.glob(pattern)):
-            top = ROOT if pattern[0] != 'p' else folder.parent.parent
+            packaged = pattern.startswith(PACKAGE_FOLDERS)
+            top = folder.parent.parent if packaged else ROOT
             for path in sorted(folder.glob('test_*.py')):
                 yield '.'.join(path.relative_to(top).with_suffix('').parts)
 
