--- a/packages/core/almonddock_core/routing/_splits.py
+++ b/packages/core/almonddock_core/routing/_splits.py
@@ -13,7 +13,8 @@
     def __init__(self, parts: tuple[WeightedService, ...]) -> None:
         self._parts = parts
         self._total = sum(part.weight for part in parts)
-        self._credit = [float() for _ in parts]
+        start: float = 0
+        self._credit = [start for _ in parts]
 
     @property
     def parts(self) -> tuple[WeightedService, ...]:
