Find the store sooner at a start

Change: constant 0.1 s waits until the first read, one prefix at a time, and a later Retry-After while nothing is known.

--- a/packages/gateway/almonddock_gateway/controllers/_follower.py
+++ b/packages/gateway/almonddock_gateway/controllers/_follower.py
@@ -14,6 +14,10 @@
 )
 from almonddock_gateway.telemetry import Telemetry
 
+#: Waits for the store while nothing has been read yet: no caller can be
+#: served before, so they do not grow.
+START_RETRY = timedelta(milliseconds=100)
+
 #: The first wait after the store did not answer; it doubles to the last one.
 FIRST_RETRY = timedelta(milliseconds=100)
 LAST_RETRY_MS = 800
@@ -49,6 +53,8 @@
     ) -> None:
         #: When the store last answered; None before the first answer.
         self.fresh_at: timedelta | None = None
+        #: Set once everything under the prefix was read.
+        self.known = asyncio.Event()
         self._settings = settings
         self._store = store
         self._clock = clock
@@ -57,6 +63,14 @@
         self._lost_since: timedelta | None = None
         self._retry = FIRST_RETRY
 
+    async def run_after(self, first: 'Follower') -> None:
+        """Follows the prefix once another one is known.
+
+        While a host starts during an outage, one of them asks for both.
+        """
+        await first.known.wait()
+        await self.run()
+
     async def run(self) -> None:
         """Follows the prefix until cancelled."""
         while True:
@@ -81,6 +95,7 @@
             view = await self._store.read_prefix(settings.prefix)
             self._note_answer()
             settings.take_all(view)
+            self.known.set()
         else:
             view = await self._store.watch(
                 settings.prefix,
@@ -103,6 +118,9 @@
                 reason=lost.message,
                 fresh_at=self.fresh_at,
             )
+        if not self.known.is_set():
+            await asyncio.sleep(START_RETRY.total_seconds())
+            return
         await asyncio.sleep(self._retry.total_seconds())
         self._retry = min(self._retry * 2, LAST_RETRY)
 
--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -24,8 +24,9 @@
 from almonddock_gateway.http import CallerConnection, CallerRequest
 from almonddock_gateway.telemetry import Telemetry
 
-#: When a caller may come back to a host that knows no configuration yet.
-START_RETRY_AFTER_MS = 300
+#: When a caller may come back to a host that knows no configuration yet. The
+#: store is away then, so later is better; callers shorten what is too long.
+START_RETRY_AFTER_MS = 1000
 START_RETRY_AFTER = timedelta(milliseconds=START_RETRY_AFTER_MS)
 
 #: When a caller may come back after a host that is stopping sent it away.
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -216,8 +216,14 @@
 
     def _start_tasks(self) -> list[asyncio.Task[None]]:
         loop = asyncio.get_running_loop()
-        works = [part.run() for part in self._followers]
-        works.extend((self._hosts.run(), self._sweep(), self._flush_logs()))
+        configuration, targets = self._followers
+        works = (
+            configuration.run(),
+            targets.run_after(configuration),
+            self._hosts.run(),
+            self._sweep(),
+            self._flush_logs(),
+        )
         return [loop.create_task(work) for work in works]
 
     @property
