Send nothing to targets that no connection can be opened to

Change: a target that cannot be connected to gets no request until a connection of our own shows it is back; what cannot reach its smallest share is refused at arrival.

--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -186,13 +186,13 @@
 
     def _choose(self, branch: Branch) -> KnownTarget | None:
         usable = self._context.targets.list_usable(branch.service, self._now)
-        if branch.tried:
-            usable = [
-                target
-                for target in usable
-                if target.entry.target_id not in branch.tried
-            ]
-        return choose_target(usable, self._context.data_centre, self._now)
+        reachable = [
+            target
+            for target in usable
+            if not target.health.unreachable
+            and target.entry.target_id not in branch.tried
+        ]
+        return choose_target(reachable, self._context.data_centre, self._now)
 
     def _send(self, branch: Branch, target: KnownTarget) -> Send:
         number = self._next_attempt
--- a/packages/core/almonddock_core/placement/_health.py
+++ b/packages/core/almonddock_core/placement/_health.py
@@ -40,12 +40,18 @@
     broken_in_a_row: int = 0
     #: No request goes to the target before this time, if another one is left.
     ejected_until: timedelta = timedelta()
+    #: Whether no connection could be opened; no request goes there until one
+    #: is, because it would only wait.
+    unreachable: bool = False
+    #: When the target last answered; None before its first answer.
+    answered: timedelta | None = None
     #: When the averages last changed.
     updated: timedelta = timedelta()
 
     def observe_reply(self, slowness: float, now: timedelta) -> None:
         """Takes a good reply and its time relative to the typical one."""
         self._fade(now)
+        self.answered = now
         self.broken_in_a_row = 0
         self.ejected_until = timedelta()
         self.slowness += OBSERVATION_WEIGHT * (
@@ -63,12 +69,12 @@
 
     def observe_failure(self, now: timedelta) -> None:
         """Takes a request that the target answered with a failure."""
-        self._fade(now)
-        self.failure_share += OBSERVATION_WEIGHT * (1 - self.failure_share)
+        self.answered = now
+        self._lower(now)
 
     def observe_break(self, now: timedelta) -> None:
         """Takes a connection that failed, or ended without a reply."""
-        self.observe_failure(now)
+        self._lower(now)
         doublings = min(self.broken_in_a_row, MAX_DOUBLINGS)
         wait = min(FIRST_EJECTION * 2**doublings, LAST_EJECTION)
         self.broken_in_a_row += 1
@@ -81,6 +87,10 @@
         queue = 1 + self.in_flight / self.slots
         return slowness * queue + FAILURE_COST * self.failure_share * fading
 
+    def _lower(self, now: timedelta) -> None:
+        self._fade(now)
+        self.failure_share += OBSERVATION_WEIGHT * (1 - self.failure_share)
+
     def _fade(self, now: timedelta) -> None:
         fading = self._compute_fading(now)
         self.slowness = 1 + (self.slowness - 1) * fading
--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -54,6 +54,8 @@
     lapse_ends: timedelta | None = None
     #: Set once another target answered at this address.
     replaced: bool = False
+    #: Set once the table no longer lists the target.
+    dropped: bool = False
 
     def is_usable(self, now: timedelta) -> bool:
         """Whether new work may be sent to the target."""
@@ -85,6 +87,10 @@
         """The number of targets known."""
         return len(self._targets)
 
+    def list_all(self) -> list[KnownTarget]:
+        """Returns every target, usable or not."""
+        return list(self._targets.values())
+
     def list_usable(self, service: str, now: timedelta) -> list[KnownTarget]:
         """Returns the targets of a service that may get new work."""
         return [
@@ -170,6 +176,7 @@
         return _describe(entry, entry.state.value)
 
     def _drop(self, known: KnownTarget) -> None:
+        known.dropped = True
         del self._targets[known.entry.target_id]
         self._services[known.entry.service].remove(known)
 
--- a/packages/core/almonddock_core/tests/test_dispatch.py
+++ b/packages/core/almonddock_core/tests/test_dispatch.py
@@ -214,6 +214,20 @@
         self.assertTrue(answer.not_run)
         self.assertEqual(case.list_sent(), [])
 
+    def test_unreachable_targets_are_known_at_arrival(self) -> None:
+        for dark, expected in ((1, MergedAnswer), (2, Refusal)):
+            with self.subTest(dark=dark):
+                case = self.make_case(max_attempts=1)
+                for shard in range(dark):
+                    service = f'desk-{shard}'
+                    for target in case.targets.list_usable(service, case.now):
+                        target.health.unreachable = True
+                case.start()
+                for attempt in range(4 - dark):
+                    case.reply(attempt)
+                self.assertIsInstance(case.dispatch.answer, expected)
+                self.assertEqual(case.now, timedelta())
+
     def test_too_many_failed_shards_end_the_request_at_once(self) -> None:
         case = self.make_case(max_attempts=1).start()
         case.reply(0)
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -100,7 +100,7 @@
         target = action.target
         number = action.attempt
         self.asked.append((self._settings.clock.now(), target))
-        pool = self._settings.pools.get(target.entry)
+        pool = self._settings.pools.get(target)
         request = self.dispatch.request
         attempt = TargetAttempt(
             encode=lambda: self._encode(target),
--- a/packages/gateway/almonddock_gateway/targets/_pool.py
+++ b/packages/gateway/almonddock_gateway/targets/_pool.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from almonddock_core.dispatch import Failure
+from almonddock_core.routing import KnownTarget
 from almonddock_gateway.http import ClientConnection, HttpReply, Reply
 from almonddock_gateway.targets._attempts import TargetAttempt
 
@@ -14,6 +15,11 @@
 #: milliseconds for one; a host that is gone never answers.
 DIAL_TIMEOUT_S = 0.5
 
+#: The pauses between tries to reach a target that no connection could be
+#: opened to, in seconds; they double from the first to the last.
+FIRST_REDIAL_S = 0.2
+LAST_REDIAL_S = 0.8
+
 #: Idle connections are dropped this long before the target would, in seconds.
 KEEP_ALIVE_MARGIN_S = 0.4
 
@@ -29,8 +35,7 @@
 class PoolSettings:
     """Limits of one pool."""
 
-    host: str
-    port: int
+    target: KnownTarget
     #: Connections that may be open or opening at once, read each time because
     #: it changes with the number of hosts.
     get_limit: Callable[[], int]
@@ -48,11 +53,14 @@
         self._dialling: set[asyncio.Task[None]] = set()
         self._waiting: list[tuple[int, int, TargetAttempt]] = []
         self._order = itertools.count()
+        self._redial: asyncio.TimerHandle | None = None
+        self._redial_wait_s = FIRST_REDIAL_S
 
     @property
     def unused(self) -> bool:
         """Whether the pool holds neither connections nor attempts."""
-        return not (self._open or self._dialling or self._waiting)
+        busy = self._open or self._dialling or self._waiting
+        return not busy and self._redial is None
 
     def submit(self, attempt: TargetAttempt) -> None:
         """Sends the attempt as soon as a connection is free."""
@@ -159,33 +167,59 @@
             return
         room = self._settings.get_limit() - used
         for _ in range(min(wanted, room)):
-            self.dials += 1
-            task = self._loop.create_task(self._dial())
-            self._dialling.add(task)
-            task.add_done_callback(self._dialling.discard)
+            self._start_dial()
 
     async def _dial(self) -> None:
-        settings = self._settings
+        entry = self._settings.target.entry
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 _, connection = await self._loop.create_connection(
                     lambda: ClientConnection(self._release, self._forget),
-                    settings.host,
-                    settings.port,
+                    entry.host,
+                    entry.port,
                 )
         except (OSError, TimeoutError):
-            self._fail_waiting()
+            self._note_unreachable()
             return
+        self._note_reachable()
         self._open.add(connection)
         if connection.usable:
             self._release(connection)
         else:
             self._forget(connection)
 
-    def _fail_waiting(self) -> None:
+    def _note_reachable(self) -> None:
+        self._settings.target.health.unreachable = False
+        self._redial_wait_s = FIRST_REDIAL_S
+
+    def _note_unreachable(self) -> None:
         """Reports attempts that no connection is left to carry."""
         if self._open:
             return
+        target = self._settings.target
+        target.health.unreachable = True
+        self._fail_waiting()
+        if self._redial is None and not target.dropped:
+            self._redial = self._loop.call_later(
+                self._redial_wait_s,
+                self._dial_again,
+            )
+            self._redial_wait_s = min(self._redial_wait_s * 2, LAST_REDIAL_S)
+
+    def _dial_again(self) -> None:
+        """Opens a connection without a request, to see if one can be had."""
+        self._redial = None
+        if self._settings.target.dropped or self._open or self._dialling:
+            return
+        self._start_dial()
+
+    def _start_dial(self) -> None:
+        self.dials += 1
+        task = self._loop.create_task(self._dial())
+        self._dialling.add(task)
+        task.add_done_callback(self._dialling.discard)
+
+    def _fail_waiting(self) -> None:
         waiting = self._waiting
         self._waiting = []
         for _, _, attempt in waiting:
--- a/packages/gateway/almonddock_gateway/targets/_pools.py
+++ b/packages/gateway/almonddock_gateway/targets/_pools.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from almonddock_core.routing import TargetEntry
+from almonddock_core.routing import KnownTarget
 from almonddock_gateway.targets._pool import PoolSettings, TargetPool
 
 
@@ -12,21 +12,17 @@
     def __init__(self, get_limit: Callable[[str], int]) -> None:
         """Takes the connection limit of a service's target."""
         self._get_limit = get_limit
-        self._pools: dict[tuple[str, str, int], TargetPool] = {}
+        self._pools: dict[int, TargetPool] = {}
 
-    def get(self, entry: TargetEntry) -> TargetPool:
-        """Returns the pool of one incarnation's address."""
-        key = (entry.target_id, entry.host, entry.port)
-        pool = self._pools.get(key)
+    def get(self, target: KnownTarget) -> TargetPool:
+        """Returns the pool of one incarnation of a target."""
+        pool = self._pools.get(id(target))
         if pool is None:
+            service = target.entry.service
             pool = TargetPool(
-                PoolSettings(
-                    host=entry.host,
-                    port=entry.port,
-                    get_limit=lambda: self._get_limit(entry.service),
-                ),
+                PoolSettings(target, lambda: self._get_limit(service)),
             )
-            self._pools[key] = pool
+            self._pools[id(target)] = pool
         return pool
 
     def close_idle(self) -> None:
