Leave the balancer's rotation while cut off from other data centres

Change: a host is not ready while no target elsewhere is reached, three or more cannot be, and a route lacks its smallest share. Ruled out: the store's silence as evidence, it shows after 4 s.

--- a/packages/core/almonddock_core/dispatch/__init__.py
+++ b/packages/core/almonddock_core/dispatch/__init__.py
@@ -34,6 +34,7 @@
 )
 from almonddock_core.dispatch._context import DispatchContext
 from almonddock_core.dispatch._dispatch import Dispatch
+from almonddock_core.dispatch._outcome import count_needed
 from almonddock_core.dispatch._records import RECORD_BYTES, merge_records
 from almonddock_core.dispatch._requests import (
     DispatchedRequest,
@@ -71,6 +72,7 @@
     'SlidingCount',
     'TargetReply',
     'Withdraw',
+    'count_needed',
     'merge_records',
     'plan_timing',
 ]
--- a/packages/core/almonddock_core/placement/_health.py
+++ b/packages/core/almonddock_core/placement/_health.py
@@ -43,15 +43,15 @@
     #: Whether no connection could be opened; no request goes there until one
     #: is, because it would only wait.
     unreachable: bool = False
-    #: When the target last answered; None before its first answer.
-    answered: timedelta | None = None
+    #: When the target last answered or took a connection; None before.
+    reached: timedelta | None = None
     #: When the averages last changed.
     updated: timedelta = timedelta()
 
     def observe_reply(self, slowness: float, now: timedelta) -> None:
         """Takes a good reply and its time relative to the typical one."""
         self._fade(now)
-        self.answered = now
+        self.reached = now
         self.broken_in_a_row = 0
         self.ejected_until = timedelta()
         self.slowness += OBSERVATION_WEIGHT * (
@@ -69,7 +69,7 @@
 
     def observe_failure(self, now: timedelta) -> None:
         """Takes a request that the target answered with a failure."""
-        self.answered = now
+        self.reached = now
         self._lower(now)
 
     def observe_break(self, now: timedelta) -> None:
--- a/packages/core/almonddock_core/tests/test_target_choice.py
+++ b/packages/core/almonddock_core/tests/test_target_choice.py
@@ -4,7 +4,12 @@
 from datetime import timedelta
 
 from almonddock_core.dispatch import BudgetLimits, RetryBudget, SlidingCount
-from almonddock_core.placement import TypicalLatency, choose_target
+from almonddock_core.placement import (
+    Reach,
+    TypicalLatency,
+    choose_target,
+    is_isolated,
+)
 from almonddock_core.routing import KnownTarget, TargetTable
 from almonddock_core.tests.dispatch_cases import (
     HERE,
@@ -84,6 +89,21 @@
         self.assertAlmostEqual(latency.seconds, 0.03, delta=0.01)
 
 
+class IsolationTest(unittest.TestCase):
+    def test_cases(self) -> None:
+        now = 10 * SECOND
+        for reached, unreachable, short, expected in (
+            (SECOND, 10, True, True),
+            (None, 10, True, True),
+            (now, 10, True, False),
+            (SECOND, 1, True, False),
+            (SECOND, 10, False, False),
+        ):
+            with self.subTest(reached=reached, unreachable=unreachable):
+                reach = Reach(reached, unreachable, short)
+                self.assertIs(is_isolated(reach, now), expected)
+
+
 class BudgetTest(unittest.TestCase):
     def test_sum_over_hosts_keeps_to_the_bound(self) -> None:
         limits = BudgetLimits(ratio=0.2, slack=52, window=10 * SECOND)
--- a/packages/gateway/almonddock_gateway/controllers/__init__.py
+++ b/packages/gateway/almonddock_gateway/controllers/__init__.py
@@ -5,6 +5,7 @@
 )
 from almonddock_gateway.controllers._follower import Follower, FollowSettings
 from almonddock_gateway.controllers._hosts import HostController
+from almonddock_gateway.controllers._reach import ReachController
 from almonddock_gateway.controllers._targets import TargetController
 
 __all__ = [
@@ -12,5 +13,6 @@
     'FollowSettings',
     'Follower',
     'HostController',
+    'ReachController',
     'TargetController',
 ]
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/controllers/_reach.py
@@ -0,0 +1,78 @@
+"""What this host can reach, for the decision whether it takes callers."""
+
+from almonddock_core.dispatch import DispatchContext, count_needed
+from almonddock_core.model import Clock
+from almonddock_core.placement import Reach, is_isolated
+from almonddock_core.routing import Route
+from almonddock_gateway.telemetry import Telemetry
+
+
+class ReachController:
+    """Notes when the host is cut off from other data centres."""
+
+    def __init__(
+        self,
+        context: DispatchContext,
+        clock: Clock,
+        telemetry: Telemetry,
+    ) -> None:
+        #: Whether callers are better off elsewhere.
+        self.isolated = False
+        self._context = context
+        self._clock = clock
+        self._telemetry = telemetry
+
+    def check(self) -> None:
+        """Looks at the targets again."""
+        reach = self._look()
+        isolated = is_isolated(reach, self._clock.now())
+        if isolated is self.isolated:
+            return
+        self.isolated = isolated
+        self._telemetry.note(
+            'isolated' if isolated else 'isolation_ended',
+            reached=reach.elsewhere_reached,
+            unreachable=reach.elsewhere_unreachable,
+        )
+
+    def _look(self) -> Reach:
+        here = self._context.data_centre
+        elsewhere = [
+            target.health
+            for target in self._context.targets.list_all()
+            if target.entry.data_centre != here
+        ]
+        unreachable = sum(health.unreachable for health in elsewhere)
+        return Reach(
+            elsewhere_reached=max(
+                (
+                    health.reached
+                    for health in elsewhere
+                    if health.reached is not None
+                ),
+                default=None,
+            ),
+            elsewhere_unreachable=unreachable,
+            short=unreachable > 0 and self._is_short(),
+        )
+
+    def _is_short(self) -> bool:
+        table = self._context.table
+        if table is None:
+            return False
+        # Many routes lead to the same shards.
+        distinct = {
+            (route.shards, route.min_share): route
+            for by_prefix in table.routes.values()
+            for route in by_prefix.values()
+            if route.shards
+        }
+        return any(self._lacks_services(route) for route in distinct.values())
+
+    def _lacks_services(self, route: Route) -> bool:
+        now = self._clock.now()
+        reachable = 0
+        for shard in route.shards:
+            usable = self._context.targets.list_usable(shard, now)
+            reachable += any(not one.health.unreachable for one in usable)
+        return reachable < count_needed(route)
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -16,6 +16,7 @@
     Follower,
     FollowSettings,
     HostController,
+    ReachController,
     TargetController,
 )
 from almonddock_gateway.controllers._configuration import DecodeTable
@@ -141,6 +142,11 @@
             self._clock,
             self.telemetry,
         )
+        self._reach = ReachController(
+            self._context,
+            self._clock,
+            self.telemetry,
+        )
         configuration = ConfigurationController(
             settings.keys,
             decoders.table,
@@ -232,6 +238,7 @@
             not self._stopping.is_set()
             and self._state.table is not None
             and self._listing.listed
+            and not self._reach.isolated
         )
 
     def _get_limits(self) -> CallerLimits:
@@ -317,6 +324,7 @@
             await asyncio.sleep(SWEEP.total_seconds())
             self._budget.hosts = self._hosts.count
             self._listing.forget_lapsed()
+            self._reach.check()
             self._pools.close_idle()
             for connection in tuple(self._connections):
                 connection.check_time()
--- a/packages/gateway/almonddock_gateway/targets/_pool.py
+++ b/packages/gateway/almonddock_gateway/targets/_pool.py
@@ -5,6 +5,7 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 
 from almonddock_core.dispatch import Failure
 from almonddock_core.routing import KnownTarget
@@ -189,7 +190,9 @@
             self._forget(connection)
 
     def _note_reachable(self) -> None:
-        self._settings.target.health.unreachable = False
+        health = self._settings.target.health
+        health.unreachable = False
+        health.reached = timedelta(seconds=self._loop.time())
         self._redial_wait_s = FIRST_REDIAL_S
 
     def _note_unreachable(self) -> None:
