--- a/packages/core/almonddock_core/dispatch/__init__.py
+++ b/packages/core/almonddock_core/dispatch/__init__.py
@@ -35,9 +35,14 @@
 from almonddock_core.dispatch._context import DispatchContext
 from almonddock_core.dispatch._dispatch import Dispatch
 from almonddock_core.dispatch._outcome import count_needed
-from almonddock_core.dispatch._records import RECORD_BYTES, merge_records
+from almonddock_core.dispatch._records import (
+    RECORD_BYTES,
+    merge_records,
+    merge_replies,
+)
 from almonddock_core.dispatch._requests import (
     DispatchedRequest,
+    ReplyGroup,
     ReplyKind,
     TargetReply,
 )
@@ -66,6 +71,7 @@
     'RECORD_BYTES',
     'Refusal',
     'RefusalReason',
+    'ReplyGroup',
     'ReplyKind',
     'RetryBudget',
     'Send',
@@ -74,5 +80,6 @@
     'Withdraw',
     'count_needed',
     'merge_records',
+    'merge_replies',
     'plan_timing',
 ]
--- /dev/null
+++ b/packages/core/almonddock_core/dispatch/_attempts.py
@@ -0,0 +1,55 @@
+"""The open attempts of one request."""
+
+from datetime import timedelta
+
+from almonddock_core.dispatch._actions import Send
+from almonddock_core.dispatch._branch import Attempt, Branch
+from almonddock_core.routing import KnownTarget
+
+
+class AttemptBook:
+    """Numbers attempts, and keeps those without an outcome."""
+
+    def __init__(self) -> None:
+        self._open: dict[int, Attempt] = {}
+        self._branches: list[Branch] = []
+
+    def send(
+        self,
+        branch: Branch,
+        target: KnownTarget,
+        now: timedelta,
+    ) -> Send:
+        """Opens an attempt."""
+        number = len(self._branches)
+        attempt = Attempt(number, branch, target, now)
+        self._branches.append(branch)
+        self._open[number] = attempt
+        branch.open.append(attempt)
+        branch.tried.add(target.entry.target_id)
+        branch.sent += 1
+        target.health.in_flight += 1
+        return Send(number, target)
+
+    def take(self, number: int) -> Attempt | None:
+        """Closes an attempt; returns None if it was closed before."""
+        attempt = self._open.pop(number, None)
+        if attempt is not None:
+            attempt.branch.open.remove(attempt)
+            attempt.target.health.in_flight -= 1
+        return attempt
+
+    def get_branch(self, number: int) -> Branch:
+        """Returns the branch of an attempt, open or not."""
+        return self._branches[number]
+
+    def list_open(self) -> tuple[Attempt, ...]:
+        """Returns the open attempts, oldest first."""
+        return tuple(self._open.values())
+
+    def find_unhedged(self) -> Attempt | None:
+        """Returns the oldest attempt that was not hedged."""
+        for attempt in self._open.values():
+            if not attempt.hedged:
+                return attempt
+        return None
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -1,5 +1,6 @@
 """The state machine of one request."""
 
+from collections.abc import Iterable
 from datetime import timedelta
 
 from almonddock_core.dispatch._actions import (
@@ -11,6 +12,7 @@
     Send,
     Withdraw,
 )
+from almonddock_core.dispatch._attempts import AttemptBook
 from almonddock_core.dispatch._branch import Attempt, Branch
 from almonddock_core.dispatch._context import DispatchContext
 from almonddock_core.dispatch._outcome import (
@@ -46,8 +48,7 @@
         self._context = context
         self._latency = context.get_latency(request.route)
         self._branches = [Branch(service) for service in request.services]
-        self._attempts: dict[int, Attempt] = {}
-        self._next_attempt = 0
+        self._attempts = AttemptBook()
         self._now = request.arrived
 
     @property
@@ -57,11 +58,9 @@
         wakes = [timing.give_up]
         if self.request.route.shards:
             wakes.extend((timing.partial_from, timing.late_from))
-        for attempt in self._attempts.values():
-            if not attempt.hedged:
-                wakes.append(attempt.started + timing.hedge_after)
-                # Later attempts of the same kind start later.
-                break
+        oldest = self._attempts.find_unhedged()
+        if oldest is not None:
+            wakes.append(oldest.started + timing.hedge_after)
         now = self._now
         return min(
             (wake for wake in wakes if wake > now),
@@ -80,7 +79,10 @@
         if len(chosen) < count_needed(self.request.route):
             return self._finish(refuse_unreachable())
         return self._conclude(
-            [self._send(branch, target) for branch, target in chosen],
+            [
+                self._attempts.send(branch, target, now)
+                for branch, target in chosen
+            ],
         )
 
     def receive(
@@ -91,22 +93,35 @@
     ) -> list[Action]:
         """Takes the reply to an attempt."""
         self._now = now
-        attempt = self._take(number)
+        attempt = self._attempts.take(number)
         if attempt is None:
             return []
-        if reply.kind is ReplyKind.SUCCESS:
-            return self._conclude(self._succeed(attempt, reply))
-        branch = attempt.branch
-        health = attempt.target.health
-        health.observe_failure(now)
-        if reply.kind is ReplyKind.FAILED:
-            branch.may_have_run = True
-            branch.reply = reply
-        else:
-            branch.refused = True
-            if reply.kind is ReplyKind.MISDIRECTED:
-                attempt.target.replaced = True
-        return self._conclude(self._try_again(branch))
+        return self._conclude(self._settle(attempt, reply))
+
+    def receive_group(
+        self,
+        replies: Iterable[tuple[int, TargetReply | Failure]],
+        now: timedelta,
+    ) -> list[Action]:
+        """Takes the outcomes that another host sent in one message.
+
+        All are taken before the answer is decided, because merged replies are
+        used together. A shard that a hedge has answered already is taken from
+        the group instead: its records are in there.
+        """
+        self._now = now
+        if self.answer is not None:
+            return []
+        actions: list[Action] = []
+        for number, outcome in replies:
+            attempt = self._attempts.take(number)
+            if attempt is None:
+                self._replace(number, outcome)
+            elif isinstance(outcome, Failure):
+                actions.extend(self._lose(attempt, outcome))
+            else:
+                actions.extend(self._settle(attempt, outcome))
+        return self._conclude(actions)
 
     def fail(
         self,
@@ -116,16 +131,10 @@
     ) -> list[Action]:
         """Takes the end of an attempt without a reply."""
         self._now = now
-        attempt = self._take(number)
+        attempt = self._attempts.take(number)
         if attempt is None:
             return []
-        branch = attempt.branch
-        attempt.target.health.observe_break(now)
-        if failure is Failure.LOST:
-            branch.may_have_run = True
-        else:
-            branch.sent -= 1
-        return self._conclude(self._try_again(branch))
+        return self._conclude(self._lose(attempt, failure))
 
     def tick(self, now: timedelta) -> list[Action]:
         """Hedges, answers with shards missing, or gives up, when due."""
@@ -136,7 +145,7 @@
         due = now - self.timing.hedge_after
         waiting = [
             attempt
-            for attempt in self._attempts.values()
+            for attempt in self._attempts.list_open()
             if not attempt.hedged and attempt.started <= due
         ]
         for attempt in waiting:
@@ -147,14 +156,46 @@
     def abandon(self, now: timedelta) -> list[Action]:
         """Ends the work, because the caller has left."""
         self._now = now
-        return [Cancel(number) for number in self._drain_attempts()]
+        left = self._attempts.list_open()
+        return [self._cancel(attempt) for attempt in left]
+
+    def _settle(self, attempt: Attempt, reply: TargetReply) -> list[Action]:
+        if reply.kind is ReplyKind.SUCCESS:
+            return self._succeed(attempt, reply)
+        branch = attempt.branch
+        attempt.target.health.observe_failure(self._now)
+        if reply.kind is ReplyKind.FAILED:
+            branch.may_have_run = True
+            branch.reply = reply
+        else:
+            branch.refused = True
+            if reply.kind is ReplyKind.MISDIRECTED:
+                attempt.target.replaced = True
+        return self._try_again(branch)
+
+    def _lose(self, attempt: Attempt, failure: Failure) -> list[Action]:
+        branch = attempt.branch
+        attempt.target.health.observe_break(self._now)
+        if failure is Failure.LOST:
+            branch.may_have_run = True
+        else:
+            branch.sent -= 1
+        return self._try_again(branch)
+
+    def _replace(self, number: int, outcome: TargetReply | Failure) -> None:
+        """Takes a merged reply in place of one that came before it."""
+        if isinstance(outcome, Failure) or outcome.group is None:
+            return
+        branch = self._attempts.get_branch(number)
+        branch.reply = outcome
+        branch.succeeded = True
 
     def _succeed(self, attempt: Attempt, reply: TargetReply) -> list[Action]:
         branch = attempt.branch
         branch.reply = reply
         branch.succeeded = True
-        elapsed = (self._now - attempt.started).total_seconds()
-        slowness = self._latency.observe(elapsed)
+        elapsed = reply.elapsed or self._now - attempt.started
+        slowness = self._latency.observe(elapsed.total_seconds())
         attempt.target.health.observe_reply(slowness, self._now)
         return [self._cancel(rest) for rest in tuple(branch.open)]
 
@@ -182,7 +223,7 @@
             if not budget.spend(branch.service, routes, self._now):
                 return []
             self.extra_tries += 1
-        return [self._send(branch, target)]
+        return [self._attempts.send(branch, target, self._now)]
 
     def _choose(self, branch: Branch) -> KnownTarget | None:
         usable = self._context.targets.list_usable(branch.service, self._now)
@@ -194,37 +235,13 @@
         ]
         return choose_target(reachable, self._context.data_centre, self._now)
 
-    def _send(self, branch: Branch, target: KnownTarget) -> Send:
-        number = self._next_attempt
-        self._next_attempt = number + 1
-        attempt = Attempt(number, branch, target, self._now)
-        self._attempts[number] = attempt
-        branch.open.append(attempt)
-        branch.tried.add(target.entry.target_id)
-        branch.sent += 1
-        target.health.in_flight += 1
-        return Send(number, target)
-
-    def _take(self, number: int) -> Attempt | None:
-        attempt = self._attempts.pop(number, None)
-        if attempt is not None:
-            attempt.branch.open.remove(attempt)
-            attempt.target.health.in_flight -= 1
-        return attempt
-
     def _cancel(self, attempt: Attempt) -> Cancel:
-        self._take(attempt.number)
+        self._attempts.take(attempt.number)
         elapsed = (self._now - attempt.started).total_seconds()
         slowness = elapsed / self._latency.seconds
         attempt.target.health.observe_wait(slowness, self._now)
         return Cancel(attempt.number)
 
-    def _drain_attempts(self) -> list[int]:
-        numbers = list(self._attempts)
-        for number in numbers:
-            self._take(number)
-        return numbers
-
     def _conclude(self, actions: list[Action]) -> list[Action]:
         """Adds the answer and the end of all work, once it is decided."""
         build = build_merged if self.request.route.shards else build_single
@@ -238,5 +255,5 @@
 
     def _finish(self, answer: Answer) -> list[Action]:
         self.answer = answer
-        rest = [self._cancel(left) for left in tuple(self._attempts.values())]
+        rest = [self._cancel(left) for left in self._attempts.list_open()]
         return [*rest, Finish(answer)]
--- a/packages/core/almonddock_core/dispatch/_records.py
+++ b/packages/core/almonddock_core/dispatch/_records.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from almonddock_core.dispatch._requests import TargetReply
+
 #: The size of one record in bytes (users' page on queries over shards).
 RECORD_BYTES = 16
 
@@ -21,3 +23,15 @@
         )
     records.sort(reverse=True)
     return b''.join(records[:top])
+
+
+def merge_replies(replies: Iterable[TargetReply], top: int) -> bytes:
+    """Returns the greatest records of replies; each group counts once."""
+    bodies = []
+    groups = {}
+    for reply in replies:
+        if reply.group is None:
+            bodies.append(reply.body)
+        else:
+            groups[id(reply.group)] = reply.group.records
+    return merge_records((*bodies, *groups.values()), top)
--- a/packages/core/almonddock_core/dispatch/_requests.py
+++ b/packages/core/almonddock_core/dispatch/_requests.py
@@ -35,6 +35,16 @@
     MISDIRECTED = 'misdirected'
 
 
+@dataclass(frozen=True, eq=False, slots=True)
+class ReplyGroup:
+    """The replies of several shards, merged by another host.
+
+    They can only be used together, because their records are one list.
+    """
+
+    records: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class TargetReply:
     """A whole reply of a target."""
@@ -46,3 +56,7 @@
     body: bytes
     #: The target's proof of this reply; None if it gave none.
     stamp: bytes | None
+    #: The merged records that this reply is part of; its own body is empty.
+    group: 'ReplyGroup | None' = None
+    #: From the send to the reply, if another host measured it.
+    elapsed: timedelta | None = None
--- a/packages/wire/almonddock_wire/_framing.py
+++ b/packages/core/almonddock_core/framing/_framing.py
@@ -3,7 +3,7 @@
 import struct
 from collections.abc import Iterator
 
-from almonddock_wire._errors import OversizedFrameError
+from almonddock_core.framing._errors import OversizedFrameError
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 
--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -91,6 +91,18 @@
         """Returns every target, usable or not."""
         return list(self._targets.values())
 
+    def find_usable(
+        self,
+        target_id: str,
+        now: timedelta,
+    ) -> KnownTarget | None:
+        """Returns a target that may get new work, by its id."""
+        target = self._targets.get(target_id)
+        if target is None or not target.is_usable(now):
+            return None
+        drained = target.entry.data_centre in self.drained
+        return None if drained else target
+
     def list_usable(self, service: str, now: timedelta) -> list[KnownTarget]:
         """Returns the targets of a service that may get new work."""
         return [
--- a/packages/gateway/almonddock_gateway/controllers/__init__.py
+++ b/packages/gateway/almonddock_gateway/controllers/__init__.py
@@ -4,7 +4,7 @@
     ConfigurationController,
 )
 from almonddock_gateway.controllers._follower import Follower, FollowSettings
-from almonddock_gateway.controllers._hosts import HostController
+from almonddock_gateway.controllers._hosts import HostController, Peer
 from almonddock_gateway.controllers._reach import ReachController
 from almonddock_gateway.controllers._targets import TargetController
 
@@ -13,6 +13,7 @@
     'FollowSettings',
     'Follower',
     'HostController',
+    'Peer',
     'ReachController',
     'TargetController',
 ]
--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -7,14 +7,19 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
 from datetime import timedelta
 
+import orjson
+
 from almonddock_core.model import Clock
 from almonddock_gateway.settings import GatewaySettings
 from almonddock_gateway.store import (
     LeaseEndedError,
     Store,
     StoreLostError,
+    StoreView,
 )
 from almonddock_gateway.telemetry import Telemetry
 
@@ -33,8 +38,19 @@
 READS_KEPT = 3
 
 
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Another host of the tier."""
+
+    name: str
+    data_centre: str
+    #: Where it accepts links.
+    host: str
+    port: int
+
+
 class HostController:
-    """Registers this host and counts all."""
+    """Registers this host, counts all, and knows where they are."""
 
     def __init__(
         self,
@@ -49,6 +65,8 @@
         self._telemetry = telemetry
         self._lease: int | None = None
         self._counts: deque[int] = deque(maxlen=READS_KEPT)
+        #: The other hosts, as of the last read.
+        self.peers: frozenset[Peer] = frozenset()
 
     @property
     def count(self) -> int:
@@ -86,13 +104,14 @@
             lease = await self._store.grant_lease(REGISTRATION)
             await self._store.put(
                 f'{prefix}{self._settings.host}',
-                self._settings.data_centre.encode(),
+                self._describe(),
                 lease,
             )
             self._lease = lease
         else:
             await self._store.renew_lease(self._lease)
         view = await self._store.read_prefix_stale(prefix)
+        self.peers = frozenset(self._read_peers(view))
         before = self.count
         self._counts.append(max(len(view.items), 1))
         if self.count != before:
@@ -102,3 +121,29 @@
                 before=before,
                 store_revision=view.revision,
             )
+
+    def _describe(self) -> bytes:
+        settings = self._settings
+        return orjson.dumps(
+            {
+                'data_centre': settings.data_centre,
+                'host': settings.links.host,
+                'port': settings.links.port,
+            },
+        )
+
+    def _read_peers(self, view: StoreView) -> Iterator[Peer]:
+        prefix = self._settings.keys.host_prefix
+        for item in view.items:
+            name = item.key.removeprefix(prefix)
+            if item.content is None or name == self._settings.host:
+                continue
+            try:
+                yield Peer(name=name, **orjson.loads(item.content))
+            except (orjson.JSONDecodeError, TypeError) as fault:
+                self._telemetry.note(
+                    'host_unreadable',
+                    peer=name,
+                    store_revision=item.revision,
+                    reason=str(fault),
+                )
--- a/packages/gateway/almonddock_gateway/entry/_replies.py
+++ b/packages/gateway/almonddock_gateway/entry/_answers.py
@@ -1,4 +1,4 @@
-"""Reads the replies of targets and builds the answers to callers."""
+"""Builds the answers to callers."""
 
 from almonddock_core.dispatch import (
     Answer,
@@ -7,16 +7,13 @@
     Refusal,
     RefusalReason,
     ReplyKind,
-    TargetReply,
-    merge_records,
+    merge_replies,
 )
 from almonddock_core.routing import Route
-from almonddock_gateway.http import Headers, HttpReply, drop_hop_headers
+from almonddock_gateway.http import Headers
 from almonddock_gateway.settings import HeaderNames
 
-FIRST_SUCCESS = 200
-FIRST_AFTER_SUCCESS = 300
-MISDIRECTED = 421
+OK = 200
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -24,29 +21,6 @@
 RawAnswer = tuple[int, Headers, bytes]
 
 
-def read_reply(
-    reply: HttpReply,
-    request_id: bytes,
-    names: HeaderNames,
-) -> TargetReply | None:
-    """Returns what a target replied; None if it answers another request.
-
-    A success counts only with a stamp and without a content coding, which
-    callers never ask for.
-    """
-    echoed = reply.find(names.attempt_id)
-    if echoed is not None and echoed != request_id:
-        return None
-    stamp = reply.find(names.stamp)
-    return TargetReply(
-        kind=_classify(reply, stamp, names),
-        status=reply.status,
-        headers=drop_hop_headers(reply.headers),
-        body=reply.body,
-        stamp=stamp,
-    )
-
-
 def build_answer(
     answer: Answer,
     route: Route,
@@ -76,22 +50,6 @@
     return BAD_GATEWAY, headers, b''
 
 
-def _classify(
-    reply: HttpReply,
-    stamp: bytes | None,
-    names: HeaderNames,
-) -> ReplyKind:
-    if reply.status == MISDIRECTED:
-        return ReplyKind.MISDIRECTED
-    if reply.find(names.not_executed) is not None:
-        return ReplyKind.REFUSED
-    succeeded = FIRST_SUCCESS <= reply.status < FIRST_AFTER_SUCCESS
-    coded = reply.find(b'content-encoding') is not None
-    if succeeded and stamp and not coded:
-        return ReplyKind.SUCCESS
-    return ReplyKind.FAILED
-
-
 def _build_merged(
     answer: MergedAnswer,
     route: Route,
@@ -103,5 +61,4 @@
         (names.part_stamps, stamps),
         (names.missing_parts, b'%d' % len(answer.missing)),
     )
-    bodies = (reply.body for reply in answer.replies)
-    return FIRST_SUCCESS, headers, merge_records(bodies, route.top_records)
+    return OK, headers, merge_replies(answer.replies, route.top_records)
--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -10,12 +10,12 @@
     DispatchedRequest,
 )
 from almonddock_core.routing import Route, RoutingTable, WeightedRotation
+from almonddock_gateway.entry._answers import UNAVAILABLE, build_answer
 from almonddock_gateway.entry._exchange import (
     ExchangeSettings,
     TargetExchange,
     build_outgoing,
 )
-from almonddock_gateway.entry._replies import UNAVAILABLE, build_answer
 from almonddock_gateway.entry._requests import (
     Rejection,
     format_head,
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -13,17 +13,25 @@
     Failure,
     Finish,
     Send,
+    TargetReply,
     Withdraw,
 )
 from almonddock_core.model import Clock
 from almonddock_core.routing import KnownTarget
-from almonddock_gateway.entry._replies import read_reply
 from almonddock_gateway.http import CallerRequest, HttpReply, Reply
+from almonddock_gateway.relays import Relay, RelayBoard, RelayQuery
 from almonddock_gateway.settings import HeaderNames
-from almonddock_gateway.targets import TargetAttempt, TargetPool, TargetPools
+from almonddock_gateway.targets import (
+    TargetAttempt,
+    TargetPool,
+    TargetPools,
+    format_attempt,
+    read_reply,
+)
 
-#: A target gets at least this many milliseconds, so that none gets zero.
-MIN_DEADLINE_MS = 1
+#: A relaying host answers with what is in at this share of the time after
+#: which hedges are sent, so that they go only to shards that are late.
+FLUSH_SHARE = 0.8
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +41,7 @@
     names: HeaderNames
     pools: TargetPools
     clock: Clock
+    relays: RelayBoard
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,12 +72,16 @@
         self._settings = settings
         self._finish = finish
         self._attempts: dict[int, tuple[TargetPool, TargetAttempt]] = {}
+        self._relays: list[Relay] = []
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = timedelta()
 
     def start(self) -> None:
         """Sends the first attempts."""
-        self._run(self.dispatch.start(self._settings.clock.now()))
+        actions = self.dispatch.start(self._settings.clock.now())
+        if self.dispatch.request.route.shards:
+            actions = self._relay(actions)
+        self._run(actions)
 
     def abandon(self) -> None:
         """Ends the work, because the caller has left."""
@@ -76,15 +89,19 @@
             return
         self._run(self.dispatch.abandon(self._settings.clock.now()))
         self._stop_timer()
+        self._end_relays()
         self._finish(self, None)
 
     def _run(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Finish):
                 self._stop_timer()
+                self._end_relays()
                 self._finish(self, action.answer)
                 return
             self._carry_out(action)
+        for relay in self._relays:
+            relay.send_cancelled()
         if self.dispatch.answer is None:
             self._set_timer()
 
@@ -96,6 +113,55 @@
         else:
             self._withdraw(action.attempt)
 
+    def _relay(self, actions: list[Action]) -> list[Action]:
+        """Sends what goes to other data centres over hosts there."""
+        settings = self._settings
+        dispatch = self.dispatch
+        groups = settings.relays.group(actions)
+        for link, sends in groups:
+            now = settings.clock.now()
+            self.asked.extend((now, send.target) for send in sends)
+            relay = Relay(
+                settings.relays,
+                link,
+                tuple(send.attempt for send in sends),
+                self._receive_group,
+            )
+            self._relays.append(relay)
+            relay.ask(
+                RelayQuery(
+                    number=relay.number,
+                    head=self._outgoing.head,
+                    body=self._outgoing.body,
+                    attempt_id=self._outgoing.attempt_id,
+                    remaining=dispatch.timing.give_up - now,
+                    flush_after=dispatch.timing.hedge_after * FLUSH_SHARE,
+                    top=dispatch.request.route.top_records,
+                    priority=dispatch.request.route.priority,
+                    targets=tuple(
+                        send.target.entry.target_id for send in sends
+                    ),
+                ),
+            )
+        relayed = {send.attempt for _, sends in groups for send in sends}
+        return [
+            action
+            for action in actions
+            if not (isinstance(action, Send) and action.attempt in relayed)
+        ]
+
+    def _receive_group(
+        self,
+        outcomes: list[tuple[int, TargetReply | Failure]],
+    ) -> None:
+        now = self._settings.clock.now()
+        self._run(self.dispatch.receive_group(outcomes, now))
+
+    def _end_relays(self) -> None:
+        for relay in self._relays:
+            relay.end()
+        self._relays = []
+
     def _send(self, action: Send) -> None:
         target = action.target
         number = action.attempt
@@ -118,6 +184,9 @@
         if found is not None:
             pool, attempt = found
             pool.cancel(attempt)
+            return
+        for relay in self._relays:
+            relay.cancel(number)
 
     def _withdraw(self, number: int) -> None:
         found = self._attempts.get(number)
@@ -129,15 +198,9 @@
     def _encode(self, target: KnownTarget) -> bytes:
         names = self._settings.names
         left = self.dispatch.timing.give_up - self._settings.clock.now()
-        left_ms = max(MIN_DEADLINE_MS, int(left.total_seconds() * 1000))
-        return b'%b%b: %b\r\n%b: %d\r\n\r\n%b' % (
-            self._outgoing.head,
-            names.expected_target,
-            target.entry.target_id.encode(),
-            names.deadline,
-            left_ms,
-            self._outgoing.body,
-        )
+        target_id = target.entry.target_id
+        head = format_attempt(self._outgoing.head, target_id, left, names)
+        return head + self._outgoing.body
 
     def _receive(self, number: int, raw: HttpReply) -> Reply:
         names = self._settings.names
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import importlib
 import signal
 import sys
 from collections.abc import Callable
@@ -28,6 +29,7 @@
     CallerRequest,
     ConnectionSettings,
 )
+from almonddock_gateway.relays import RelayBoard, RelayServer, RelaySettings
 from almonddock_gateway.settings import GatewaySettings
 from almonddock_gateway.store import Store
 from almonddock_gateway.targets import TargetPools
@@ -59,6 +61,10 @@
 TARGET_PAUSE_MS = 900
 TARGET_PAUSE = timedelta(milliseconds=TARGET_PAUSE_MS)
 
+#: How long a host serves callers before it opens links to others: loading
+#: what they need holds other work for about a tenth of a second.
+LINK_DELAY = timedelta(seconds=2)
+
 #: The pause between sweeps over connections and lapsed entries.
 SWEEP_MS = 500
 SWEEP = timedelta(milliseconds=SWEEP_MS)
@@ -130,10 +136,16 @@
             self._budget,
         )
         self._pools = TargetPools(self._get_connection_limit)
+        self._relays = RelayBoard(settings.data_centre)
         self._entry = Entry(
             self._state,
             self._context,
-            ExchangeSettings(settings.headers, self._pools, self._clock),
+            ExchangeSettings(
+                settings.headers,
+                self._pools,
+                self._clock,
+                self._relays,
+            ),
             self.telemetry,
         )
         self._hosts = HostController(
@@ -227,6 +239,7 @@
             configuration.run(),
             targets.run_after(configuration),
             self._hosts.run(),
+            self._run_links(),
             self._sweep(),
             self._flush_logs(),
         )
@@ -319,6 +332,36 @@
         self._budget.change_limits(settings.budget)
         self.telemetry.note('settings_reloaded', budget=settings.budget)
 
+    async def _run_links(self) -> None:
+        """Opens links to other hosts once this host serves callers."""
+        while not self._ready:
+            await asyncio.sleep(SWEEP.total_seconds())
+        await asyncio.sleep(LINK_DELAY.total_seconds())
+        links = importlib.import_module('almonddock_gateway.links')
+        server = RelayServer(
+            RelaySettings(
+                self._settings.headers,
+                self._targets,
+                self._pools,
+                self._clock,
+            ),
+        )
+        place = self._settings.links
+        await asyncio.get_running_loop().create_server(
+            lambda: links.Link(server.receive, server.forget),
+            place.host,
+            place.port,
+            reuse_address=True,
+        )
+        peers = links.PeerLinks(
+            self._settings.host,
+            self._settings.data_centre,
+            lambda: self._hosts.peers,
+            self.telemetry,
+        )
+        self._relays.links = peers
+        await peers.run()
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP.total_seconds())
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/links/_codec.py
@@ -0,0 +1,153 @@
+"""Encodes messages with pycapnp, and decodes them."""
+
+import pathlib
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from types import MappingProxyType
+from typing import Any
+
+import capnp
+
+from almonddock_core.framing import BadFrameError
+from almonddock_gateway.relays import (
+    Leaving,
+    LinkMessage,
+    PartFailure,
+    Ping,
+    Pong,
+    RelayCancel,
+    RelayQuery,
+    RelayReply,
+)
+
+capnp.remove_import_hook()
+
+_SCHEMA: Any = capnp.load(
+    str(pathlib.Path(__file__).with_name('messages.capnp')),
+)
+
+US = timedelta(microseconds=1)
+
+
+def encode(message: LinkMessage) -> bytes:
+    """Returns one message as bytes, without the length of its frame."""
+    frame = _SCHEMA.Frame.new_message()
+    _WRITERS[type(message)](frame, message)
+    encoded: bytes = frame.to_bytes_packed()
+    return encoded
+
+
+def decode(encoded: bytes) -> LinkMessage:
+    """Returns a message; raises :class:`BadFrameError` if it is none."""
+    try:
+        return _read(_SCHEMA.Frame.from_bytes_packed(encoded))
+    except (capnp.KjException, ValueError) as fault:
+        raise BadFrameError(f'a frame cannot be read: {fault}') from fault
+
+
+def _read(frame: Any) -> LinkMessage:
+    which = str(frame.which())
+    return _READERS[which](getattr(frame, which))
+
+
+def _write_ping(frame: Any, message: Ping) -> None:
+    frame.ping = message.number
+
+
+def _write_pong(frame: Any, message: Pong) -> None:
+    frame.pong = message.number
+
+
+def _write_leaving(frame: Any, message: Leaving) -> None:
+    frame.leaving = None
+
+
+def _write_cancel(frame: Any, message: RelayCancel) -> None:
+    cancel = frame.init('cancel')
+    cancel.number = message.number
+    cancel.parts = message.parts
+
+
+def _read_cancel(cancel: Any) -> RelayCancel:
+    return RelayCancel(cancel.number, tuple(cancel.parts))
+
+
+def _write_query(frame: Any, message: RelayQuery) -> None:
+    query = frame.init('query')
+    query.number = message.number
+    query.head = message.head
+    query.body = message.body
+    query.attemptId = message.attempt_id
+    query.remaining = max(0, message.remaining // US)
+    query.flushAfter = max(0, message.flush_after // US)
+    query.top = message.top
+    query.priority = message.priority
+    query.targets = message.targets
+
+
+def _read_query(query: Any) -> RelayQuery:
+    return RelayQuery(
+        number=query.number,
+        head=bytes(query.head),
+        body=bytes(query.body),
+        attempt_id=bytes(query.attemptId),
+        remaining=query.remaining * US,
+        flush_after=query.flushAfter * US,
+        top=query.top,
+        priority=query.priority,
+        targets=tuple(query.targets),
+    )
+
+
+def _write_reply(frame: Any, message: RelayReply) -> None:
+    reply = frame.init('reply')
+    reply.number = message.number
+    reply.parts = message.parts
+    reply.stamps = message.stamps
+    reply.elapsed = [elapsed // US for elapsed in message.elapsed]
+    reply.records = message.records
+    reply.failedParts = [part for part, _ in message.failures]
+    reply.failures = [int(failure) for _, failure in message.failures]
+
+
+def _read_reply(reply: Any) -> RelayReply:
+    return RelayReply(
+        number=reply.number,
+        parts=tuple(reply.parts),
+        stamps=tuple(bytes(stamp) for stamp in reply.stamps),
+        elapsed=tuple(elapsed * US for elapsed in reply.elapsed),
+        records=bytes(reply.records),
+        failures=tuple(
+            (part, PartFailure(failure))
+            for part, failure in zip(
+                reply.failedParts,
+                reply.failures,
+                strict=True,
+            )
+        ),
+    )
+
+
+_WRITERS: Mapping[type[LinkMessage], Callable[[Any, Any], None]] = (
+    MappingProxyType(
+        {
+            Leaving: _write_leaving,
+            Ping: _write_ping,
+            Pong: _write_pong,
+            RelayCancel: _write_cancel,
+            RelayQuery: _write_query,
+            RelayReply: _write_reply,
+        },
+    )
+)
+
+_READERS: Mapping[str, Callable[[Any], LinkMessage]] = MappingProxyType(
+    {
+        'cancel': _read_cancel,
+        'leaving': lambda _: Leaving(),
+        'ping': Ping,
+        'pong': Pong,
+        'query': _read_query,
+        'reply': _read_reply,
+    },
+)
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/links/_link.py
@@ -0,0 +1,97 @@
+"""One connection between two hosts."""
+
+import asyncio
+from collections.abc import Callable
+
+from almonddock_core.framing import BadFrameError, FrameReader, add_length
+from almonddock_gateway.links._codec import decode, encode
+from almonddock_gateway.relays import LinkMessage, Ping, Pong, RelayQuery
+
+#: A link without any message for so long is pinged, in seconds.
+PING_AFTER_S = 0.4
+
+#: A link that left a ping unanswered for so long is closed, in seconds: above
+#: the pauses of a busy host, below the time of most requests.
+SILENCE_S = 1.0
+
+#: A link whose oldest question is unanswered for so long gets no new one, in
+#: seconds.
+DOUBT_S = 0.15
+
+
+class Link(asyncio.Protocol):
+    """Sends and receives messages, and notices when the other end is gone.
+
+    ``receive`` is called with each message but pings and pongs, ``closed``
+    once, when the connection has ended.
+    """
+
+    def __init__(
+        self,
+        receive: 'Callable[[Link, LinkMessage], None]',
+        closed: 'Callable[[Link], None]',
+    ) -> None:
+        self._receive = receive
+        self._closed = closed
+        self._loop = asyncio.get_running_loop()
+        self._reader = FrameReader()
+        self._transport: asyncio.Transport | None = None
+        self._heard = self._loop.time()
+        # When the oldest question without an answer was asked.
+        self._asked: float | None = None
+        self._pings = 0
+
+    @property
+    def usable(self) -> bool:
+        """Whether the other host has answered lately."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        return self._asked is None or self._loop.time() - self._asked < DOUBT_S
+
+    def send(self, message: LinkMessage) -> None:
+        """Sends a message; one on a closed link is lost."""
+        if self._transport is None:
+            return
+        if isinstance(message, Ping | RelayQuery) and self._asked is None:
+            self._asked = self._loop.time()
+        self._transport.write(add_length(encode(message)))
+
+    def check(self) -> None:
+        """Pings an idle link, and closes a silent one."""
+        now = self._loop.time()
+        if self._asked is not None and now - self._asked > SILENCE_S:
+            self.close()
+        elif now - self._heard > PING_AFTER_S:
+            self._pings += 1
+            self.send(Ping(self._pings))
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, received: bytes) -> None:
+        """Hands on each message; closes the link at a bad frame."""
+        self._heard = self._loop.time()
+        self._asked = None
+        try:
+            for encoded in self._reader.feed(received):
+                self._take(decode(encoded))
+        except BadFrameError:
+            self.close()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Reports the end."""
+        self._transport = None
+        self._closed(self)
+
+    def _take(self, message: LinkMessage) -> None:
+        if isinstance(message, Ping):
+            self.send(Pong(message.number))
+        elif not isinstance(message, Pong):
+            self._receive(self, message)
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -0,0 +1,155 @@
+"""The links of this host to hosts of other data centres."""
+
+import asyncio
+import itertools
+import zlib
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Sequence
+
+from almonddock_gateway.controllers import Peer
+from almonddock_gateway.links._link import Link
+from almonddock_gateway.relays import (
+    Leaving,
+    LinkMessage,
+    MessageLink,
+    RelayCancel,
+    RelayQuery,
+    RelayReply,
+)
+from almonddock_gateway.telemetry import Telemetry
+
+#: Hosts of each other data centre that this host asks.
+LINKS_PER_DATA_CENTRE = 2
+
+#: How long a link may take to open, in seconds.
+DIAL_TIMEOUT_S = 0.5
+
+#: The pause between two looks at the links, in seconds.
+PERIOD_S = 0.25
+
+HandleReply = Callable[[RelayReply | None], None]
+
+
+class PeerLinks:
+    """Keeps links open, and carries queries over them."""
+
+    def __init__(
+        self,
+        own: str,
+        data_centre: str,
+        list_peers: Callable[[], Iterable[Peer]],
+        telemetry: Telemetry,
+    ) -> None:
+        self._own = own
+        self._data_centre = data_centre
+        self._list_peers = list_peers
+        self._telemetry = telemetry
+        self._links: dict[Peer, Link] = {}
+        self._leaving: set[Link] = set()
+        self._waiting: dict[tuple[MessageLink, int], HandleReply] = {}
+        self._numbers = itertools.count(1)
+        self._turns = itertools.count()
+        self._dialling: dict[Peer, asyncio.Task[None]] = {}
+
+    def find_link(self, data_centre: str) -> MessageLink | None:
+        """Returns a link to a host that answers, None without one."""
+        usable = [
+            link
+            for peer, link in self._links.items()
+            if peer.data_centre == data_centre
+            and link.usable
+            and link not in self._leaving
+        ]
+        turn = next(self._turns)
+        return usable[turn % len(usable)] if usable else None
+
+    def draw_number(self) -> int:
+        """Returns the number of a new query."""
+        return next(self._numbers)
+
+    def ask(
+        self, link: MessageLink, query: RelayQuery, handle: HandleReply
+    ) -> None:
+        """Sends a query; ``handle`` gets its replies, or None at the end.
+
+        Call :meth:`forget` once no further reply is awaited.
+        """
+        self._waiting[(link, query.number)] = handle
+        link.send(query)
+
+    def cancel(
+        self, link: MessageLink, number: int, parts: Sequence[int]
+    ) -> None:
+        """Says that some parts are no longer wanted."""
+        link.send(RelayCancel(number, tuple(parts)))
+
+    def forget(self, link: MessageLink, number: int) -> None:
+        """Ends the wait for replies to a query."""
+        self._waiting.pop((link, number), None)
+
+    async def run(self) -> None:
+        """Keeps the links until cancelled."""
+        while True:
+            wanted = self._choose_peers()
+            for peer in wanted:
+                if peer not in self._links and peer not in self._dialling:
+                    dial = asyncio.create_task(self._dial(peer))
+                    self._dialling[peer] = dial
+            for peer, link in tuple(self._links.items()):
+                if peer in wanted:
+                    link.check()
+                else:
+                    link.close()
+            await asyncio.sleep(PERIOD_S)
+
+    def _choose_peers(self) -> set[Peer]:
+        """Returns a few hosts of each other data centre, spread evenly."""
+        by_place: dict[str, list[Peer]] = defaultdict(list)
+        for peer in self._list_peers():
+            if peer.data_centre != self._data_centre:
+                by_place[peer.data_centre].append(peer)
+        return {
+            peer
+            for peers in by_place.values()
+            for peer in sorted(peers, key=self._rank)[:LINKS_PER_DATA_CENTRE]
+        }
+
+    def _rank(self, peer: Peer) -> int:
+        return zlib.crc32(f'{self._own} {peer.name}'.encode())
+
+    async def _dial(self, peer: Peer) -> None:
+        try:
+            async with asyncio.timeout(DIAL_TIMEOUT_S):
+                (
+                    _,
+                    link,
+                ) = await asyncio.get_running_loop().create_connection(
+                    lambda: Link(self._receive, self._forget_link),
+                    peer.host,
+                    peer.port,
+                )
+        except (OSError, TimeoutError):
+            await asyncio.sleep(DIAL_TIMEOUT_S)
+        else:
+            self._links[peer] = link
+            self._telemetry.note('link_opened', peer=peer.name)
+        finally:
+            self._dialling.pop(peer, None)
+
+    def _receive(self, link: Link, message: LinkMessage) -> None:
+        if isinstance(message, Leaving):
+            self._leaving.add(link)
+        elif isinstance(message, RelayReply):
+            handle = self._waiting.get((link, message.number))
+            if handle is not None:
+                handle(message)
+
+    def _forget_link(self, link: Link) -> None:
+        self._leaving.discard(link)
+        for peer, known in tuple(self._links.items()):
+            if known is link:
+                del self._links[peer]
+                self._telemetry.note('link_closed', peer=peer.name)
+        lost = [key for key in self._waiting if key[0] is link]
+        for key in lost:
+            self._waiting.pop(key)(None)
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/relays/__init__.py
@@ -0,0 +1,37 @@
+"""Queries over shards that travel by a host in the targets' data centre.
+
+That host sends the sub-queries, merges the replies, and answers in one or a
+few messages; all decisions stay with the host that the caller asked.
+"""
+
+from almonddock_gateway.relays._board import LinkBook, RelayBoard
+from almonddock_gateway.relays._messages import (
+    Leaving,
+    LinkMessage,
+    MessageLink,
+    PartFailure,
+    Ping,
+    Pong,
+    RelayCancel,
+    RelayQuery,
+    RelayReply,
+)
+from almonddock_gateway.relays._relay import Relay
+from almonddock_gateway.relays._server import RelayServer, RelaySettings
+
+__all__ = [
+    'Leaving',
+    'LinkBook',
+    'LinkMessage',
+    'MessageLink',
+    'PartFailure',
+    'Ping',
+    'Pong',
+    'Relay',
+    'RelayBoard',
+    'RelayCancel',
+    'RelayQuery',
+    'RelayReply',
+    'RelayServer',
+    'RelaySettings',
+]
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/relays/_board.py
@@ -0,0 +1,79 @@
+"""Decides which sub-queries travel by another host."""
+
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from almonddock_core.dispatch import Action, Send
+from almonddock_gateway.relays._messages import (
+    MessageLink,
+    RelayQuery,
+    RelayReply,
+)
+
+#: Fewer sub-queries than this gain nothing from a merge on the way.
+MIN_GROUP = 2
+
+HandleReply = Callable[[RelayReply | None], None]
+
+
+class LinkBook(Protocol):
+    """The open links to hosts of other data centres."""
+
+    def find_link(self, data_centre: str) -> MessageLink | None:
+        """Returns a link to a host that answers, None without one."""
+        ...
+
+    def draw_number(self) -> int:
+        """Returns the number of a new query."""
+        ...
+
+    def ask(
+        self,
+        link: MessageLink,
+        query: RelayQuery,
+        handle: HandleReply,
+    ) -> None:
+        """Sends a query; ``handle`` gets its replies, or None at the end."""
+        ...
+
+    def cancel(
+        self,
+        link: MessageLink,
+        number: int,
+        parts: Sequence[int],
+    ) -> None:
+        """Says that some parts are no longer wanted."""
+        ...
+
+    def forget(self, link: MessageLink, number: int) -> None:
+        """Ends the wait for replies to a query."""
+        ...
+
+
+class RelayBoard:
+    """Groups sub-queries by data centre, where a link leads."""
+
+    def __init__(self, data_centre: str) -> None:
+        #: The links, once they are open.
+        self.links: LinkBook | None = None
+        self._data_centre = data_centre
+
+    def group(
+        self,
+        actions: Sequence[Action],
+    ) -> list[tuple[MessageLink, list[Send]]]:
+        """Returns the sends that go over each link; the others go direct."""
+        if self.links is None:
+            return []
+        by_place: dict[str, list[Send]] = defaultdict(list)
+        for action in actions:
+            if isinstance(action, Send):
+                by_place[action.target.entry.data_centre].append(action)
+        by_place.pop(self._data_centre, None)
+        groups = []
+        for place, sends in by_place.items():
+            link = self.links.find_link(place)
+            if link is not None and len(sends) >= MIN_GROUP:
+                groups.append((link, sends))
+        return groups
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/relays/_relay.py
@@ -0,0 +1,111 @@
+"""One query on its way by another host."""
+
+from collections.abc import Callable
+
+from almonddock_core.dispatch import (
+    Failure,
+    ReplyGroup,
+    ReplyKind,
+    TargetReply,
+)
+from almonddock_gateway.relays._board import LinkBook, RelayBoard
+from almonddock_gateway.relays._messages import (
+    MessageLink,
+    PartFailure,
+    RelayQuery,
+    RelayReply,
+)
+
+#: The status of every part that came merged.
+OK = 200
+
+Outcome = tuple[int, TargetReply | Failure]
+
+
+class Relay:
+    """Turns the messages of another host into outcomes of attempts."""
+
+    def __init__(
+        self,
+        board: RelayBoard,
+        link: MessageLink,
+        attempts: tuple[int, ...],
+        receive: Callable[[list[Outcome]], None],
+    ) -> None:
+        assert board.links is not None
+        self._links: LinkBook = board.links
+        self._link = link
+        self._attempts = attempts
+        self._receive = receive
+        #: Parts without an outcome yet.
+        self._open = dict(enumerate(attempts))
+        self._cancelled: list[int] = []
+        #: The number of the query on its link.
+        self.number = self._links.draw_number()
+
+    def ask(self, query: RelayQuery) -> None:
+        """Sends the query."""
+        self._links.ask(self._link, query, self._take)
+
+    def cancel(self, attempt: int) -> None:
+        """Notes that an attempt is no longer wanted."""
+        if attempt in self._attempts:
+            part = self._attempts.index(attempt)
+            if self._open.pop(part, None) is not None:
+                self._cancelled.append(part)
+
+    def send_cancelled(self) -> None:
+        """Tells the other host what is no longer wanted, in one message."""
+        if self._cancelled:
+            self._links.cancel(self._link, self.number, self._cancelled)
+            self._cancelled = []
+
+    def end(self) -> None:
+        """Ends the query; later messages are ignored."""
+        self._cancelled.extend(self._open)
+        self._open = {}
+        self.send_cancelled()
+        self._links.forget(self._link, self.number)
+
+    def _take(self, reply: RelayReply | None) -> None:
+        if reply is None:
+            lost = tuple(self._open.values())
+            self._open = {}
+            self._receive([(attempt, Failure.LOST) for attempt in lost])
+            return
+        outcomes = self._read_parts(reply)
+        for part, failure in reply.failures:
+            outcomes.append((self._attempts[part], _read_failure(failure)))
+            self._open.pop(part, None)
+        self._receive(outcomes)
+
+    def _read_parts(self, reply: RelayReply) -> list[Outcome]:
+        group = ReplyGroup(reply.records)
+        outcomes: list[Outcome] = []
+        for part, stamp, elapsed in zip(
+            reply.parts,
+            reply.stamps,
+            reply.elapsed,
+            strict=True,
+        ):
+            self._open.pop(part, None)
+            success = TargetReply(
+                kind=ReplyKind.SUCCESS,
+                status=OK,
+                headers=(),
+                body=b'',
+                stamp=stamp,
+                group=group,
+                elapsed=elapsed,
+            )
+            outcomes.append((self._attempts[part], success))
+        return outcomes
+
+
+def _read_failure(failure: PartFailure) -> TargetReply | Failure:
+    if failure is PartFailure.UNSENT:
+        return Failure.UNSENT
+    if failure is PartFailure.LOST:
+        return Failure.LOST
+    kind = ReplyKind[failure.name]
+    return TargetReply(kind, 0, (), b'', None)
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -0,0 +1,218 @@
+"""Asks targets of this data centre for hosts of others."""
+
+import asyncio
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from almonddock_core.dispatch import (
+    Failure,
+    ReplyKind,
+    TargetReply,
+    merge_records,
+)
+from almonddock_core.model import Clock
+from almonddock_core.routing import TargetTable
+from almonddock_gateway.http import HttpReply, Reply
+from almonddock_gateway.relays._messages import (
+    LinkMessage,
+    MessageLink,
+    PartFailure,
+    RelayCancel,
+    RelayQuery,
+    RelayReply,
+)
+from almonddock_gateway.settings import HeaderNames
+from almonddock_gateway.targets import (
+    TargetAttempt,
+    TargetPool,
+    TargetPools,
+    format_attempt,
+    read_reply,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RelaySettings:
+    """What all relayed queries share."""
+
+    names: HeaderNames
+    targets: TargetTable
+    pools: TargetPools
+    clock: Clock
+
+
+@dataclass(slots=True)
+class _Relayed:
+    """One query that is being worked on."""
+
+    link: MessageLink
+    query: RelayQuery
+    arrived: timedelta
+    #: Parts without an outcome yet.
+    open: dict[int, tuple[TargetPool, TargetAttempt]] = field(
+        default_factory=dict,
+    )
+    #: Outcomes that were not sent yet.
+    replies: dict[int, tuple[TargetReply, timedelta]] = field(
+        default_factory=dict,
+    )
+    failures: list[tuple[int, PartFailure]] = field(default_factory=list)
+    #: Whether every outcome is sent at once from now on.
+    flushed: bool = False
+
+
+class RelayServer:
+    """Carries out the queries that come over links."""
+
+    def __init__(self, settings: RelaySettings) -> None:
+        self._settings = settings
+        self._running: dict[tuple[MessageLink, int], _Relayed] = {}
+
+    def receive(self, link: MessageLink, message: LinkMessage) -> None:
+        """Takes a query or the end of some of its parts."""
+        if isinstance(message, RelayQuery):
+            self._start(link, message)
+        elif isinstance(message, RelayCancel):
+            relayed = self._running.get((link, message.number))
+            if relayed is not None:
+                self._cancel(relayed, message.parts)
+
+    def forget(self, link: MessageLink) -> None:
+        """Ends the work for a host whose link has closed."""
+        for key, relayed in tuple(self._running.items()):
+            if relayed.link is link:
+                self._cancel(relayed, tuple(relayed.open))
+                self._running.pop(key, None)
+
+    def _start(self, link: MessageLink, query: RelayQuery) -> None:
+        relayed = _Relayed(link, query, self._settings.clock.now())
+        self._running[(link, query.number)] = relayed
+        for part, target_id in enumerate(query.targets):
+            self._ask(relayed, part, target_id)
+        self._advance(relayed)
+        if not relayed.open:
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            query.flush_after.total_seconds(),
+            self._flush,
+            relayed,
+        )
+        loop.call_later(
+            query.remaining.total_seconds(),
+            self._expire,
+            relayed,
+        )
+
+    def _ask(self, relayed: _Relayed, part: int, target_id: str) -> None:
+        settings = self._settings
+        now = settings.clock.now()
+        target = settings.targets.find_usable(target_id, now)
+        if target is None or target.health.unreachable:
+            relayed.failures.append((part, PartFailure.UNSENT))
+            return
+        query = relayed.query
+        give_up = relayed.arrived + query.remaining
+        sent = [now]
+
+        def encode() -> bytes:
+            sent[0] = settings.clock.now()
+            left = give_up - sent[0]
+            head = format_attempt(query.head, target_id, left, settings.names)
+            return head + query.body
+
+        def receive(raw: HttpReply) -> Reply:
+            reply = read_reply(raw, query.attempt_id, settings.names)
+            if reply is None:
+                return Reply.FOREIGN
+            self._settle(relayed, part, reply, settings.clock.now() - sent[0])
+            return Reply.ACCEPTED
+
+        def fail(failure: Failure) -> None:
+            lost = failure is Failure.LOST
+            self._fail(
+                relayed,
+                part,
+                PartFailure.LOST if lost else PartFailure.UNSENT,
+            )
+
+        pool = settings.pools.get(target)
+        attempt = TargetAttempt(
+            encode,
+            receive,
+            fail,
+            fresh_only=False,
+            priority=query.priority,
+        )
+        relayed.open[part] = (pool, attempt)
+        pool.submit(attempt)
+
+    def _settle(
+        self,
+        relayed: _Relayed,
+        part: int,
+        reply: TargetReply,
+        elapsed: timedelta,
+    ) -> None:
+        if relayed.open.pop(part, None) is None:
+            return
+        if reply.kind is ReplyKind.SUCCESS:
+            relayed.replies[part] = (reply, elapsed)
+        else:
+            relayed.failures.append((part, PartFailure[reply.kind.name]))
+        self._advance(relayed)
+
+    def _fail(
+        self,
+        relayed: _Relayed,
+        part: int,
+        failure: PartFailure,
+    ) -> None:
+        if relayed.open.pop(part, None) is not None:
+            relayed.failures.append((part, failure))
+            self._advance(relayed)
+
+    def _cancel(self, relayed: _Relayed, parts: tuple[int, ...]) -> None:
+        """Ends parts; one whose reply waits to be sent is left out of it."""
+        for part in parts:
+            relayed.replies.pop(part, None)
+            found = relayed.open.pop(part, None)
+            if found is not None:
+                pool, attempt = found
+                pool.cancel(attempt)
+        self._advance(relayed)
+
+    def _flush(self, relayed: _Relayed) -> None:
+        relayed.flushed = True
+        self._advance(relayed)
+
+    def _expire(self, relayed: _Relayed) -> None:
+        """Ends what is left when the request's time is over."""
+        self._cancel(relayed, tuple(relayed.open))
+
+    def _advance(self, relayed: _Relayed) -> None:
+        """Sends what is due: failures and the rest at once, see flush."""
+        if relayed.failures or relayed.flushed or not relayed.open:
+            self._send(relayed)
+        if not relayed.open:
+            self._running.pop((relayed.link, relayed.query.number), None)
+
+    def _send(self, relayed: _Relayed) -> None:
+        if not (relayed.replies or relayed.failures):
+            return
+        replies = relayed.replies
+        bodies = (reply.body for reply, _ in replies.values())
+        relayed.link.send(
+            RelayReply(
+                number=relayed.query.number,
+                parts=tuple(replies),
+                stamps=tuple(
+                    reply.stamp or b'' for reply, _ in replies.values()
+                ),
+                elapsed=tuple(elapsed for _, elapsed in replies.values()),
+                records=merge_records(bodies, relayed.query.top),
+                failures=tuple(relayed.failures),
+            ),
+        )
+        relayed.replies = {}
+        relayed.failures = []
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -64,6 +64,8 @@
     callers: Address
     #: Where the balancer asks whether this host takes callers.
     readiness: Address
+    #: Where other hosts connect.
+    links: Address
     #: Where metrics are read.
     metrics: Address
     metrics_path: str
--- a/packages/gateway/almonddock_gateway/targets/__init__.py
+++ b/packages/gateway/almonddock_gateway/targets/__init__.py
@@ -1,6 +1,7 @@
 """Connections to targets, one pool for each target."""
 
 from almonddock_gateway.targets._attempts import TargetAttempt
+from almonddock_gateway.targets._messages import format_attempt, read_reply
 from almonddock_gateway.targets._pool import PoolSettings, TargetPool
 from almonddock_gateway.targets._pools import TargetPools
 
@@ -9,4 +10,6 @@
     'TargetAttempt',
     'TargetPool',
     'TargetPools',
+    'format_attempt',
+    'read_reply',
 ]
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/targets/_messages.py
@@ -0,0 +1,74 @@
+"""Requests to targets, and what their replies say."""
+
+from datetime import timedelta
+
+from almonddock_core.dispatch import ReplyKind, TargetReply
+from almonddock_gateway.http import HttpReply, drop_hop_headers
+from almonddock_gateway.settings import HeaderNames
+
+FIRST_SUCCESS = 200
+FIRST_AFTER_SUCCESS = 300
+MISDIRECTED = 421
+
+#: A target gets at least this many milliseconds, so that none gets zero.
+MIN_DEADLINE_MS = 1
+MS = timedelta(milliseconds=1)
+
+
+def format_attempt(
+    head: bytes,
+    target_id: str,
+    left: timedelta,
+    names: HeaderNames,
+) -> bytes:
+    """Returns start line and headers for one target, with their end.
+
+    ``head`` is what all targets get; ``left`` is the time until the request
+    is given up.
+    """
+    return b'%b%b: %b\r\n%b: %d\r\n\r\n' % (
+        head,
+        names.expected_target,
+        target_id.encode(),
+        names.deadline,
+        max(MIN_DEADLINE_MS, left // MS),
+    )
+
+
+def read_reply(
+    reply: HttpReply,
+    request_id: bytes,
+    names: HeaderNames,
+) -> TargetReply | None:
+    """Returns what a target replied; None if it answers another request.
+
+    A success counts only with a stamp and without a content coding, which
+    callers never ask for.
+    """
+    echoed = reply.find(names.attempt_id)
+    if echoed is not None and echoed != request_id:
+        return None
+    stamp = reply.find(names.stamp)
+    return TargetReply(
+        kind=_classify(reply, stamp, names),
+        status=reply.status,
+        headers=drop_hop_headers(reply.headers),
+        body=reply.body,
+        stamp=stamp,
+    )
+
+
+def _classify(
+    reply: HttpReply,
+    stamp: bytes | None,
+    names: HeaderNames,
+) -> ReplyKind:
+    if reply.status == MISDIRECTED:
+        return ReplyKind.MISDIRECTED
+    if reply.find(names.not_executed) is not None:
+        return ReplyKind.REFUSED
+    succeeded = FIRST_SUCCESS <= reply.status < FIRST_AFTER_SUCCESS
+    coded = reply.find(b'content-encoding') is not None
+    if succeeded and stamp and not coded:
+        return ReplyKind.SUCCESS
+    return ReplyKind.FAILED
--- a/packages/wire/almonddock_wire/__init__.py
+++ b/packages/wire/almonddock_wire/__init__.py
@@ -4,13 +4,14 @@
 :func:`add_length` and :class:`FrameReader` put frames on a byte stream.
 """
 
-from almonddock_wire._codec import Message, decode, encode
-from almonddock_wire._errors import BadFrameError, OversizedFrameError
-from almonddock_wire._framing import (
+from almonddock_core.framing import (
     MAX_FRAME_BYTES,
+    BadFrameError,
     FrameReader,
+    OversizedFrameError,
     add_length,
 )
+from almonddock_wire._codec import Message, decode, encode
 from almonddock_wire._messages import (
     CancelBatch,
     Hello,
--- a/packages/wire/almonddock_wire/_codec.py
+++ b/packages/wire/almonddock_wire/_codec.py
@@ -16,6 +16,7 @@
     DocumentReply,
     DocumentRequest,
 )
+from almonddock_core.framing import BadFrameError
 from almonddock_core.idempotency import (
     Claim,
     Decision,
@@ -35,7 +36,6 @@
 from almonddock_wire import _claims as claims
 from almonddock_wire import _configuration as configuration
 from almonddock_wire import _membership as membership
-from almonddock_wire._errors import BadFrameError
 from almonddock_wire._leases import (
     read_handover,
     read_lease_release,
