Document the gateway's codes, events and metrics

Change: the reference names them; the test now also reads the gateway's events and platform/. A target that becomes reachable or unreachable is logged, and a settings file with a fault keeps the settings before. Conclusion: none.

--- a/packages/cli/almonddock_cli/tests/test_pages.py
+++ b/packages/cli/almonddock_cli/tests/test_pages.py
@@ -1,3 +1,4 @@
+import itertools
 import pathlib
 import re
 import shlex
@@ -14,6 +15,8 @@
 PAGES = ROOT / 'docs' / 'operators'
 REFERENCE = PAGES / 'reference.md'
 EVENT = re.compile(r"LOG\.(?:info|warning|error)\(\s*'([a-z_]+)'")
+NOTE = re.compile(r"note\(\s*'([a-z_]+)'")
+WRITTEN = re.compile(r"LineBudget\.[A-Z]+,\s*'([a-z_]+)'")
 CODE = re.compile(r"^    code = '([a-z_]+)'", re.MULTILINE)
 METRIC = re.compile(r"'(almonddock_[a-z_]+)'")
 
@@ -28,7 +31,10 @@
 
 def find_all(pattern: re.Pattern[str], folder: str) -> set[str]:
     found: set[str] = set()
-    for path in (ROOT / 'packages').rglob(folder):
+    for path in itertools.chain(
+        (ROOT / 'packages').rglob(folder),
+        (ROOT / 'platform').rglob(folder),
+    ):
         if 'tests' not in path.parts:
             found.update(pattern.findall(path.read_text()))
     return found
@@ -57,9 +63,11 @@
         codes = (
             {reason.value for reason in Reason}
             | find_all(EVENT, 'almonddock_daemon/**/*.py')
+            | find_all(NOTE, 'almonddock_gateway/**/*.py')
+            | find_all(WRITTEN, 'almonddock_gateway/**/*.py')
             | find_all(CODE, '*.py')
             | find_all(METRIC, 'telemetry/*.py')
         )
-        self.assertGreater(len(codes), 30)
+        self.assertGreater(len(codes), 50)
         missing = {code for code in codes if f'`{code}`' not in text}
         self.assertEqual(missing, set())
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -10,7 +10,8 @@
 from datetime import timedelta
 
 from almonddock_core.dispatch import DispatchContext, RetryBudget
-from almonddock_core.routing import CallerLimits, TargetTable
+from almonddock_core.model import AlmonddockError
+from almonddock_core.routing import CallerLimits, KnownTarget, TargetTable
 from almonddock_gateway._clock import SteadyClock
 from almonddock_gateway.controllers import (
     ConfigurationController,
@@ -135,7 +136,10 @@
             self._targets,
             self._budget,
         )
-        self._pools = TargetPools(self._get_connection_limit)
+        self._pools = TargetPools(
+            self._get_connection_limit,
+            self._note_reach,
+        )
         self._relays = RelayBoard(settings.data_centre)
         self._entry = Entry(
             self._state,
@@ -286,6 +290,18 @@
             reuse_address=True,
         )
 
+    def _note_reach(self, target: KnownTarget) -> None:
+        """Writes that a target can be reached again, or no longer."""
+        entry = target.entry
+        health = target.health
+        self.telemetry.note(
+            'target_unreachable' if health.unreachable else 'target_reachable',
+            target=entry.target_id,
+            service=entry.service,
+            address=f'{entry.host}:{entry.port}',
+            reached=health.reached,
+        )
+
     def _share_connections(
         self,
         handle: Callable[[CallerRequest, CallerConnection], object],
@@ -328,7 +344,11 @@
 
     def _take_settings(self) -> None:
         """Reads the settings file again; limits of bounds may change."""
-        settings = self._reload()
+        try:
+            settings = self._reload()
+        except (OSError, AlmonddockError) as fault:
+            self.telemetry.note('settings_unreadable', reason=str(fault))
+            return
         self._budget.change_limits(settings.budget)
         self.telemetry.note('settings_reloaded', budget=settings.budget)
 
--- a/packages/gateway/almonddock_gateway/targets/_pool.py
+++ b/packages/gateway/almonddock_gateway/targets/_pool.py
@@ -40,6 +40,8 @@
     #: Connections that may be open or opening at once, read each time because
     #: it changes with the number of hosts.
     get_limit: Callable[[], int]
+    #: Called when the target becomes reachable or unreachable.
+    note_reach: Callable[[KnownTarget], None]
 
 
 class TargetPool:
@@ -190,9 +192,12 @@
             self._forget(connection)
 
     def _note_reachable(self) -> None:
-        health = self._settings.target.health
-        health.unreachable = False
+        target = self._settings.target
+        health = target.health
         health.reached = timedelta(seconds=self._loop.time())
+        if health.unreachable:
+            health.unreachable = False
+            self._settings.note_reach(target)
         self._redial_wait_s = FIRST_REDIAL_S
 
     def _note_unreachable(self) -> None:
@@ -200,7 +205,9 @@
         if self._open:
             return
         target = self._settings.target
-        target.health.unreachable = True
+        if not target.health.unreachable:
+            target.health.unreachable = True
+            self._settings.note_reach(target)
         self._fail_waiting()
         if self._redial is None and not target.dropped:
             self._redial = self._loop.call_later(
--- a/packages/gateway/almonddock_gateway/targets/_pools.py
+++ b/packages/gateway/almonddock_gateway/targets/_pools.py
@@ -9,9 +9,18 @@
 class TargetPools:
     """Makes a pool when a target is first used, and drops unused ones."""
 
-    def __init__(self, get_limit: Callable[[str], int]) -> None:
-        """Takes the connection limit of a service's target."""
+    def __init__(
+        self,
+        get_limit: Callable[[str], int],
+        note_reach: Callable[[KnownTarget], None],
+    ) -> None:
+        """Takes the connection limit of a service's target.
+
+        ``note_reach`` is called when a target becomes reachable or
+        unreachable.
+        """
         self._get_limit = get_limit
+        self._note_reach = note_reach
         self._pools: dict[int, TargetPool] = {}
 
     def get(self, target: KnownTarget) -> TargetPool:
@@ -20,7 +29,11 @@
         if pool is None:
             service = target.entry.service
             pool = TargetPool(
-                PoolSettings(target, lambda: self._get_limit(service)),
+                PoolSettings(
+                    target,
+                    lambda: self._get_limit(service),
+                    self._note_reach,
+                ),
             )
             self._pools[id(target)] = pool
         return pool
