Read the store through another host while this one is turned away

Change: reads and watches go over a link to another host until the store answers directly again. Ruled out: asking the old targets directly, which sends work to targets that leave.

--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -30,7 +30,15 @@
     CallerRequest,
     ConnectionSettings,
 )
-from almonddock_gateway.relays import RelayBoard, RelayServer, RelaySettings
+from almonddock_gateway.relays import (
+    LinkMessage,
+    MessageLink,
+    RelayBoard,
+    RelayServer,
+    RelaySettings,
+    SharedStore,
+    StoreServer,
+)
 from almonddock_gateway.settings import GatewaySettings
 from almonddock_gateway.store import Store
 from almonddock_gateway.targets import TargetPools
@@ -152,6 +160,13 @@
             ),
             self.telemetry,
         )
+        self._store = store
+        shared = SharedStore(
+            store,
+            self._relays,
+            settings.keys.host_prefix,
+            self.telemetry,
+        )
         self._hosts = HostController(
             settings,
             store,
@@ -187,7 +202,7 @@
                     take_changes=configuration.take_changes,
                     store_back=_ignore,
                 ),
-                store,
+                shared,
                 self._clock,
                 self.telemetry,
             ),
@@ -200,7 +215,7 @@
                     take_changes=self._listing.take_changes,
                     store_back=self._listing.note_store_back,
                 ),
-                store,
+                shared,
                 self._clock,
                 self.telemetry,
             ),
@@ -366,9 +381,15 @@
                 self._clock,
             ),
         )
+        store_server = StoreServer(self._store)
+
+        def receive(link: MessageLink, message: LinkMessage) -> None:
+            server.receive(link, message)
+            store_server.receive(link, message)
+
         place = self._settings.links
         await asyncio.get_running_loop().create_server(
-            lambda: links.Link(server.receive, server.forget),
+            lambda: links.Link(receive, server.forget),
             place.host,
             place.port,
             reuse_address=True,
--- a/packages/gateway/almonddock_gateway/links/_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_codec.py
@@ -9,6 +9,12 @@
 import capnp
 
 from almonddock_core.framing import BadFrameError
+from almonddock_gateway.links._store_codec import (
+    read_store_query,
+    read_store_reply,
+    write_store_query,
+    write_store_reply,
+)
 from almonddock_gateway.relays import (
     Leaving,
     LinkMessage,
@@ -18,6 +24,8 @@
     RelayCancel,
     RelayQuery,
     RelayReply,
+    StoreQuery,
+    StoreReply,
 )
 
 capnp.remove_import_hook()
@@ -137,6 +145,8 @@
             RelayCancel: _write_cancel,
             RelayQuery: _write_query,
             RelayReply: _write_reply,
+            StoreQuery: write_store_query,
+            StoreReply: write_store_reply,
         },
     )
 )
@@ -149,5 +159,7 @@
         'pong': Pong,
         'query': _read_query,
         'reply': _read_reply,
+        'storeQuery': read_store_query,
+        'storeReply': read_store_reply,
     },
 )
--- a/packages/gateway/almonddock_gateway/links/_peers.py
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -15,6 +15,8 @@
     RelayCancel,
     RelayQuery,
     RelayReply,
+    StoreQuery,
+    StoreReply,
 )
 from almonddock_gateway.telemetry import Telemetry
 
@@ -27,7 +29,7 @@
 #: The pause between two looks at the links, in seconds.
 PERIOD_S = 0.25
 
-HandleReply = Callable[[RelayReply | None], None]
+HandleReply = Callable[[LinkMessage | None], None]
 
 
 class PeerLinks:
@@ -53,22 +55,27 @@
 
     def find_link(self, data_centre: str) -> MessageLink | None:
         """Returns a link to a host that answers, None without one."""
-        usable = [
-            link
-            for peer, link in self._links.items()
-            if peer.data_centre == data_centre
-            and link.usable
-            and link not in self._leaving
-        ]
-        turn = next(self._turns)
-        return usable[turn % len(usable)] if usable else None
+        return self._take_turn(
+            [
+                link
+                for peer, link in self._links.items()
+                if peer.data_centre == data_centre
+            ],
+        )
+
+    def find_any_link(self) -> MessageLink | None:
+        """Returns a link to any host that answers, None without one."""
+        return self._take_turn(list(self._links.values()))
 
     def draw_number(self) -> int:
         """Returns the number of a new query."""
         return next(self._numbers)
 
     def ask(
-        self, link: MessageLink, query: RelayQuery, handle: HandleReply
+        self,
+        link: MessageLink,
+        query: RelayQuery | StoreQuery,
+        handle: HandleReply,
     ) -> None:
         """Sends a query; ``handle`` gets its replies, or None at the end.
 
@@ -102,6 +109,13 @@
                     link.close()
             await asyncio.sleep(PERIOD_S)
 
+    def _take_turn(self, links: list[Link]) -> Link | None:
+        usable = [
+            link for link in links if link.usable and link not in self._leaving
+        ]
+        turn = next(self._turns)
+        return usable[turn % len(usable)] if usable else None
+
     def _choose_peers(self) -> set[Peer]:
         """Returns a few hosts of each other data centre, spread evenly."""
         by_place: dict[str, list[Peer]] = defaultdict(list)
@@ -139,7 +153,7 @@
     def _receive(self, link: Link, message: LinkMessage) -> None:
         if isinstance(message, Leaving):
             self._leaving.add(link)
-        elif isinstance(message, RelayReply):
+        elif isinstance(message, RelayReply | StoreReply):
             handle = self._waiting.get((link, message.number))
             if handle is not None:
                 handle(message)
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/links/_store_codec.py
@@ -0,0 +1,62 @@
+"""Encodes and decodes reads of the store for other hosts."""
+
+from datetime import timedelta
+from typing import Any
+
+from almonddock_gateway.relays import StoreOutcome, StoreQuery, StoreReply
+from almonddock_gateway.store import StoreItem, StoreView
+
+US = timedelta(microseconds=1)
+
+
+def write_store_query(frame: Any, message: StoreQuery) -> None:
+    """Fills a frame; times are microseconds."""
+    query = frame.init('storeQuery')
+    query.number = message.number
+    query.prefix = message.prefix
+    query.changes = message.after is not None
+    query.after = message.after or 0
+    query.wait = message.wait // US
+
+
+def read_store_query(query: Any) -> StoreQuery:
+    """Returns the query."""
+    return StoreQuery(
+        number=query.number,
+        prefix=query.prefix,
+        after=query.after if query.changes else None,
+        wait=query.wait * US,
+    )
+
+
+def write_store_reply(frame: Any, message: StoreReply) -> None:
+    """Fills a frame, one list for each field of the items."""
+    reply = frame.init('storeReply')
+    view = message.view
+    reply.number = message.number
+    reply.outcome = int(message.outcome)
+    reply.revision = view.revision
+    reply.keys = [item.key for item in view.items]
+    reply.contents = [item.content or b'' for item in view.items]
+    reply.removed = [item.content is None for item in view.items]
+    reply.revisions = [item.revision for item in view.items]
+
+
+def read_store_reply(reply: Any) -> StoreReply:
+    """Returns the reply; lists of different lengths raise ValueError."""
+    columns = zip(
+        reply.keys,
+        reply.contents,
+        reply.removed,
+        reply.revisions,
+        strict=True,
+    )
+    items = [
+        StoreItem(key, None if removed else bytes(content), revision)
+        for key, content, removed, revision in columns
+    ]
+    return StoreReply(
+        number=reply.number,
+        outcome=StoreOutcome(reply.outcome),
+        view=StoreView(items, reply.revision),
+    )
--- a/packages/gateway/almonddock_gateway/links/messages.capnp
+++ b/packages/gateway/almonddock_gateway/links/messages.capnp
@@ -10,6 +10,8 @@
     query @3 :RelayQuery;
     cancel @4 :RelayCancel;
     reply @5 :RelayReply;
+    storeQuery @6 :StoreQuery;
+    storeReply @7 :StoreReply;
   }
 }
 
@@ -43,3 +45,23 @@
   failedParts @5 :List(UInt16);
   failures @6 :List(UInt8);
 }
+
+struct StoreQuery {
+  number @0 :UInt32;
+  prefix @1 :Text;
+  # Whether changes after a revision are asked for, or everything.
+  changes @2 :Bool;
+  after @3 :UInt64;
+  # Microseconds for which the store may wait for the first change.
+  wait @4 :UInt64;
+}
+
+struct StoreReply {
+  number @0 :UInt32;
+  outcome @1 :UInt8;
+  revision @2 :UInt64;
+  keys @3 :List(Text);
+  contents @4 :List(Data);
+  removed @5 :List(Bool);
+  revisions @6 :List(UInt64);
+}
--- a/packages/gateway/almonddock_gateway/relays/__init__.py
+++ b/packages/gateway/almonddock_gateway/relays/__init__.py
@@ -2,6 +2,9 @@
 
 That host sends the sub-queries, merges the replies, and answers in one or a
 few messages; all decisions stay with the host that the caller asked.
+
+:class:`SharedStore` reads the store through another host while this one is
+turned away.
 """
 
 from almonddock_gateway.relays._board import LinkBook, RelayBoard
@@ -15,9 +18,13 @@
     RelayCancel,
     RelayQuery,
     RelayReply,
+    StoreOutcome,
+    StoreQuery,
+    StoreReply,
 )
 from almonddock_gateway.relays._relay import Relay
 from almonddock_gateway.relays._server import RelayServer, RelaySettings
+from almonddock_gateway.relays._shared_store import SharedStore, StoreServer
 
 __all__ = [
     'Leaving',
@@ -34,4 +41,9 @@
     'RelayReply',
     'RelayServer',
     'RelaySettings',
+    'SharedStore',
+    'StoreOutcome',
+    'StoreQuery',
+    'StoreReply',
+    'StoreServer',
 ]
--- a/packages/gateway/almonddock_gateway/relays/_board.py
+++ b/packages/gateway/almonddock_gateway/relays/_board.py
@@ -6,15 +6,16 @@
 
 from almonddock_core.dispatch import Action, Send
 from almonddock_gateway.relays._messages import (
+    LinkMessage,
     MessageLink,
     RelayQuery,
-    RelayReply,
+    StoreQuery,
 )
 
 #: Fewer sub-queries than this gain nothing from a merge on the way.
 MIN_GROUP = 2
 
-HandleReply = Callable[[RelayReply | None], None]
+HandleReply = Callable[[LinkMessage | None], None]
 
 
 class LinkBook(Protocol):
@@ -24,6 +25,10 @@
         """Returns a link to a host that answers, None without one."""
         ...
 
+    def find_any_link(self) -> MessageLink | None:
+        """Returns a link to any host that answers, None without one."""
+        ...
+
     def draw_number(self) -> int:
         """Returns the number of a new query."""
         ...
@@ -31,7 +36,7 @@
     def ask(
         self,
         link: MessageLink,
-        query: RelayQuery,
+        query: RelayQuery | StoreQuery,
         handle: HandleReply,
     ) -> None:
         """Sends a query; ``handle`` gets its replies, or None at the end."""
--- a/packages/gateway/almonddock_gateway/relays/_messages.py
+++ b/packages/gateway/almonddock_gateway/relays/_messages.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 from typing import Protocol
 
+from almonddock_gateway.store import StoreView
+
 
 class PartFailure(enum.IntEnum):
     """How one part of a relayed query ended without a success.
@@ -88,6 +90,39 @@
     failures: tuple[tuple[int, PartFailure], ...]
 
 
+class StoreOutcome(enum.IntEnum):
+    """How a read of the store for another host ended.
+
+    The numbers are on the wire.
+    """
+
+    ANSWERED = 0
+    LOST = 1
+    HISTORY_LOST = 2
+
+
+@dataclass(frozen=True, slots=True)
+class StoreQuery:
+    """Read the store for a host that it turns away."""
+
+    #: Unique on its link.
+    number: int
+    prefix: str
+    #: Changes after this revision; None asks for everything.
+    after: int | None
+    #: How long the store may wait for the first change.
+    wait: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class StoreReply:
+    """What the store answered; ``view`` is empty without an answer."""
+
+    number: int
+    outcome: StoreOutcome
+    view: StoreView
+
+
 class MessageLink(Protocol):
     """A connection to another host."""
 
@@ -101,4 +136,13 @@
         ...
 
 
-LinkMessage = Ping | Pong | Leaving | RelayQuery | RelayCancel | RelayReply
+LinkMessage = (
+    Ping
+    | Pong
+    | Leaving
+    | RelayQuery
+    | RelayCancel
+    | RelayReply
+    | StoreQuery
+    | StoreReply
+)
--- a/packages/gateway/almonddock_gateway/relays/_relay.py
+++ b/packages/gateway/almonddock_gateway/relays/_relay.py
@@ -10,6 +10,7 @@
 )
 from almonddock_gateway.relays._board import LinkBook, RelayBoard
 from almonddock_gateway.relays._messages import (
+    LinkMessage,
     MessageLink,
     PartFailure,
     RelayQuery,
@@ -67,8 +68,8 @@
         self.send_cancelled()
         self._links.forget(self._link, self.number)
 
-    def _take(self, reply: RelayReply | None) -> None:
-        if reply is None:
+    def _take(self, reply: LinkMessage | None) -> None:
+        if not isinstance(reply, RelayReply):
             lost = tuple(self._open.values())
             self._open = {}
             self._receive([(attempt, Failure.LOST) for attempt in lost])
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/relays/_shared_store.py
@@ -0,0 +1,185 @@
+"""Reads the store through another host while this one is turned away.
+
+The store may refuse some hosts and serve the others. A host without news
+would send its callers' requests to targets that have left, so it asks its
+peers, which read the store themselves: what comes is as fresh as their own.
+"""
+
+import asyncio
+from datetime import timedelta
+
+from almonddock_gateway.relays._board import RelayBoard
+from almonddock_gateway.relays._messages import (
+    LinkMessage,
+    MessageLink,
+    StoreOutcome,
+    StoreQuery,
+    StoreReply,
+)
+from almonddock_gateway.store import (
+    HistoryLostError,
+    Store,
+    StoreLostError,
+    StoreView,
+)
+from almonddock_gateway.telemetry import Telemetry
+
+#: How long a peer may take beyond the wait that it was asked for, seconds.
+PEER_TIMEOUT_S = 1.0
+
+#: The pause between tries to reach the store directly again, in seconds.
+PROBE_PAUSE_S = 1.0
+
+NO_VIEW = StoreView((), 0)
+
+
+class SharedStore:
+    """A store whose reads fall back to other hosts."""
+
+    def __init__(
+        self,
+        store: Store,
+        board: RelayBoard,
+        probe_prefix: str,
+        telemetry: Telemetry,
+    ) -> None:
+        """Takes a prefix that is cheap to read, to see if the store is back."""
+        self._store = store
+        self._board = board
+        self._probe_prefix = probe_prefix
+        self._telemetry = telemetry
+        self._probing: asyncio.Task[None] | None = None
+
+    async def read_prefix(self, prefix: str) -> StoreView:
+        """Returns all items under a prefix."""
+        if self._probing is None:
+            try:
+                return await self._store.read_prefix(prefix)
+            except StoreLostError as lost:
+                self._start_probing(lost)
+        return await self._ask_peer(prefix, None, timedelta())
+
+    async def read_prefix_stale(self, prefix: str) -> StoreView:
+        """Returns all items under a prefix; they may be seconds old."""
+        return await self._store.read_prefix_stale(prefix)
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait: timedelta,
+    ) -> StoreView:
+        """Returns the changes after a revision."""
+        if self._probing is None:
+            try:
+                return await self._store.watch(prefix, after, wait)
+            except StoreLostError as lost:
+                self._start_probing(lost)
+        return await self._ask_peer(prefix, after, wait)
+
+    async def grant_lease(self, time_to_live: timedelta) -> int:
+        """Returns a new lease."""
+        return await self._store.grant_lease(time_to_live)
+
+    async def renew_lease(self, lease: int) -> None:
+        """Renews a lease."""
+        await self._store.renew_lease(lease)
+
+    async def end_lease(self, lease: int) -> None:
+        """Ends a lease and removes its keys."""
+        await self._store.end_lease(lease)
+
+    async def put(self, key: str, content: bytes, lease: int) -> None:
+        """Writes a key that lives as long as the lease."""
+        await self._store.put(key, content, lease)
+
+    def _start_probing(self, lost: StoreLostError) -> None:
+        if self._board.links is None:
+            raise lost
+        if self._probing is None:
+            self._telemetry.note('store_shared', reason=lost.message)
+            self._probing = asyncio.create_task(self._probe())
+
+    async def _probe(self) -> None:
+        """Waits until the store answers this host again."""
+        while True:
+            await asyncio.sleep(PROBE_PAUSE_S)
+            try:
+                await self._store.read_prefix_stale(self._probe_prefix)
+            except StoreLostError:
+                # The loss was noted when it began.
+                continue
+            self._telemetry.note('store_direct')
+            self._probing = None
+            return
+
+    async def _ask_peer(
+        self,
+        prefix: str,
+        after: int | None,
+        wait: timedelta,
+    ) -> StoreView:
+        links = self._board.links
+        link = links.find_any_link() if links is not None else None
+        if links is None or link is None:
+            raise StoreLostError('no other host can be asked')
+        number = links.draw_number()
+        answered: asyncio.Future[LinkMessage | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+        def take(message: LinkMessage | None) -> None:
+            if not answered.done():
+                answered.set_result(message)
+
+        links.ask(link, StoreQuery(number, prefix, after, wait), take)
+        try:
+            async with asyncio.timeout(wait.total_seconds() + PEER_TIMEOUT_S):
+                reply = await answered
+        except TimeoutError as late:
+            raise StoreLostError('another host did not answer') from late
+        finally:
+            links.forget(link, number)
+        return _read_view(reply)
+
+
+class StoreServer:
+    """Reads the store for other hosts."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def receive(self, link: MessageLink, message: LinkMessage) -> None:
+        """Takes a query for the store; leaves other messages alone."""
+        if isinstance(message, StoreQuery):
+            task = asyncio.create_task(self._answer(link, message))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _answer(self, link: MessageLink, query: StoreQuery) -> None:
+        outcome = StoreOutcome.ANSWERED
+        view = NO_VIEW
+        try:
+            view = await self._read(query)
+        except StoreLostError:
+            # The host that asked notes it.
+            outcome = StoreOutcome.LOST
+        except HistoryLostError:
+            outcome = StoreOutcome.HISTORY_LOST
+        link.send(StoreReply(query.number, outcome, view))
+
+    async def _read(self, query: StoreQuery) -> StoreView:
+        if query.after is None:
+            return await self._store.read_prefix(query.prefix)
+        return await self._store.watch(query.prefix, query.after, query.wait)
+
+
+def _read_view(reply: LinkMessage | None) -> StoreView:
+    if not isinstance(reply, StoreReply):
+        raise StoreLostError('the link to another host was lost')
+    if reply.outcome is StoreOutcome.LOST:
+        raise StoreLostError('another host was not answered either')
+    if reply.outcome is StoreOutcome.HISTORY_LOST:
+        raise HistoryLostError('another host was told that history is lost')
+    return reply.view
