--- a/packages/core/almonddock_core/tests/test_dispatch.py
+++ b/packages/core/almonddock_core/tests/test_dispatch.py
@@ -10,9 +10,12 @@
     PassedAnswer,
     Refusal,
     RefusalReason,
+    ReplyGroup,
     ReplyKind,
+    TargetReply,
     Withdraw,
     merge_records,
+    merge_replies,
 )
 from almonddock_core.tests.dispatch_cases import (
     MS,
@@ -261,6 +264,87 @@
         self.assertEqual(len(answer.replies), 4)
 
 
+class MergedReplyTest(unittest.TestCase):
+    """Replies that another host has merged."""
+
+    def setUp(self) -> None:
+        self.case = DispatchCase(make_route(4)).start()
+        self.group = ReplyGroup(b'z' * 16)
+        self.part = TargetReply(
+            ReplyKind.SUCCESS,
+            200,
+            (),
+            b'',
+            b'part',
+            self.group,
+            5 * MS,
+        )
+
+    def receive_group(
+        self,
+        *outcomes: tuple[int, TargetReply | Failure],
+    ) -> None:
+        case = self.case
+        case.actions.extend(case.dispatch.receive_group(outcomes, case.now))
+
+    def get_merged(self) -> MergedAnswer:
+        answer = self.case.dispatch.answer
+        assert isinstance(answer, MergedAnswer)
+        return answer
+
+    def test_group_is_taken_whole_before_the_answer(self) -> None:
+        self.case.reply(0)
+        self.case.reply(1)
+        self.receive_group((2, self.part), (3, self.part))
+        answer = self.get_merged()
+        self.assertEqual(len(answer.replies), 4)
+        self.assertEqual(
+            merge_replies(answer.replies, 3),
+            b''.join((b'z' * 16, b'x' * 16, b'x' * 16)),
+        )
+
+    def test_group_replaces_a_hedge_that_came_before_it(self) -> None:
+        case = self.case
+        case.advance(31 * MS)
+        for attempt in (0, 1, 6):
+            case.reply(attempt)
+        self.receive_group((2, self.part), (3, self.part))
+        replies = self.get_merged().replies
+        self.assertEqual(
+            [reply.group for reply in replies],
+            [None, None, self.group, self.group],
+        )
+
+    def test_failed_parts_are_tried_again(self) -> None:
+        self.receive_group(
+            (0, Failure.LOST),
+            (1, Failure.UNSENT),
+            (2, make_reply(ReplyKind.REFUSED)),
+        )
+        self.assertEqual(
+            self.case.list_sent()[4:],
+            ['desk-0/1', 'desk-1/1', 'desk-2/1'],
+        )
+
+    def test_nothing_counts_after_the_answer(self) -> None:
+        for attempt in range(4):
+            self.case.reply(attempt)
+        before = self.get_merged()
+        self.receive_group((0, self.part))
+        self.assertEqual(self.get_merged(), before)
+        self.assertEqual(self.case.count_answers(), 1)
+
+    def test_latency_is_that_of_the_target(self) -> None:
+        case = self.case
+        typical = case.context.get_latency(case.route).seconds
+        case.now = 20 * MS
+        self.receive_group((0, self.part))
+        self.assertLess(
+            case.context.get_latency(case.route).seconds,
+            typical,
+        )
+
+
 class RecordsTest(unittest.TestCase):
     def test_merge(self) -> None:
         one, two, three = (bytes([number]) * 16 for number in (1, 2, 3))
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -4,7 +4,6 @@
 import gc
 import importlib
 import signal
-import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -29,6 +28,7 @@
     CallerConnection,
     CallerRequest,
     ConnectionSettings,
+    Exchange,
 )
 from almonddock_gateway.relays import (
     LinkMessage,
@@ -39,7 +39,7 @@
     SharedStore,
     StoreServer,
 )
-from almonddock_gateway.settings import GatewaySettings
+from almonddock_gateway.settings import Address, GatewaySettings
 from almonddock_gateway.store import Store
 from almonddock_gateway.targets import TargetPools
 from almonddock_gateway.telemetry import (
@@ -124,13 +124,18 @@
         store: Store,
         decoders: Decoders,
         reload: Callable[[], GatewaySettings],
+        output: int,
     ) -> None:
+        """Takes how to read the settings again, and where log lines go.
+
+        ``output`` is a file descriptor, which becomes non-blocking.
+        """
         self._settings = settings
         self._reload = reload
         self._clock = SteadyClock()
         self.telemetry = Telemetry(
             LineWriter(
-                sys.stdout.fileno(),
+                output,
                 {'host': settings.host, 'data_centre': settings.data_centre},
             ),
             GatewayMetrics(),
@@ -220,9 +225,25 @@
                 self.telemetry,
             ),
         )
+        self._servers: list[asyncio.Server] = []
         self._connections: set[CallerConnection] = set()
         self._stopping = asyncio.Event()
 
+    @property
+    def drained(self) -> frozenset[str]:
+        """The data centres that get no new work."""
+        return self._targets.drained
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return (
+            not self._stopping.is_set()
+            and self._state.table is not None
+            and self._listing.listed
+            and not self._reach.isolated
+        )
+
     async def run(self) -> None:
         """Serves until a signal asks to stop, then ends in good order."""
         gc.set_threshold(GC_THRESHOLD)
@@ -231,23 +252,20 @@
         loop.add_signal_handler(signal.SIGHUP, self._take_settings)
         settings = self._settings
         self.telemetry.note('started', callers=settings.callers)
-        servers = [
-            await self._listen(settings.callers.host, settings.callers.port),
-            await self._listen_aside(
-                settings.readiness.host,
-                settings.readiness.port,
-            ),
-            await self._listen_aside(
-                settings.metrics.host,
-                settings.metrics.port,
-            ),
-        ]
+        callers = await self._listen(settings.callers, self._entry.handle)
+        for address in (settings.readiness, settings.metrics):
+            await self._listen(address, self._answer_aside)
         tasks = self._start_tasks()
         await self._stopping.wait()
-        await self._stop(servers[0])
+        await self._stop(callers)
+        await self._end(tasks)
+
+    async def _end(self, tasks: list[asyncio.Task[None]]) -> None:
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        for server in self._servers:
+            server.close()
         self.telemetry.note('stopped', running=self._entry.running)
         self.telemetry.flush()
 
@@ -264,15 +282,6 @@
         )
         return [loop.create_task(work) for work in works]
 
-    @property
-    def _ready(self) -> bool:
-        return (
-            not self._stopping.is_set()
-            and self._state.table is not None
-            and self._listing.listed
-            and not self._reach.isolated
-        )
-
     def _get_limits(self) -> CallerLimits:
         table = self._state.table
         return START_LIMITS if table is None else table.limits
@@ -286,24 +295,28 @@
         share = known.max_connections // (self._hosts.count + 1)
         return max(MIN_CONNECTIONS, share)
 
-    async def _listen(self, host: str, port: int) -> asyncio.Server:
-        shared = self._share_connections(self._entry.handle)
-        return await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(shared),
-            host,
-            port,
-            backlog=BACKLOG,
-            reuse_address=True,
+    async def _listen(
+        self,
+        address: Address,
+        handle: Callable[[CallerRequest, CallerConnection], Exchange | None],
+    ) -> asyncio.Server:
+        shared = ConnectionSettings(
+            handle=handle,
+            get_limits=self._get_limits,
+            is_stopping=self._stopping.is_set,
+            opened=self._connections.add,
+            closed=self._connections.discard,
+            clock=self._clock,
         )
-
-    async def _listen_aside(self, host: str, port: int) -> asyncio.Server:
-        shared = self._share_connections(self._answer_aside)
-        return await asyncio.get_running_loop().create_server(
+        server = await asyncio.get_running_loop().create_server(
             lambda: CallerConnection(shared),
-            host,
-            port,
+            address.host,
+            address.port,
+            backlog=BACKLOG,
             reuse_address=True,
         )
+        self._servers.append(server)
+        return server
 
     def _note_reach(self, target: KnownTarget) -> None:
         """Writes that a target can be reached again, or no longer."""
@@ -317,19 +330,6 @@
             reached=health.reached,
         )
 
-    def _share_connections(
-        self,
-        handle: Callable[[CallerRequest, CallerConnection], object],
-    ) -> ConnectionSettings:
-        return ConnectionSettings(
-            handle=handle,  # type: ignore[arg-type]
-            get_limits=self._get_limits,
-            is_stopping=self._stopping.is_set,
-            opened=self._connections.add,
-            closed=self._connections.discard,
-            clock=self._clock,
-        )
-
     def _answer_aside(
         self,
         request: CallerRequest,
@@ -338,7 +338,7 @@
         """Answers the balancer and the reader of metrics."""
         path = request.url.decode('latin-1').partition('?')[0]
         if path == self._settings.readiness_path:
-            connection.send(OK if self._ready else UNAVAILABLE, (), b'')
+            connection.send(OK if self.is_ready else UNAVAILABLE, (), b'')
         elif path == self._settings.metrics_path:
             connection.send(OK, (), self._render_metrics())
         else:
@@ -369,7 +369,7 @@
 
     async def _run_links(self) -> None:
         """Opens links to other hosts once this host serves callers."""
-        while not self._ready:
+        while not self.is_ready:
             await asyncio.sleep(SWEEP.total_seconds())
         await asyncio.sleep(LINK_DELAY.total_seconds())
         links = importlib.import_module('almonddock_gateway.links')
@@ -388,11 +388,13 @@
             store_server.receive(link, message)
 
         place = self._settings.links
-        await asyncio.get_running_loop().create_server(
-            lambda: links.Link(receive, server.forget),
-            place.host,
-            place.port,
-            reuse_address=True,
+        self._servers.append(
+            await asyncio.get_running_loop().create_server(
+                lambda: links.Link(receive, server.forget),
+                place.host,
+                place.port,
+                reuse_address=True,
+            ),
         )
         peers = links.PeerLinks(
             self._settings.host,
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/tests/fakes.py
@@ -0,0 +1,76 @@
+"""Transports and links that only note what is done with them."""
+
+import asyncio
+from datetime import timedelta
+
+from almonddock_core.routing import CallerLimits
+from almonddock_gateway.relays import LinkMessage
+from almonddock_gateway.settings import HeaderNames
+
+NAMES = HeaderNames(
+    attempt_id=b'x-attempt',
+    deadline=b'x-deadline',
+    stamp=b'x-stamp',
+    expected_target=b'x-expected',
+    not_executed=b'x-not-executed',
+    part_stamps=b'x-parts',
+    missing_parts=b'x-missing',
+)
+
+LIMITS = CallerLimits(
+    header_bytes=300,
+    body_bytes=20,
+    header_timeout=timedelta(seconds=3),
+    idle_timeout=timedelta(seconds=15),
+)
+
+
+class FakeTransport(asyncio.Transport):
+    """Keeps what was written, and whether it was closed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b''
+        self.closed = False
+        self.ended = False
+
+    def write(self, data: object) -> None:
+        """Keeps bytes."""
+        assert isinstance(data, bytes)
+        self.written += data
+
+    def can_write_eof(self) -> bool:
+        """Whether one direction can be closed."""
+        return True
+
+    def write_eof(self) -> None:
+        """Closes the direction of writing."""
+        self.ended = True
+
+    def is_closing(self) -> bool:
+        """Whether the transport is closed."""
+        return self.closed
+
+    def close(self) -> None:
+        """Closes."""
+        self.closed = True
+
+    def abort(self) -> None:
+        """Closes at once."""
+        self.closed = True
+
+    def get_extra_info(self, name: str, default: object = None) -> object:
+        """Returns no socket."""
+        return default
+
+
+class FakeLink:
+    """Keeps what was sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[LinkMessage] = []
+        self.usable = True
+
+    def send(self, message: LinkMessage) -> None:
+        """Keeps a message."""
+        self.sent.append(message)
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/tests/test_answers.py
@@ -0,0 +1,155 @@
+"""What replies and answers say."""
+
+import unittest
+from datetime import timedelta
+
+from almonddock_core.dispatch import (
+    Answer,
+    MergedAnswer,
+    PassedAnswer,
+    Refusal,
+    RefusalReason,
+    ReplyGroup,
+    ReplyKind,
+    TargetReply,
+)
+from almonddock_core.tests.dispatch_cases import make_reply, make_route
+from almonddock_gateway.entry._answers import build_answer
+from almonddock_gateway.entry._requests import format_head
+from almonddock_gateway.http import CallerRequest, HttpReply
+from almonddock_gateway.targets import format_attempt, read_reply
+from almonddock_gateway.tests.fakes import NAMES
+
+ID = (b'x-attempt', b'a1')
+STAMP = (b'x-stamp', b's')
+NOT_EXECUTED = (b'x-not-executed', b'1')
+
+
+class ReplyTest(unittest.TestCase):
+    def test_kinds(self) -> None:
+        for status, headers, expected in (
+            (200, [ID, STAMP], ReplyKind.SUCCESS),
+            (200, [STAMP], ReplyKind.SUCCESS),
+            (200, [ID], ReplyKind.FAILED),
+            (
+                200,
+                [ID, STAMP, (b'content-encoding', b'gzip')],
+                ReplyKind.FAILED,
+            ),
+            (500, [ID, STAMP], ReplyKind.FAILED),
+            (503, [ID], ReplyKind.FAILED),
+            (503, [ID, NOT_EXECUTED], ReplyKind.REFUSED),
+            (429, [NOT_EXECUTED], ReplyKind.REFUSED),
+            (421, [], ReplyKind.MISDIRECTED),
+        ):
+            with self.subTest(status=status, headers=headers):
+                reply = read_reply(
+                    HttpReply(status, headers, b''),
+                    b'a1',
+                    NAMES,
+                )
+                assert reply is not None
+                self.assertIs(reply.kind, expected)
+
+    def test_reply_to_another_request_is_none(self) -> None:
+        reply = HttpReply(200, [(b'x-attempt', b'a2'), STAMP], b'')
+        self.assertIsNone(read_reply(reply, b'a1', NAMES))
+
+
+class AnswerTest(unittest.TestCase):
+    def build(self, answer: Answer) -> tuple[int, dict[bytes, bytes], bytes]:
+        status, headers, body = build_answer(answer, make_route(4), NAMES)
+        return status, dict(headers), body
+
+    def test_statuses_promise_only_what_is_true(self) -> None:
+        later = timedelta(seconds=0.25)
+        for answer, status, retry_after in (
+            (
+                Refusal(RefusalReason.NO_TARGET, True, later),
+                503,
+                b'0.250',
+            ),
+            (Refusal(RefusalReason.OUTCOME_UNKNOWN, False), 502, None),
+            (Refusal(RefusalReason.TIMED_OUT, False), 504, None),
+            (
+                PassedAnswer(make_reply(ReplyKind.FAILED, status=503)),
+                503,
+                None,
+            ),
+            (
+                PassedAnswer(
+                    TargetReply(ReplyKind.FAILED, 503, (), b'', None),
+                ),
+                502,
+                None,
+            ),
+            (
+                PassedAnswer(
+                    TargetReply(ReplyKind.FAILED, 200, (), b'x', None),
+                ),
+                502,
+                None,
+            ),
+        ):
+            with self.subTest(answer=answer):
+                got, headers, _ = self.build(answer)
+                self.assertEqual(got, status)
+                self.assertEqual(headers.get(b'retry-after'), retry_after)
+
+    def test_merged_answer_names_its_parts(self) -> None:
+        group = ReplyGroup(b'c' * 16 + b'a' * 16)
+        grouped = [
+            TargetReply(ReplyKind.SUCCESS, 200, (), b'', stamp, group)
+            for stamp in (b's1', b's2')
+        ]
+        alone = make_reply(body=b'b' * 16)
+        status, headers, body = self.build(
+            MergedAnswer((*grouped, alone), ('desk-3',)),
+        )
+        self.assertEqual(status, 200)
+        self.assertEqual(headers[b'x-parts'], b's1, s2, stamp')
+        self.assertEqual(headers[b'x-missing'], b'1')
+        self.assertEqual(body, b'c' * 16 + b'b' * 16)
+
+
+class HeadTest(unittest.TestCase):
+    def test_target_gets_what_the_caller_sent(self) -> None:
+        request = CallerRequest(
+            method=b'POST',
+            url=b'/a/%2e/b?c=%20',
+            headers=[
+                (b'host', b'desk.example'),
+                ID,
+                (b'x-deadline', b'900'),
+                (b'x-expected', b'forged'),
+                (b'connection', b'close, x-hop'),
+                (b'x-hop', b'1'),
+                (b'transfer-encoding', b'chunked'),
+                (b'x-kept', b'1'),
+            ],
+            body=b'body',
+        )
+        head = format_head(request, NAMES)
+        sent = format_attempt(head, 't1', timedelta(seconds=0.5), NAMES)
+        self.assertEqual(
+            sent.split(b'\r\n'),
+            [
+                b'POST /a/%2e/b?c=%20 HTTP/1.1',
+                b'host: desk.example',
+                b'x-attempt: a1',
+                b'x-kept: 1',
+                b'content-length: 4',
+                b'x-expected: t1',
+                b'x-deadline: 500',
+                b'',
+                b'',
+            ],
+        )
+
+    def test_deadline_is_never_zero(self) -> None:
+        sent = format_attempt(b'', 't1', timedelta(seconds=-1), NAMES)
+        self.assertIn(b'x-deadline: 1\r\n', sent)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
@@ -0,0 +1,198 @@
+"""What a caller may send, and what it gets."""
+
+import unittest
+from datetime import timedelta
+
+from almonddock_core.model import ManualClock
+from almonddock_gateway.http import (
+    CallerConnection,
+    CallerRequest,
+    ConnectionSettings,
+    Exchange,
+)
+from almonddock_gateway.tests.fakes import LIMITS, FakeTransport
+
+GET = b'GET /a/b?c HTTP/1.1\r\nhost: desk.example\r\n\r\n'
+POST = b'POST /a/ HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nbody'
+CHUNKED = (
+    b'POST /a/ HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n'
+    b'2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n'
+)
+
+
+class Work:
+    """An exchange that notes whether it was abandoned."""
+
+    def __init__(self) -> None:
+        self.abandoned = False
+
+    def abandon(self) -> None:
+        """Notes that the caller has left."""
+        self.abandoned = True
+
+
+class CallerConnectionTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.requests: list[CallerRequest] = []
+        self.works: list[Work] = []
+        self.stopping = False
+        self.transport = FakeTransport()
+        self.connection = CallerConnection(
+            ConnectionSettings(
+                handle=self.handle,
+                get_limits=lambda: LIMITS,
+                is_stopping=lambda: self.stopping,
+                opened=lambda connection: None,
+                closed=lambda connection: None,
+                clock=self.clock,
+            ),
+        )
+        self.connection.connection_made(self.transport)
+
+    def handle(
+        self,
+        request: CallerRequest,
+        connection: CallerConnection,
+    ) -> Exchange:
+        self.requests.append(request)
+        self.works.append(Work())
+        return self.works[-1]
+
+    def read_statuses(self) -> list[int]:
+        lines = self.transport.written.split(b'\r\n')
+        return [
+            int(line.split()[1])
+            for line in lines
+            if line.startswith(b'HTTP/1.1 ')
+        ]
+
+    async def test_requests_are_read_whole(self) -> None:
+        for encoded, method, body in (
+            (GET, b'GET', b''),
+            (POST, b'POST', b'body'),
+            (CHUNKED, b'POST', b'body'),
+        ):
+            for cut in (0, 1, 20, len(encoded) - 1):
+                with self.subTest(encoded=encoded, cut=cut):
+                    self.setUp()
+                    self.connection.data_received(encoded[:cut])
+                    self.assertEqual(self.requests, [])
+                    self.connection.data_received(encoded[cut:])
+                    request = self.requests[0]
+                    self.assertEqual(request.method, method)
+                    self.assertEqual(request.body, body)
+
+    async def test_bad_requests_get_one_clear_status(self) -> None:
+        long_header = b'x' * 400
+        for encoded, status in (
+            (b'rubbish\r\n\r\n', 400),
+            (GET.replace(b'\r\n\r\n', b'\r\ncontent-length: x\r\n\r\n'), 400),
+            (POST.replace(b'body', b''), None),
+            (POST.replace(b' 4', b' 21'), 413),
+            (b'GET /%b HTTP/1.1\r\nhost: x\r\n\r\n' % long_header, 431),
+            (b'GET / HTTP/1.1\r\na: %b\r\n\r\n' % long_header, 431),
+            (
+                CHUNKED.replace(b'2\r\nbo', b'1e\r\n%b' % (b'x' * 30)),
+                413,
+            ),
+        ):
+            with self.subTest(encoded=encoded):
+                self.setUp()
+                self.connection.data_received(encoded)
+                expected = [] if status is None else [status]
+                self.assertEqual(self.read_statuses(), expected)
+                self.assertEqual(self.requests, [])
+                self.assertEqual(self.transport.ended, status is not None)
+
+    async def test_conflicting_lengths_are_refused(self) -> None:
+        smuggled = (
+            b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n'
+            b'transfer-encoding: chunked\r\n\r\n0\r\n\r\n'
+        )
+        self.connection.data_received(smuggled + GET)
+        self.assertEqual(self.read_statuses(), [400])
+        self.assertEqual(self.requests, [])
+
+    async def test_pipelined_requests_are_answered_in_order(self) -> None:
+        self.connection.data_received(GET + POST + GET)
+        self.assertEqual(len(self.requests), 1)
+        for status in (200, 404, 503):
+            self.connection.send(status, (), b'')
+        self.assertEqual(self.read_statuses(), [200, 404, 503])
+
+    async def test_rubbish_behind_a_request_does_not_cost_its_answer(
+        self,
+    ) -> None:
+        self.connection.data_received(b'%brubbish\r\n\r\n' % GET)
+        self.connection.send(200, (), b'')
+        self.assertEqual(self.read_statuses(), [200])
+        self.assertTrue(self.transport.ended)
+
+    async def test_caller_that_leaves_ends_the_work(self) -> None:
+        self.connection.data_received(GET)
+        self.connection.connection_lost(None)
+        self.assertTrue(self.works[0].abandoned)
+        self.connection.send(200, (), b'')
+        self.assertEqual(self.transport.written, b'')
+
+    async def test_connection_closes_when_asked_or_stopping(self) -> None:
+        closing = GET.replace(b'\r\n\r\n', b'\r\nconnection: close\r\n\r\n')
+        for encoded, stopping, closed in (
+            (GET, False, False),
+            (closing, False, True),
+            (GET, True, True),
+        ):
+            with self.subTest(encoded=encoded, stopping=stopping):
+                self.setUp()
+                self.stopping = stopping
+                self.connection.data_received(encoded)
+                self.connection.send(200, (), b'')
+                said = b'connection: close' in self.transport.written
+                self.assertEqual(said, closed)
+                self.assertEqual(self.transport.ended, closed)
+
+    async def test_idle_close_spares_requests_under_way(self) -> None:
+        for encoded, closed in ((b'', True), (GET, False), (GET[:9], False)):
+            with self.subTest(encoded=encoded):
+                self.setUp()
+                if encoded:
+                    self.connection.data_received(encoded)
+                self.connection.close_if_idle()
+                self.assertEqual(self.transport.closed, closed)
+
+    async def test_slow_headers_and_idle_callers_are_ended(self) -> None:
+        for encoded, seconds, statuses, closed in (
+            (GET[:9], 2, [], False),
+            (GET[:9], 4, [408], False),
+            (b'', 14, [], False),
+            (b'', 16, [], True),
+            (GET, 16, [], False),
+        ):
+            with self.subTest(encoded=encoded, seconds=seconds):
+                self.setUp()
+                if encoded:
+                    self.connection.data_received(encoded)
+                self.clock.advance(timedelta(seconds=seconds))
+                self.connection.check_time()
+                self.assertEqual(self.read_statuses(), statuses)
+                self.assertEqual(self.transport.closed, closed)
+
+    async def test_head_gets_no_body(self) -> None:
+        self.connection.data_received(GET.replace(b'GET', b'HEAD'))
+        self.connection.send(200, (), b'body')
+        self.assertTrue(self.transport.written.endswith(b'\r\n\r\n'))
+
+    async def test_body_is_invited_only_if_it_is_allowed(self) -> None:
+        for length, expected in ((4, [100]), (21, [413])):
+            with self.subTest(length=length):
+                self.setUp()
+                self.connection.data_received(
+                    b'POST / HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\n'
+                    b'content-length: %d\r\n\r\n' % length,
+                )
+                self.assertEqual(self.read_statuses(), expected)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/tests/test_relays.py
@@ -0,0 +1,322 @@
+"""Queries that travel by another host."""
+
+import unittest
+from datetime import timedelta
+
+from almonddock_core.dispatch import (
+    Failure,
+    ReplyKind,
+    Send,
+    TargetReply,
+)
+from almonddock_core.framing import BadFrameError
+from almonddock_core.model import ManualClock
+from almonddock_core.routing import KnownTarget, TargetTable
+from almonddock_core.tests.dispatch_cases import THERE, make_entry
+from almonddock_gateway.http import HttpReply
+from almonddock_gateway.links import decode, encode
+from almonddock_gateway.relays import (
+    Leaving,
+    LinkMessage,
+    MessageLink,
+    PartFailure,
+    Ping,
+    Pong,
+    Relay,
+    RelayBoard,
+    RelayCancel,
+    RelayQuery,
+    RelayReply,
+    RelayServer,
+    RelaySettings,
+    StoreOutcome,
+    StoreQuery,
+    StoreReply,
+)
+from almonddock_gateway.relays._board import HandleReply
+from almonddock_gateway.store import StoreItem, StoreView
+from almonddock_gateway.targets import TargetAttempt, TargetPools
+from almonddock_gateway.tests.fakes import NAMES, FakeLink
+
+MS = timedelta(milliseconds=1)
+
+
+def make_query(*targets: str) -> RelayQuery:
+    return RelayQuery(
+        number=7,
+        head=b'GET / HTTP/1.1\r\n',
+        body=b'',
+        attempt_id=b'a1',
+        remaining=500 * MS,
+        flush_after=50 * MS,
+        top=2,
+        priority=1,
+        targets=targets,
+    )
+
+
+class FakePool:
+    """Keeps attempts until a test ends them."""
+
+    def __init__(self) -> None:
+        self.attempts: list[TargetAttempt] = []
+        self.cancelled: list[TargetAttempt] = []
+
+    def submit(self, attempt: TargetAttempt) -> None:
+        """Keeps an attempt."""
+        self.attempts.append(attempt)
+
+    def cancel(self, attempt: TargetAttempt) -> None:
+        """Notes the end of an attempt."""
+        self.cancelled.append(attempt)
+
+    def reply(self, number: int, body: bytes, status: int = 200) -> None:
+        """Answers an attempt."""
+        headers = [(b'x-attempt', b'a1'), (b'x-stamp', b's%d' % number)]
+        self.attempts[number].receive(HttpReply(status, headers, body))
+
+
+class FakePools(TargetPools):
+    """One pool for all targets."""
+
+    def __init__(self) -> None:
+        self.pool = FakePool()
+
+    def get(self, target: KnownTarget) -> FakePool:  # type: ignore[override]
+        """Returns the one pool."""
+        return self.pool
+
+
+class CodecTest(unittest.TestCase):
+    def test_every_message_returns_as_it_was(self) -> None:
+        for message in (
+            Ping(3),
+            Pong(4),
+            Leaving(),
+            make_query('t1', 't2'),
+            RelayCancel(7, (1, 2)),
+            RelayReply(
+                7,
+                (0, 2),
+                (b's0', b's2'),
+                (3 * MS, 4 * MS),
+                b'records',
+                ((1, PartFailure.REFUSED),),
+            ),
+            StoreQuery(1, 'prefix/', None, timedelta()),
+            StoreQuery(1, 'prefix/', 0, 3000 * MS),
+            StoreReply(
+                1,
+                StoreOutcome.ANSWERED,
+                StoreView(
+                    [StoreItem('a', b'x', 1), StoreItem('b', None, 2)],
+                    9,
+                ),
+            ),
+        ):
+            with self.subTest(message=message):
+                self.assertEqual(decode(encode(message)), message)
+
+    def test_other_bytes_are_refused(self) -> None:
+        for encoded in (b'', b'rubbish', encode(make_query('t1'))[:9]):
+            with self.subTest(encoded=encoded):
+                with self.assertRaises(BadFrameError):
+                    decode(encoded)
+
+
+class RelayServerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.pools = FakePools()
+        self.pool = self.pools.pool
+        self.targets = TargetTable()
+        for number in range(3):
+            self.targets.put(make_entry(f't{number}'), self.clock.now())
+        self.server = RelayServer(
+            RelaySettings(NAMES, self.targets, self.pools, self.clock),
+        )
+        self.link = FakeLink()
+
+    def start(self, *targets: str) -> None:
+        self.server.receive(self.link, make_query(*targets))
+
+    def get_replies(self) -> list[RelayReply]:
+        return [one for one in self.link.sent if isinstance(one, RelayReply)]
+
+    async def test_replies_are_merged_into_one_message(self) -> None:
+        self.start('t0', 't1', 't2')
+        for number, letter in enumerate((b'a', b'c', b'b')):
+            self.assertEqual(self.get_replies(), [])
+            self.pool.reply(number, letter * 16)
+        reply = self.get_replies()[0]
+        self.assertEqual(reply.parts, (0, 1, 2))
+        self.assertEqual(reply.stamps, (b's0', b's1', b's2'))
+        self.assertEqual(reply.records, b'c' * 16 + b'b' * 16)
+
+    async def test_failures_are_told_at_once(self) -> None:
+        self.start('t0', 't1')
+        self.pool.reply(0, b'', status=500)
+        self.assertEqual(
+            self.get_replies()[0].failures,
+            ((0, PartFailure.FAILED),),
+        )
+
+    async def test_unknown_target_is_not_asked(self) -> None:
+        self.start('nobody', 't0')
+        self.assertEqual(
+            self.get_replies()[0].failures,
+            ((0, PartFailure.UNSENT),),
+        )
+        self.assertEqual(len(self.pool.attempts), 1)
+
+    async def test_lost_attempt_is_told_as_lost(self) -> None:
+        self.start('t0', 't1')
+        self.pool.attempts[0].fail(Failure.LOST)
+        self.assertEqual(
+            self.get_replies()[0].failures,
+            ((0, PartFailure.LOST),),
+        )
+
+    async def test_cancelled_part_is_left_out(self) -> None:
+        self.start('t0', 't1', 't2')
+        self.pool.reply(0, b'a' * 16)
+        self.server.receive(self.link, RelayCancel(7, (0, 1)))
+        self.assertEqual(self.pool.cancelled, [self.pool.attempts[1]])
+        self.pool.reply(2, b'b' * 16)
+        self.assertEqual(self.get_replies()[0].parts, (2,))
+
+    async def test_closed_link_ends_the_work(self) -> None:
+        self.start('t0', 't1')
+        self.server.forget(self.link)
+        self.assertEqual(len(self.pool.cancelled), 2)
+        self.assertEqual(self.link.sent, [])
+
+    async def test_deadline_of_targets_shrinks(self) -> None:
+        self.start('t0')
+        self.clock.advance(200 * MS)
+        sent = self.pool.attempts[0].encode()
+        self.assertIn(b'x-deadline: 300\r\n', sent)
+        self.assertIn(b'x-expected: t0\r\n', sent)
+
+
+class FakeLinks:
+    """A book with one link."""
+
+    def __init__(self) -> None:
+        self.link = FakeLink()
+        self.handle: HandleReply | None = None
+
+    def find_link(self, data_centre: str) -> MessageLink | None:
+        """Returns the link for the other data centre."""
+        return self.link if data_centre == THERE else None
+
+    def find_any_link(self) -> MessageLink | None:
+        """Returns the link."""
+        return self.link
+
+    def draw_number(self) -> int:
+        """Returns always the same number."""
+        return 7
+
+    def ask(
+        self,
+        link: MessageLink,
+        query: RelayQuery | StoreQuery,
+        handle: HandleReply,
+    ) -> None:
+        """Keeps the handler."""
+        link.send(query)
+        self.handle = handle
+
+    def cancel(
+        self,
+        link: MessageLink,
+        number: int,
+        parts: list[int],
+    ) -> None:
+        """Sends the end of some parts."""
+        link.send(RelayCancel(number, tuple(parts)))
+
+    def forget(self, link: MessageLink, number: int) -> None:
+        """Drops the handler."""
+        self.handle = None
+
+    def deliver(self, message: LinkMessage | None) -> None:
+        """Gives a message to the handler."""
+        assert self.handle is not None
+        self.handle(message)
+
+
+class RelayTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.links = FakeLinks()
+        self.board = RelayBoard('here')
+        self.board.links = self.links  # type: ignore[assignment]
+        self.outcomes: list[tuple[int, TargetReply | Failure]] = []
+        self.relay = Relay(
+            self.board,
+            self.links.link,
+            (10, 11, 12),
+            self.outcomes.extend,
+        )
+        self.relay.ask(make_query('t0', 't1', 't2'))
+
+    def test_parts_become_outcomes_of_attempts(self) -> None:
+        self.links.deliver(
+            RelayReply(
+                7,
+                (0, 2),
+                (b's0', b's2'),
+                (MS, MS),
+                b'x' * 16,
+                ((1, PartFailure.LOST),),
+            ),
+        )
+        kinds = [
+            outcome if isinstance(outcome, Failure) else outcome.kind
+            for _, outcome in self.outcomes
+        ]
+        self.assertEqual([number for number, _ in self.outcomes], [10, 12, 11])
+        self.assertEqual(
+            kinds,
+            [ReplyKind.SUCCESS, ReplyKind.SUCCESS, Failure.LOST],
+        )
+
+    def test_lost_link_loses_what_is_open(self) -> None:
+        self.relay.cancel(10)
+        self.links.deliver(None)
+        self.assertEqual(
+            self.outcomes,
+            [(11, Failure.LOST), (12, Failure.LOST)],
+        )
+
+    def test_end_cancels_the_rest_once(self) -> None:
+        self.relay.cancel(11)
+        self.relay.send_cancelled()
+        self.relay.end()
+        self.assertEqual(
+            self.links.link.sent[1:],
+            [RelayCancel(7, (1,)), RelayCancel(7, (0, 2))],
+        )
+        self.assertIsNone(self.links.handle)
+
+
+class BoardTest(unittest.TestCase):
+    def test_only_groups_for_other_places_with_a_link_are_made(self) -> None:
+        table = TargetTable()
+        for number, place in enumerate(('here', THERE, THERE, 'far', 'far')):
+            table.put(make_entry(f't{number}', data_centre=place), timedelta())
+        sends = [
+            Send(number, target)
+            for number, target in enumerate(table.list_all())
+        ]
+        board = RelayBoard('here')
+        self.assertEqual(board.group(sends), [])
+        links = FakeLinks()
+        board.links = links  # type: ignore[assignment]
+        self.assertEqual(board.group(sends), [(links.link, sends[1:3])])
+        self.assertEqual(board.group(sends[:2]), [])
+
+
+if __name__ == '__main__':
+    unittest.main()
