Use a link only after the other host has answered on it

Ruled out: the time after which a silent link is left, 0.15 s. Change: a new link is pinged and unusable until an answer comes.

--- a/packages/gateway/almonddock_gateway/links/_link.py
+++ b/packages/gateway/almonddock_gateway/links/_link.py
@@ -50,15 +50,22 @@
         self._expander = zlib.decompressobj(wbits=-WINDOW_BITS)
         self._transport: asyncio.Transport | None = None
         self._heard = self._loop.time()
+        self._answered = False
         # When the oldest question without an answer was asked.
         self._asked: float | None = None
         self._pings = 0
 
     @property
     def usable(self) -> bool:
-        """Whether the other host has answered lately."""
+        """Whether the other host has answered lately.
+
+        A connection alone shows nothing: the kernel of a host that stands
+        still accepts it.
+        """
         if self._transport is None or self._transport.is_closing():
             return False
+        if not self._answered:
+            return False
         return self._asked is None or self._loop.time() - self._asked < DOUBT_S
 
     def send(self, message: LinkMessage) -> None:
@@ -77,8 +84,12 @@
         if self._asked is not None and now - self._asked > SILENCE_S:
             self.close()
         elif now - self._heard > PING_AFTER_S:
-            self._pings += 1
-            self.send(Ping(self._pings))
+            self.ping()
+
+    def ping(self) -> None:
+        """Asks the other host whether it answers."""
+        self._pings += 1
+        self.send(Ping(self._pings))
 
     def close(self) -> None:
         """Closes the connection at once."""
@@ -94,6 +105,7 @@
         """Hands on each message; closes the link at a bad frame."""
         self._heard = self._loop.time()
         self._asked = None
+        self._answered = True
         try:
             for encoded in self._reader.feed(self._expand(received)):
                 self._take(decode(encoded))
--- a/packages/gateway/almonddock_gateway/links/_peers.py
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -146,6 +146,7 @@
             await asyncio.sleep(DIAL_TIMEOUT_S)
         else:
             self._links[peer] = link
+            link.ping()
             self._telemetry.note('link_opened', peer=peer.name)
         finally:
             self._dialling.pop(peer, None)
