Follow the store with one watch, briskly while keys return

Change: one watch over all keys, with a pause of 0.4 of the time within which a change must be in force, and 0.15 s for 2.5 s after a start and after the store came back; hosts are listed by it too.

--- a/packages/gateway/almonddock_gateway/controllers/_follower.py
+++ b/packages/gateway/almonddock_gateway/controllers/_follower.py
@@ -18,6 +18,16 @@
 #: served before, so they do not grow.
 START_RETRY = timedelta(milliseconds=100)
 
+#: For so long after the first answer, and after the store came back, keys
+#: that lapsed meanwhile return, and callers wait for them (users' letter 2:
+#: within about two seconds).
+RETURN_TIME_S = 2.5
+RETURN_TIME = timedelta(seconds=RETURN_TIME_S)
+
+#: The pause between two watches in that time.
+RETURN_PAUSE_MS = 150
+RETURN_PAUSE = timedelta(milliseconds=RETURN_PAUSE_MS)
+
 #: The first wait after the store did not answer; it doubles to the last one.
 FIRST_RETRY = timedelta(milliseconds=100)
 LAST_RETRY_MS = 800
@@ -53,24 +63,16 @@
     ) -> None:
         #: When the store last answered; None before the first answer.
         self.fresh_at: timedelta | None = None
-        #: Set once everything under the prefix was read.
-        self.known = asyncio.Event()
         self._settings = settings
         self._store = store
         self._clock = clock
         self._telemetry = telemetry
         self._revision: int | None = None
+        # When the store answered for the first time, or again.
+        self._back_at = timedelta()
         self._lost_since: timedelta | None = None
         self._retry = FIRST_RETRY
 
-    async def run_after(self, first: 'Follower') -> None:
-        """Follows the prefix once another one is known.
-
-        While a host starts during an outage, one of them asks for both.
-        """
-        await first.known.wait()
-        await self.run()
-
     async def run(self) -> None:
         """Follows the prefix until cancelled."""
         while True:
@@ -95,7 +97,6 @@
             view = await self._store.read_prefix(settings.prefix)
             self._note_answer()
             settings.take_all(view)
-            self.known.set()
         else:
             view = await self._store.watch(
                 settings.prefix,
@@ -105,8 +106,14 @@
             self._note_answer()
             settings.take_changes(view)
         self._revision = max(view.revision, self._revision or 0)
-        if settings.pause:
-            await asyncio.sleep(settings.pause.total_seconds())
+        await asyncio.sleep(self._choose_pause().total_seconds())
+
+    def _choose_pause(self) -> timedelta:
+        """Returns a short pause while lapsed keys may be coming back."""
+        since = self._clock.now() - self._back_at
+        if since < RETURN_TIME:
+            return min(RETURN_PAUSE, self._settings.pause)
+        return self._settings.pause
 
     async def _wait_for_store(self, lost: StoreLostError) -> None:
         now = self._clock.now()
@@ -118,7 +125,7 @@
                 reason=lost.message,
                 fresh_at=self.fresh_at,
             )
-        if not self.known.is_set():
+        if self.fresh_at is None:
             await asyncio.sleep(START_RETRY.total_seconds())
             return
         await asyncio.sleep(self._retry.total_seconds())
@@ -126,6 +133,8 @@
 
     def _note_answer(self) -> None:
         now = self._clock.now()
+        if self.fresh_at is None or self._lost_since is not None:
+            self._back_at = now
         self.fresh_at = now
         self._retry = FIRST_RETRY
         if self._lost_since is None:
--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
 from datetime import timedelta
@@ -18,6 +17,7 @@
 from almonddock_gateway.store import (
     LeaseEndedError,
     Store,
+    StoreItem,
     StoreLostError,
     StoreView,
 )
@@ -27,15 +27,11 @@
 REGISTRATION_S = 15
 REGISTRATION = timedelta(seconds=REGISTRATION_S)
 
-#: The pause between two renewals, each with a read of the list.
+#: The pause between two renewals.
 RENEWAL = timedelta(seconds=5)
 
-#: The first pauses are short, so that hosts started together find each other.
-FIRST_RENEWALS = 3
-FIRST_RENEWAL = timedelta(seconds=1)
-
-#: The largest number of the last reads counts: lists may be seconds old.
-READS_KEPT = 3
+#: The pause after a call that failed, or a registration that ended.
+RETRY = timedelta(seconds=1)
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,31 +60,45 @@
         self._clock = clock
         self._telemetry = telemetry
         self._lease: int | None = None
-        self._counts: deque[int] = deque(maxlen=READS_KEPT)
+        #: The number of hosts, this one included.
+        self.count = 1
+        self._known: dict[str, StoreItem] = {}
         #: The other hosts, as of the last read.
         self.peers: frozenset[Peer] = frozenset()
 
-    @property
-    def count(self) -> int:
-        """The number of hosts, this one included; at least one."""
-        return max(self._counts, default=1)
-
     async def run(self) -> None:
         """Keeps the registration and the count until cancelled."""
-        renewals = 0
         while True:
+            pause = RENEWAL
             try:
                 await self._renew()
             except StoreLostError as lost:
                 self._telemetry.note('registration_failed', reason=lost.message)
+                pause = RETRY
             except LeaseEndedError:
                 self._telemetry.note('registration_ended', lease=self._lease)
                 self._lease = None
-                continue
-            renewals += 1
-            pause = FIRST_RENEWAL if renewals <= FIRST_RENEWALS else RENEWAL
+                pause = RETRY
             await asyncio.sleep(pause.total_seconds())
 
+    def take_all(self, view: StoreView) -> None:
+        """Takes all hosts that the store lists, in place of those known."""
+        self._known = {}
+        self.take_changes(view)
+
+    def take_changes(self, view: StoreView) -> None:
+        """Takes hosts that came or went."""
+        prefix = self._settings.keys.host_prefix
+        for item in view.items:
+            if not item.key.startswith(prefix):
+                continue
+            if item.content is None:
+                self._known.pop(item.key, None)
+            else:
+                self._known[item.key] = item
+        self.peers = frozenset(self._read_peers())
+        self._note_count(view.revision)
+
     async def leave(self) -> None:
         """Ends the registration, so that others count one less at once."""
         if self._lease is None:
@@ -98,6 +108,18 @@
         except (StoreLostError, LeaseEndedError) as lost:
             self._telemetry.note('deregistration_failed', reason=lost.message)
 
+    def _note_count(self, revision: int) -> None:
+        """Counts this host too, whose own entry may be on its way."""
+        before = self.count
+        self.count = len(self.peers) + 1
+        if self.count != before:
+            self._telemetry.note(
+                'host_count_changed',
+                hosts=self.count,
+                before=before,
+                store_revision=revision,
+            )
+
     async def _renew(self) -> None:
         prefix = self._settings.keys.host_prefix
         if self._lease is None:
@@ -110,17 +132,6 @@
             self._lease = lease
         else:
             await self._store.renew_lease(self._lease)
-        view = await self._store.read_prefix_stale(prefix)
-        self.peers = frozenset(self._read_peers(view))
-        before = self.count
-        self._counts.append(max(len(view.items), 1))
-        if self.count != before:
-            self._telemetry.note(
-                'host_count_changed',
-                hosts=self.count,
-                before=before,
-                store_revision=view.revision,
-            )
 
     def _describe(self) -> bytes:
         settings = self._settings
@@ -132,9 +143,9 @@
             },
         )
 
-    def _read_peers(self, view: StoreView) -> Iterator[Peer]:
+    def _read_peers(self) -> Iterator[Peer]:
         prefix = self._settings.keys.host_prefix
-        for item in view.items:
+        for item in self._known.values():
             name = item.key.removeprefix(prefix)
             if item.content is None or name == self._settings.host:
                 continue
--- a/packages/gateway/almonddock_gateway/controllers/_targets.py
+++ b/packages/gateway/almonddock_gateway/controllers/_targets.py
@@ -46,7 +46,8 @@
     def take_changes(self, view: StoreView) -> None:
         """Takes new, changed and removed entries in their order."""
         for item in view.items:
-            self._take_change(item)
+            if item.key.startswith(self._prefix):
+                self._take_change(item)
 
     def forget_lapsed(self) -> None:
         """Drops targets whose entries did not come back."""
@@ -66,9 +67,10 @@
 
     def _decode_all(self, view: StoreView) -> Iterator[TargetEntry]:
         for item in view.items:
-            entry = self._decode_item(item)
-            if entry is not None:
-                yield entry
+            if item.key.startswith(self._prefix):
+                entry = self._decode_item(item)
+                if entry is not None:
+                    yield entry
 
     def _decode_item(self, item: StoreItem) -> TargetEntry | None:
         if item.content is None:
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -40,7 +40,7 @@
     StoreServer,
 )
 from almonddock_gateway.settings import Address, GatewaySettings
-from almonddock_gateway.store import Store
+from almonddock_gateway.store import Store, StoreView
 from almonddock_gateway.targets import TargetPools
 from almonddock_gateway.telemetry import (
     GatewayMetrics,
@@ -60,15 +60,19 @@
     idle_timeout=timedelta(minutes=1),
 )
 
-#: How long the store holds a watch without a change. The store counts every
-#: call; a connection that went silent is noticed one second later.
-CONFIGURATION_WAIT = timedelta(seconds=3)
-TARGET_WAIT = timedelta(seconds=3)
+#: The store's keys are followed as one: every call is paid for, and targets
+#: write so often that a watch of them returns at once and may as well carry
+#: the rest.
+EVERYTHING = ''
 
-#: The pause between two watches of the targets. They write about once a
-#: second each, so a watch without a pause returns at once.
-TARGET_PAUSE_MS = 900
-TARGET_PAUSE = timedelta(milliseconds=TARGET_PAUSE_MS)
+#: How long the store holds a watch without a change; a connection that went
+#: silent is noticed one second later.
+NEWS_WAIT = timedelta(seconds=1)
+
+#: The pause between two watches, as a share of the time within which a change
+#: must be in force. It gathers changes into one call and leaves time for a
+#: second call if the first one is lost.
+NEWS_SHARE = 0.4
 
 #: How long a host serves callers before it opens links to others: loading
 #: what they need holds other work for about a tenth of a second.
@@ -197,33 +201,28 @@
             self._clock,
             self.telemetry,
         )
-        self._followers = (
-            Follower(
-                FollowSettings(
-                    prefix=settings.keys.operator_prefix,
-                    wait=CONFIGURATION_WAIT,
-                    pause=timedelta(),
-                    take_all=configuration.take_all,
-                    take_changes=configuration.take_changes,
-                    store_back=_ignore,
-                ),
-                shared,
-                self._clock,
-                self.telemetry,
-            ),
-            Follower(
-                FollowSettings(
-                    prefix=settings.keys.target_prefix,
-                    wait=TARGET_WAIT,
-                    pause=TARGET_PAUSE,
-                    take_all=self._listing.take_all,
-                    take_changes=self._listing.take_changes,
-                    store_back=self._listing.note_store_back,
-                ),
-                shared,
-                self._clock,
-                self.telemetry,
+        readers = (configuration, self._listing, self._hosts)
+
+        def take_all(view: StoreView) -> None:
+            for reader in readers:
+                reader.take_all(view)
+
+        def take_changes(view: StoreView) -> None:
+            for reader in readers:
+                reader.take_changes(view)
+
+        self._follower = Follower(
+            FollowSettings(
+                prefix=EVERYTHING,
+                wait=NEWS_WAIT,
+                pause=settings.news_bound * NEWS_SHARE,
+                take_all=take_all,
+                take_changes=take_changes,
+                store_back=self._listing.note_store_back,
             ),
+            shared,
+            self._clock,
+            self.telemetry,
         )
         self._servers: list[asyncio.Server] = []
         self._connections: set[CallerConnection] = set()
@@ -271,10 +270,8 @@
 
     def _start_tasks(self) -> list[asyncio.Task[None]]:
         loop = asyncio.get_running_loop()
-        configuration, targets = self._followers
         works = (
-            configuration.run(),
-            targets.run_after(configuration),
+            self._follower.run(),
             self._hosts.run(),
             self._run_links(),
             self._sweep(),
@@ -440,7 +437,3 @@
     async def _sleep_until(self, moment: timedelta) -> None:
         wait = moment - self._clock.now()
         await asyncio.sleep(max(0, wait.total_seconds()))
-
-
-def _ignore() -> None:
-    """Takes the store's return where nothing depends on it."""
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -73,6 +73,8 @@
     headers: HeaderNames
     keys: StoreKeys
     budget: BudgetLimits
+    #: How soon a change in the store must be in force on this host.
+    news_bound: timedelta
     #: From the request to stop until the process is killed.
     stop_time: timedelta
     #: File descriptors that the process may use.
