Explain a request from its id and the logs alone

Cause: a line a request told what was known of targets when it ended, not when they were chosen, and no command read the lines.

--- a/packages/cli/almonddock_cli/program.py
+++ b/packages/cli/almonddock_cli/program.py
@@ -4,6 +4,7 @@
 
 from almonddock_cli._check import check_folder
 from almonddock_cli._diff import show_difference
+from almonddock_cli._explain import explain_request
 from almonddock_cli._publish import publish_folder
 from almonddock_cli._query import ask_query
 from almonddock_cli._report import show_report
@@ -23,6 +24,7 @@
 APPLICATION.command('diff')(show_difference)
 APPLICATION.command('query')(ask_query)
 APPLICATION.command('status')(show_status)
+APPLICATION.command('explain')(explain_request)
 APPLICATION.command('services')(list_services)
 APPLICATION.command('report')(show_report)
 
--- /dev/null
+++ b/packages/cli/almonddock_cli/tests/test_explain.py
@@ -0,0 +1,160 @@
+"""Failures are played, and their causes are read from the log alone."""
+
+import os
+import unittest
+from dataclasses import dataclass
+from datetime import timedelta
+
+from almonddock_cli._causes import name_cause, select_beliefs, select_story
+from almonddock_cli._log_lines import LogLine, parse_lines
+from almonddock_core.dispatch import Dispatch, Failure, ReplyKind
+from almonddock_core.model import ManualClock
+from almonddock_core.routing import TargetChange
+from almonddock_core.tests.dispatch_cases import (
+    MS,
+    SECOND,
+    DispatchCase,
+    make_reply,
+    make_route,
+)
+from almonddock_gateway.telemetry import (
+    GatewayMetrics,
+    LineWriter,
+    Telemetry,
+)
+
+
+@dataclass(slots=True)
+class Finished:
+    """What the log takes of an exchange."""
+
+    dispatch: Dispatch
+
+
+class ExplainTest(unittest.TestCase):
+    def setUp(self) -> None:
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        self.reader = reader
+        self.clock = ManualClock()
+        self.telemetry = Telemetry(
+            LineWriter(writer, {'host': 'kyu-1', 'data_centre': 'a'}),
+            GatewayMetrics(),
+            self.clock,
+        )
+
+    def read_log(self) -> list[LogLine]:
+        self.telemetry.flush()
+        os.set_blocking(self.reader, False)
+        raw = os.read(self.reader, 1 << 20)
+        prefixed = [b'12.5 kyu-1 %b' % line for line in raw.splitlines()]
+        return list(parse_lines([b'another program', b'{"a": 1}', *prefixed]))
+
+    def finish(self, case: DispatchCase, status: int) -> list[LogLine]:
+        self.clock.advance(case.now - self.clock.now())
+        self.telemetry.note_finished(Finished(case.dispatch), status, 7)
+        return self.read_log()
+
+    def explain(self, case: DispatchCase, status: int) -> str:
+        return name_cause(select_story(self.finish(case, status), 'request-1'))
+
+    def test_late_query_over_shards(self) -> None:
+        case = DispatchCase(make_route(4)).start()
+        for attempt in range(3):
+            case.reply(attempt)
+        case.advance(90 * MS)
+        self.assertEqual(
+            self.explain(case, 200),
+            'it was answered after 90.0 ms without desk-3, whose targets '
+            'were late, failed or gone',
+        )
+
+    def test_refused_request(self) -> None:
+        case = DispatchCase(make_route(4))
+        for shard in ('desk-0', 'desk-1'):
+            for number in range(2):
+                case.targets.remove(f'{shard}/{number}', case.now)
+        gone = TargetChange('desk-0/0', 'desk-0', 'gone')
+        self.telemetry.note_targets([gone], 33)
+        case.start()
+        lines = self.finish(case, 503)
+        story = select_story(lines, 'request-1')
+        self.assertEqual(
+            name_cause(story),
+            'it was refused without being run: no target listed for desk-0, '
+            'desk-1',
+        )
+        beliefs = select_beliefs(lines, story)
+        self.assertEqual(
+            [line.fields['change'] for line in beliefs],
+            ['gone'],
+        )
+
+    def test_request_that_may_have_run(self) -> None:
+        case = DispatchCase(make_route(idempotent=False)).start()
+        case.now = 2 * MS
+        case.dispatch.fail(0, Failure.LOST, case.now)
+        self.assertEqual(
+            self.explain(case, 502),
+            'it may have run: a connection ended without a reply, or a '
+            'target failed, and no further try was allowed: first at desk/0 '
+            '(desk) lost after 2.0 ms',
+        )
+
+    def test_other_ends(self) -> None:
+        def refuse(case: DispatchCase) -> None:
+            for attempt in (0, 1):
+                case.reply(attempt, make_reply(ReplyKind.REFUSED, status=503))
+
+        def wait(case: DispatchCase) -> None:
+            case.advance(2 * SECOND)
+
+        def leave(case: DispatchCase) -> None:
+            case.now = 3 * MS
+            case.dispatch.abandon(case.now)
+
+        def succeed(case: DispatchCase) -> None:
+            case.now = 3 * MS
+            case.reply(0)
+
+        for play, status, expected in (
+            (refuse, 503, 'every target refused it, so it has not run'),
+            (wait, 504, 'its time ended while it waited for desk/0 (desk)'),
+            (leave, 0, 'the caller closed its connection after 3.0 ms'),
+            (succeed, 200, 'it was answered in time, after 3.0 ms'),
+        ):
+            with self.subTest(expected=expected):
+                self.setUp()
+                case = DispatchCase(make_route()).start()
+                play(case)
+                self.assertTrue(
+                    self.explain(case, status).startswith(expected),
+                )
+
+    def test_turned_away(self) -> None:
+        self.telemetry.note_turned_away(b'request-1', 'the host stops')
+        story = select_story(self.read_log(), 'request-1')
+        self.assertEqual(
+            name_cause(story),
+            'it was not served: the host stops (status 503)',
+        )
+
+    def test_host_beliefs_end_when_they_are_over(self) -> None:
+        self.telemetry.note('store_lost', reason='x')
+        self.telemetry.note('isolated')
+        self.telemetry.note('store_back', lost_for=timedelta(seconds=1))
+        self.telemetry.note_turned_away(b'request-1', 'x')
+        lines = self.read_log()
+        # Lines of one millisecond have one time, so give each its own.
+        spaced = [
+            LogLine(line.time + number * MS, line.event, line.host, line.fields)
+            for number, line in enumerate(lines)
+        ]
+        story = select_story(spaced, 'request-1')
+        beliefs = select_beliefs(spaced, story)
+        self.assertEqual([line.event for line in beliefs], ['isolated'])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/packages/core/almonddock_core/dispatch/__init__.py
+++ b/packages/core/almonddock_core/dispatch/__init__.py
@@ -34,6 +34,13 @@
 )
 from almonddock_core.dispatch._context import DispatchContext
 from almonddock_core.dispatch._dispatch import Dispatch
+from almonddock_core.dispatch._journal import (
+    DarkService,
+    Journal,
+    TryOutcome,
+    TryReason,
+    TryRecord,
+)
 from almonddock_core.dispatch._outcome import count_needed
 from almonddock_core.dispatch._records import (
     RECORD_BYTES,
@@ -59,12 +66,14 @@
     'BudgetLimits',
     'Cancel',
     'Dispatch',
+    'DarkService',
     'DispatchContext',
     'DispatchTiming',
     'DispatchedRequest',
     'Failure',
     'Finish',
     'HEDGE_SHARE',
+    'Journal',
     'MergedAnswer',
     'PARTIAL_SHARE',
     'PassedAnswer',
@@ -77,6 +86,9 @@
     'Send',
     'SlidingCount',
     'TargetReply',
+    'TryOutcome',
+    'TryReason',
+    'TryRecord',
     'Withdraw',
     'count_needed',
     'merge_records',
--- a/packages/core/almonddock_core/dispatch/_attempts.py
+++ b/packages/core/almonddock_core/dispatch/_attempts.py
@@ -4,6 +4,7 @@
 
 from almonddock_core.dispatch._actions import Send
 from almonddock_core.dispatch._branch import Attempt, Branch
+from almonddock_core.dispatch._journal import Journal, TryOutcome, TryReason
 from almonddock_core.routing import KnownTarget
 
 
@@ -11,6 +12,7 @@
     """Numbers attempts, and keeps those without an outcome."""
 
     def __init__(self) -> None:
+        self.journal = Journal()
         self._open: dict[int, Attempt] = {}
         self._branches: list[Branch] = []
 
@@ -19,8 +21,10 @@
         branch: Branch,
         target: KnownTarget,
         now: timedelta,
+        reason: TryReason = TryReason.FIRST,
     ) -> Send:
         """Opens an attempt."""
+        self.journal.add_try(target, reason, now)
         number = len(self._branches)
         attempt = Attempt(number, branch, target, now)
         self._branches.append(branch)
@@ -31,10 +35,16 @@
         target.health.in_flight += 1
         return Send(number, target)
 
-    def take(self, number: int) -> Attempt | None:
+    def take(
+        self,
+        number: int,
+        outcome: TryOutcome,
+        now: timedelta,
+    ) -> Attempt | None:
         """Closes an attempt; returns None if it was closed before."""
         attempt = self._open.pop(number, None)
         if attempt is not None:
+            self.journal.end_try(number, outcome, now)
             attempt.branch.open.remove(attempt)
             attempt.target.health.in_flight -= 1
         return attempt
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -15,6 +15,11 @@
 from almonddock_core.dispatch._attempts import AttemptBook
 from almonddock_core.dispatch._branch import Attempt, Branch
 from almonddock_core.dispatch._context import DispatchContext
+from almonddock_core.dispatch._journal import (
+    DarkService,
+    TryOutcome,
+    TryReason,
+)
 from almonddock_core.dispatch._outcome import (
     build_merged,
     build_single,
@@ -49,6 +54,8 @@
         self._latency = context.get_latency(request.route)
         self._branches = [Branch(service) for service in request.services]
         self._attempts = AttemptBook()
+        #: What was decided, for the log.
+        self.journal = self._attempts.journal
         self._now = request.arrived
 
     @property
@@ -93,7 +100,8 @@
     ) -> list[Action]:
         """Takes the reply to an attempt."""
         self._now = now
-        attempt = self._attempts.take(number)
+        outcome = TryOutcome(reply.kind.value)
+        attempt = self._attempts.take(number, outcome, now)
         if attempt is None:
             return []
         return self._conclude(self._settle(attempt, reply))
@@ -114,7 +122,9 @@
             return []
         actions: list[Action] = []
         for number, outcome in replies:
-            attempt = self._attempts.take(number)
+            named = outcome if isinstance(outcome, Failure) else outcome.kind
+            ended = TryOutcome(named.value)
+            attempt = self._attempts.take(number, ended, now)
             if attempt is None:
                 self._replace(number, outcome)
             elif isinstance(outcome, Failure):
@@ -131,7 +141,8 @@
     ) -> list[Action]:
         """Takes the end of an attempt without a reply."""
         self._now = now
-        attempt = self._attempts.take(number)
+        outcome = TryOutcome(failure.value)
+        attempt = self._attempts.take(number, outcome, now)
         if attempt is None:
             return []
         return self._conclude(self._lose(attempt, failure))
@@ -205,9 +216,13 @@
             return [Withdraw(attempt.number)]
         if len(branch.open) > 1:
             return []
-        return self._try_again(branch)
+        return self._try_again(branch, TryReason.HEDGE)
 
-    def _try_again(self, branch: Branch) -> list[Action]:
+    def _try_again(
+        self,
+        branch: Branch,
+        reason: TryReason = TryReason.RETRY,
+    ) -> list[Action]:
         """Sends another try, if one is allowed and a target is left."""
         route = self.request.route
         if branch.sent >= route.max_attempts:
@@ -221,22 +236,28 @@
             routes = self._context.list_routes_to(branch.service)
             budget = self._context.budget
             if not budget.spend(branch.service, routes, self._now):
+                self.journal.over_budget.append(branch.service)
                 return []
             self.extra_tries += 1
-        return [self._attempts.send(branch, target, self._now)]
+        return [self._attempts.send(branch, target, self._now, reason)]
 
     def _choose(self, branch: Branch) -> KnownTarget | None:
         usable = self._context.targets.list_usable(branch.service, self._now)
         reachable = [
+            target for target in usable if not target.health.unreachable
+        ]
+        if not reachable:
+            dark = DarkService(branch.service, len(usable))
+            self.journal.dark.append(dark)
+        untried = [
             target
-            for target in usable
-            if not target.health.unreachable
-            and target.entry.target_id not in branch.tried
+            for target in reachable
+            if target.entry.target_id not in branch.tried
         ]
-        return choose_target(reachable, self._context.data_centre, self._now)
+        return choose_target(untried, self._context.data_centre, self._now)
 
     def _cancel(self, attempt: Attempt) -> Cancel:
-        self._attempts.take(attempt.number)
+        self._attempts.take(attempt.number, TryOutcome.CANCELLED, self._now)
         elapsed = (self._now - attempt.started).total_seconds()
         slowness = elapsed / self._latency.seconds
         attempt.target.health.observe_wait(slowness, self._now)
--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -33,6 +33,18 @@
 STOP_RETRY_AFTER = timedelta(milliseconds=10)
 
 
+@dataclass(frozen=True, slots=True)
+class TurnedAway:
+    """Why a host takes no request now."""
+
+    reason: str
+    retry_after: timedelta
+
+
+NO_CONFIGURATION = TurnedAway('no configuration yet', START_RETRY_AFTER)
+STOPPING = TurnedAway('the host stops', STOP_RETRY_AFTER)
+
+
 @dataclass(slots=True)
 class EntryState:
     """What the controllers publish for requests."""
@@ -82,10 +94,10 @@
         names = self._settings.names
         table = self._state.table
         if table is None:
-            self._turn_away(request, connection, START_RETRY_AFTER)
+            self._turn_away(request, connection, NO_CONFIGURATION)
             return None
         if self._state.closing:
-            self._turn_away(request, connection, STOP_RETRY_AFTER)
+            self._turn_away(request, connection, STOPPING)
             return None
         routed = route_request(request, table, names)
         if isinstance(routed, Rejection):
@@ -130,9 +142,9 @@
         self,
         request: CallerRequest,
         connection: CallerConnection,
-        retry_after: timedelta,
+        why: TurnedAway,
     ) -> None:
         attempt_id = request.find(self._settings.names.attempt_id) or b''
-        self._telemetry.note_turned_away(attempt_id)
-        seconds = f'{retry_after.total_seconds():.3f}'.encode()
+        self._telemetry.note_turned_away(attempt_id, why.reason)
+        seconds = f'{why.retry_after.total_seconds():.3f}'.encode()
         connection.send(UNAVAILABLE, ((b'retry-after', seconds),), b'')
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -66,8 +66,6 @@
         finish: 'Callable[[TargetExchange, Answer | None], None]',
     ) -> None:
         self.dispatch = dispatch
-        #: Targets asked, in order, for the log.
-        self.asked: list[tuple[timedelta, KnownTarget]] = []
         self._outgoing = outgoing
         self._settings = settings
         self._finish = finish
@@ -120,7 +118,6 @@
         groups = settings.relays.group(actions)
         for link, sends in groups:
             now = settings.clock.now()
-            self.asked.extend((now, send.target) for send in sends)
             relay = Relay(
                 settings.relays,
                 link,
@@ -165,7 +162,6 @@
     def _send(self, action: Send) -> None:
         target = action.target
         number = action.attempt
-        self.asked.append((self._settings.clock.now(), target))
         pool = self._settings.pools.get(target)
         request = self.dispatch.request
         attempt = TargetAttempt(
--- a/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
@@ -4,24 +4,38 @@
 from datetime import timedelta
 from typing import Any, Protocol
 
-from almonddock_core.dispatch import Dispatch, MergedAnswer, Refusal
+from almonddock_core.dispatch import (
+    Dispatch,
+    Journal,
+    MergedAnswer,
+    Refusal,
+    TryOutcome,
+    TryReason,
+    TryRecord,
+)
 from almonddock_core.model import Clock
-from almonddock_core.routing import KnownTarget, TargetChange
+from almonddock_core.routing import TargetChange
 from almonddock_gateway.telemetry._lines import LineBudget, LineWriter
 from almonddock_gateway.telemetry._metrics import GatewayMetrics
 
 FIRST_FAILURE_STATUS = 300
+UNAVAILABLE = 503
 MS = timedelta(milliseconds=1)
 
 #: The status that stands for a caller that left before its answer.
 CALLER_LEFT = 0
 
 
+#: Outcomes of first tries that need no line of their own.
+UNREMARKABLE = frozenset(
+    (TryOutcome.SUCCESS, TryOutcome.CANCELLED, TryOutcome.OPEN),
+)
+
+
 class FinishedExchange(Protocol):
     """What the log needs of a request that has ended."""
 
     dispatch: Dispatch
-    asked: list[tuple[timedelta, KnownTarget]]
 
 
 class RejectedRequest(Protocol):
@@ -84,12 +98,14 @@
             configuration=version,
         )
 
-    def note_turned_away(self, request_id: bytes) -> None:
+    def note_turned_away(self, request_id: bytes, reason: str) -> None:
         """Writes a request that this host cannot take now."""
         self._lines.write(
             LineBudget.FAILURE,
             'request_turned_away',
             request_id=request_id.decode('latin-1'),
+            status=UNAVAILABLE,
+            reason=reason,
         )
 
     def note_finished(
@@ -107,6 +123,9 @@
         failed = not 0 < status < FIRST_FAILURE_STATUS
         late = elapsed > route.latency_goal
         budget = LineBudget.FAILURE if failed or late else LineBudget.ROUTINE
+        for record in dispatch.journal.tries:
+            if _is_notable(record):
+                self._note_try(dispatch, record, budget)
         if not self._lines.has_room(budget):
             self._lines.count_dropped('request_finished')
             return
@@ -117,16 +136,48 @@
             route=route.name,
             configuration=version,
             status=status,
-            elapsed_ms=round(elapsed / MS, 1),
+            elapsed_ms=_count_ms(elapsed),
+            goal_ms=round(route.latency_goal / MS),
             **_describe_answer(dispatch),
-            extra_tries=dispatch.extra_tries,
-            asked=_describe_asked(exchange, detailed=failed or late),
+            **_describe_journal(dispatch.journal, detailed=failed or late),
         )
 
     def flush(self) -> None:
         """Writes what waits, as far as the reader takes it."""
         self._lines.flush()
 
+    def _note_try(
+        self,
+        dispatch: Dispatch,
+        record: TryRecord,
+        budget: LineBudget,
+    ) -> None:
+        """Writes one try, with what was known when it was decided."""
+        if not self._lines.has_room(budget):
+            self._lines.count_dropped('try_ended')
+            return
+        request = dispatch.request
+        entry = record.target.entry
+        reached = record.reached
+        self._lines.write(
+            budget,
+            'try_ended',
+            request_id=request.request_id,
+            service=entry.service,
+            target=entry.target_id,
+            target_data_centre=entry.data_centre,
+            reason=record.reason.value,
+            outcome=record.outcome.value,
+            sent_ms=_count_ms(record.sent - request.arrived),
+            ended_ms=_count_ms((record.ended or record.sent) - request.arrived),
+            slowness=round(record.slowness, 2),
+            failure_share=round(record.failure_share, 2),
+            in_flight=record.in_flight,
+            reached_ms_ago=(
+                None if reached is None else _count_ms(record.sent - reached)
+            ),
+        )
+
     def _count(
         self,
         dispatch: Dispatch,
@@ -144,6 +195,10 @@
             metrics.missing_shards.add(labels, len(answer.missing))
 
 
+def _count_ms(span: timedelta) -> float:
+    return round(span / MS, 1)
+
+
 def _describe_answer(dispatch: Dispatch) -> dict[str, Any]:
     answer = dispatch.answer
     if isinstance(answer, MergedAnswer):
@@ -158,26 +213,29 @@
     return {'outcome': answer.reply.kind.value}
 
 
-def _describe_asked(
-    exchange: FinishedExchange,
-    *,
-    detailed: bool,
-) -> list[list[Any]]:
-    """Returns when each target was asked, and what was known of it.
+def _is_notable(record: TryRecord) -> bool:
+    """Whether a try is a decision of its own: not a first one that went well.
 
-    Good answers tell only the tries after the first ones.
+    A first try that was cancelled lost against its hedge, which is told.
     """
-    arrived = exchange.dispatch.request.arrived
-    services = len(exchange.dispatch.request.services)
-    shown = exchange.asked if detailed else exchange.asked[services:]
-    return [
-        [
-            round((sent - arrived) / MS, 1),
-            target.entry.target_id,
-            target.entry.service,
-            round(target.health.slowness, 2),
-            round(target.health.failure_share, 2),
-            target.health.in_flight,
+    if record.reason is not TryReason.FIRST:
+        return True
+    return record.outcome not in UNREMARKABLE
+
+
+def _describe_journal(journal: Journal, *, detailed: bool) -> dict[str, Any]:
+    """Returns counts, and for a late or failed request what it waited for."""
+    described: dict[str, Any] = {'tries': len(journal.tries)}
+    if journal.dark:
+        described['dark'] = {
+            dark.service: dark.unreachable for dark in journal.dark
+        }
+    if journal.over_budget:
+        described['over_budget'] = journal.over_budget
+    if detailed:
+        described['unanswered'] = [
+            [record.target.entry.service, record.target.entry.target_id]
+            for record in journal.tries
+            if record.outcome in {TryOutcome.OPEN, TryOutcome.CANCELLED}
         ]
-        for sent, target in shown
-    ]
+    return described
