--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -134,7 +134,8 @@
 
         ``output`` is a file descriptor, which becomes non-blocking.
         """
-        self._settings = settings
+        #: The settings in force.
+        self.settings = settings
         self._reload = reload
         self._clock = SteadyClock()
         self.telemetry = Telemetry(
@@ -249,7 +250,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._take_settings)
-        settings = self._settings
+        settings = self.settings
         self.telemetry.note('started', callers=settings.callers)
         callers = await self._listen(settings.callers, self._entry.handle)
         for address in (settings.readiness, settings.metrics):
@@ -334,9 +335,9 @@
     ) -> None:
         """Answers the balancer and the reader of metrics."""
         path = request.url.decode('latin-1').partition('?')[0]
-        if path == self._settings.readiness_path:
+        if path == self.settings.readiness_path:
             connection.send(OK if self.is_ready else UNAVAILABLE, (), b'')
-        elif path == self._settings.metrics_path:
+        elif path == self.settings.metrics_path:
             connection.send(OK, (), self._render_metrics())
         else:
             connection.send(NOT_FOUND, (), b'')
@@ -361,6 +362,7 @@
         except (OSError, AlmonddockError) as fault:
             self.telemetry.note('settings_unreadable', reason=str(fault))
             return
+        self.settings = settings
         self._budget.change_limits(settings.budget)
         self.telemetry.note('settings_reloaded', budget=settings.budget)
 
@@ -372,7 +374,7 @@
         links = importlib.import_module('almonddock_gateway.links')
         server = RelayServer(
             RelaySettings(
-                self._settings.headers,
+                self.settings.headers,
                 self._targets,
                 self._pools,
                 self._clock,
@@ -384,7 +386,7 @@
             server.receive(link, message)
             store_server.receive(link, message)
 
-        place = self._settings.links
+        place = self.settings.links
         self._servers.append(
             await asyncio.get_running_loop().create_server(
                 lambda: links.Link(receive, server.forget),
@@ -394,8 +396,8 @@
             ),
         )
         peers = links.PeerLinks(
-            self._settings.host,
-            self._settings.data_centre,
+            self.settings.host,
+            self.settings.data_centre,
             lambda: self._hosts.peers,
             self.telemetry,
         )
@@ -419,7 +421,7 @@
 
     async def _stop(self, callers: asyncio.Server) -> None:
         """Lets the balancer notice, then finishes accepted requests."""
-        total = self._settings.stop_time
+        total = self.settings.stop_time
         asked = self._clock.now()
         self.telemetry.note('stopping', running=self._entry.running)
         self.telemetry.flush()
--- a/packages/gateway/almonddock_gateway/telemetry/_lines.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_lines.py
@@ -58,7 +58,7 @@
             self._written.clear()
         return self._written[budget] < LINES_PER_SECOND * budget.value
 
-    def write(self, budget: LineBudget, event: str, **fields: Any) -> None:
+    def write(self, budget: LineBudget, event: str, /, **fields: Any) -> None:
         """Adds a line, or counts it as dropped."""
         full = self._waiting_bytes > MAX_WAITING_BYTES
         if full or not self.has_room(budget):
--- a/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
@@ -65,7 +65,7 @@
         self._lines = lines
         self._clock = clock
 
-    def note(self, event: str, **fields: Any) -> None:
+    def note(self, event: str, /, **fields: Any) -> None:
         """Writes a start, a stop, a reload or a change of belief."""
         self._lines.write(LineBudget.BELIEF, event, **fields)
 
--- a/packages/gateway/almonddock_gateway/tests/test_lines.py
+++ b/packages/gateway/almonddock_gateway/tests/test_lines.py
@@ -38,6 +38,11 @@
         self.assertEqual(line['host'], 'kyu-1')
         self.assertEqual(line['port'], 80)
 
+    def test_fields_may_have_any_name(self) -> None:
+        self.lines.write(LineBudget.BELIEF, 'reloaded', budget=1, self=2)
+        line = self.read_lines()[0]
+        self.assertEqual((line['budget'], line['self']), (1, 2))
+
     def test_stalled_reader_loses_lines_and_holds_nobody(self) -> None:
         for number in range(MANY):
             self.lines.write(
