Keep all hosts together within what cold targets and limits bear

Change: a guard bounds what few hosts, chosen alike by all, send to a cold target; the largest number of hosts in 20 s counts; a host keeps its share of connections, at least one.

--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -1,10 +1,16 @@
 """What all dispatches of a host share."""
 
 from dataclasses import dataclass, field
+from datetime import timedelta
 
 from almonddock_core.dispatch._budget import RetryBudget
-from almonddock_core.placement import TypicalLatency
-from almonddock_core.routing import Route, RoutingTable, TargetTable
+from almonddock_core.placement import ColdGuard, TypicalLatency
+from almonddock_core.routing import (
+    KnownTarget,
+    Route,
+    RoutingTable,
+    TargetTable,
+)
 
 
 @dataclass(slots=True)
@@ -15,6 +21,7 @@
     data_centre: str
     targets: TargetTable
     budget: RetryBudget
+    cold: ColdGuard
     #: The configuration in force, for the routes that lead to a service.
     table: RoutingTable | None = None
     _latencies: dict[str, TypicalLatency] = field(default_factory=dict)
@@ -32,3 +39,27 @@
         if self.table is None:
             return ()
         return self.table.routes_to.get(service, ())
+
+    def list_reachable(
+        self,
+        service: str,
+        now: timedelta,
+    ) -> tuple[list[KnownTarget], int]:
+        """Returns the targets that can be asked, and how many cannot be."""
+        usable = self.targets.list_usable(service, now)
+        reachable = [
+            target for target in usable if not target.health.unreachable
+        ]
+        return reachable, len(usable) - len(reachable)
+
+    def bears_more(self, target: KnownTarget, now: timedelta) -> bool:
+        """Whether a target that may be cold bears one more request."""
+        if target.cold_until <= now:
+            return True
+        entry = target.entry
+        rate = self._get_cold_rate(entry.service)
+        return self.cold.may_send(entry.target_id, rate, now)
+
+    def _get_cold_rate(self, service: str) -> float:
+        known = self.table.services.get(service) if self.table else None
+        return 0 if known is None else known.cold_requests_per_second
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -242,19 +242,22 @@
         return [self._attempts.send(branch, target, self._now, reason)]
 
     def _choose(self, branch: Branch) -> KnownTarget | None:
-        usable = self._context.targets.list_usable(branch.service, self._now)
-        reachable = [
-            target for target in usable if not target.health.unreachable
-        ]
+        context = self._context
+        now = self._now
+        reachable, unreachable = context.list_reachable(branch.service, now)
         if not reachable:
-            dark = DarkService(branch.service, len(usable))
+            dark = DarkService(branch.service, unreachable)
             self.journal.dark.append(dark)
-        untried = [
+        candidates = [
             target
             for target in reachable
             if target.entry.target_id not in branch.tried
+            and context.bears_more(target, now)
         ]
-        return choose_target(untried, self._context.data_centre, self._now)
+        chosen = choose_target(candidates, context.data_centre, now)
+        if chosen is not None and chosen.cold_until > now:
+            context.cold.note_sent(chosen.entry.target_id)
+        return chosen
 
     def _cancel(self, attempt: Attempt) -> Cancel:
         self._attempts.take(attempt.number, TryOutcome.CANCELLED, self._now)
--- a/packages/core/almonddock_core/placement/__init__.py
+++ b/packages/core/almonddock_core/placement/__init__.py
@@ -8,12 +8,14 @@
 """
 
 from almonddock_core.placement._choice import Candidate, choose_target
+from almonddock_core.placement._cold import ColdGuard
 from almonddock_core.placement._health import TargetHealth
 from almonddock_core.placement._isolation import Reach, is_isolated
 from almonddock_core.placement._latency import TypicalLatency
 
 __all__ = [
     'Candidate',
+    'ColdGuard',
     'Reach',
     'TargetHealth',
     'TypicalLatency',
--- /dev/null
+++ b/packages/core/almonddock_core/placement/_cold.py
@@ -0,0 +1,77 @@
+"""How much a host may send to a target in a cold start.
+
+Load it answers: a target that starts, or turns cold without notice, falls
+over under its full load, and every host would send its share at once. All
+hosts together keep to what the target bears.
+"""
+
+import zlib
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+#: Hosts that send to one cold target. Each may send one request ahead of its
+#: rate, so few hosts keep their sum near what the target bears.
+HOSTS_PER_TARGET = 4
+
+#: Requests that a host may send ahead of its rate.
+BURST = 1
+
+
+@dataclass(slots=True)
+class _Allowance:
+    tokens: float
+    updated: timedelta
+
+
+@dataclass(slots=True)
+class ColdGuard:
+    """Bounds the requests of this host to each cold target."""
+
+    #: The name of this host.
+    host: str
+    #: The names of the other hosts.
+    peers: Collection[str] = ()
+    _allowances: dict[str, _Allowance] = field(default_factory=dict)
+
+    def may_send(self, target_id: str, rate: float, now: timedelta) -> bool:
+        """Whether one more request may go to a cold target.
+
+        ``rate`` is what the target bears, in requests a second from all
+        hosts; 0 if no bound is stated.
+        """
+        if not rate:
+            return True
+        senders = self._choose_senders(target_id)
+        if self.host not in senders:
+            return False
+        return self._refill(target_id, rate / len(senders), now).tokens >= 1
+
+    def note_sent(self, target_id: str) -> None:
+        """Counts a request that was sent to a cold target."""
+        allowance = self._allowances.get(target_id)
+        if allowance is not None:
+            allowance.tokens -= 1
+
+    def _choose_senders(self, target_id: str) -> list[str]:
+        """Returns the same few hosts on every host that knows the same."""
+        ranked = sorted(
+            (self.host, *self.peers),
+            key=lambda name: zlib.crc32(f'{target_id} {name}'.encode()),
+        )
+        return ranked[:HOSTS_PER_TARGET]
+
+    def _refill(
+        self,
+        target_id: str,
+        rate: float,
+        now: timedelta,
+    ) -> _Allowance:
+        allowance = self._allowances.get(target_id)
+        if allowance is None:
+            allowance = _Allowance(BURST, now)
+            self._allowances[target_id] = allowance
+        elapsed = (now - allowance.updated).total_seconds()
+        allowance.tokens = min(BURST, allowance.tokens + elapsed * rate)
+        allowance.updated = now
+        return allowance
--- a/packages/core/almonddock_core/tests/dispatch_cases.py
+++ b/packages/core/almonddock_core/tests/dispatch_cases.py
@@ -16,6 +16,7 @@
     Send,
     TargetReply,
 )
+from almonddock_core.placement import ColdGuard
 from almonddock_core.routing import (
     CallerLimits,
     Route,
@@ -96,6 +97,7 @@
     limits: BudgetLimits = WIDE
     deadline: timedelta = SECOND
     replicas: int = 2
+    cold_rate: float = 0
     now: timedelta = timedelta()
     actions: list[Action] = field(default_factory=list)
     targets: TargetTable = field(default_factory=TargetTable)
@@ -115,12 +117,13 @@
             HERE,
             self.targets,
             RetryBudget(self.limits),
+            ColdGuard('kyu-1'),
         )
         self.context.table = build_routing_table(
             1,
             LIMITS,
             [
-                Service(name, 10, 0, timedelta())
+                Service(name, 10, self.cold_rate, timedelta())
                 for name in self.route.list_services()
             ],
             [self.route],
--- a/packages/core/almonddock_core/tests/test_dispatch.py
+++ b/packages/core/almonddock_core/tests/test_dispatch.py
@@ -345,6 +345,29 @@
         )
 
 
+class ColdTargetTest(unittest.TestCase):
+    def test_cold_target_gets_no_more_than_it_bears(self) -> None:
+        case = DispatchCase(make_route(), cold_rate=2, replicas=1)
+        target = case.targets.list_usable('desk', case.now)[0]
+        target.cold_until = SECOND
+        served = 0
+        for _ in range(100):
+            case.now += 5 * MS
+            case.start()
+            served += case.dispatch.answer is None
+        self.assertLessEqual(served, 2)
+        case.now = SECOND
+        self.assertIsNone(case.start().dispatch.answer)
+
+    def test_warm_replica_takes_what_a_cold_one_does_not_bear(self) -> None:
+        case = DispatchCase(make_route(), cold_rate=2)
+        target = case.targets.list_usable('desk', case.now)[0]
+        target.cold_until = SECOND
+        for _ in range(20):
+            case.start()
+            self.assertIsNone(case.dispatch.answer)
+
+
 class RecordsTest(unittest.TestCase):
     def test_merge(self) -> None:
         one, two, three = (bytes([number]) * 16 for number in (1, 2, 3))
--- a/packages/core/almonddock_core/tests/test_target_choice.py
+++ b/packages/core/almonddock_core/tests/test_target_choice.py
@@ -5,6 +5,7 @@
 
 from almonddock_core.dispatch import BudgetLimits, RetryBudget, SlidingCount
 from almonddock_core.placement import (
+    ColdGuard,
     Reach,
     TypicalLatency,
     choose_target,
@@ -104,6 +105,37 @@
                 self.assertIs(is_isolated(reach, now), expected)
 
 
+class ColdGuardTest(unittest.TestCase):
+    def test_all_hosts_together_keep_to_what_a_target_bears(self) -> None:
+        for hosts in (1, 2, 4, 33):
+            for rate in (2, 10, 50):
+                with self.subTest(hosts=hosts, rate=rate):
+                    sent = self.count_sent(hosts, rate, seconds=1)
+                    # The users' bound: 1.5 times the rate, and 5.
+                    self.assertLessEqual(sent, rate * 1.5 + 5)
+                    later = self.count_sent(hosts, rate, seconds=10)
+                    self.assertGreater(later, rate * 9)
+
+    def test_no_stated_rate_is_no_bound(self) -> None:
+        guard = ColdGuard('kyu-1')
+        for _ in range(100):
+            self.assertTrue(guard.may_send('target', 0, START))
+
+    def count_sent(self, hosts: int, rate: float, seconds: int) -> int:
+        names = [f'kyu-{number}' for number in range(hosts)]
+        guards = [
+            ColdGuard(name, [peer for peer in names if peer != name])
+            for name in names
+        ]
+        sent = 0
+        for step in range(seconds * 1000):
+            for guard in guards:
+                if guard.may_send('target', rate, step * MS):
+                    guard.note_sent('target')
+                    sent += 1
+        return sent
+
+
 class BudgetTest(unittest.TestCase):
     def test_sum_over_hosts_keeps_to_the_bound(self) -> None:
         limits = BudgetLimits(ratio=0.2, slack=52, window=10 * SECOND)
--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
 from datetime import timedelta
@@ -30,6 +31,12 @@
 #: The pause between two renewals.
 RENEWAL = timedelta(seconds=5)
 
+#: The largest number of hosts in so long counts: registrations lapse with the
+#: store, and a host that takes the number for smaller than it is sends more
+#: than its share.
+COUNT_MEMORY_S = 20
+COUNT_MEMORY = timedelta(seconds=COUNT_MEMORY_S)
+
 #: The pause after a call that failed, or a registration that ended.
 RETRY = timedelta(seconds=1)
 
@@ -62,6 +69,7 @@
         self._lease: int | None = None
         #: The number of hosts, this one included.
         self.count = 1
+        self._counts: deque[tuple[timedelta, int]] = deque()
         self._known: dict[str, StoreItem] = {}
         #: The other hosts, as of the last read.
         self.peers: frozenset[Peer] = frozenset()
@@ -111,7 +119,11 @@
     def _note_count(self, revision: int) -> None:
         """Counts this host too, whose own entry may be on its way."""
         before = self.count
-        self.count = len(self.peers) + 1
+        now = self._clock.now()
+        self._counts.append((now, len(self.peers) + 1))
+        while now - self._counts[0][0] > COUNT_MEMORY:
+            self._counts.popleft()
+        self.count = max(count for _, count in self._counts)
         if self.count != before:
             self._telemetry.note(
                 'host_count_changed',
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -10,6 +10,7 @@
 
 from almonddock_core.dispatch import DispatchContext, RetryBudget
 from almonddock_core.model import AlmonddockError
+from almonddock_core.placement import ColdGuard
 from almonddock_core.routing import CallerLimits, KnownTarget, TargetTable
 from almonddock_gateway._clock import SteadyClock
 from almonddock_gateway.controllers import (
@@ -95,13 +96,6 @@
 #: The process ends at this share of the time at the latest.
 END_SHARE = 0.95
 
-#: Connections to one target for each of its slots, over which further
-#: requests wait in this host, by priority, rather than in the target's queue.
-CONNECTIONS_PER_SLOT = 2
-
-#: Each host may keep at least this many connections to a target.
-MIN_CONNECTIONS = 2
-
 #: Collections of the youngest generation happen after so many allocations.
 GC_THRESHOLD = 50_000
 
@@ -149,10 +143,12 @@
         self._state = EntryState()
         self._budget = RetryBudget(settings.budget)
         self._targets = TargetTable()
+        self._cold = ColdGuard(settings.host)
         self._context = DispatchContext(
             settings.data_centre,
             self._targets,
             self._budget,
+            self._cold,
         )
         self._pools = TargetPools(
             self._get_connection_limit,
@@ -289,9 +285,8 @@
         table = self._state.table
         known = table.services.get(service) if table else None
         if known is None:
-            return MIN_CONNECTIONS
-        share = known.max_connections // (self._hosts.count + 1)
-        return max(MIN_CONNECTIONS, share)
+            return 1
+        return max(1, known.max_connections // self._hosts.count)
 
     async def _listen(
         self,
@@ -408,6 +403,7 @@
         while True:
             await asyncio.sleep(SWEEP.total_seconds())
             self._budget.hosts = self._hosts.count
+            self._cold.peers = [peer.name for peer in self._hosts.peers]
             self._listing.forget_lapsed()
             self._reach.check()
             self._pools.close_idle()
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -77,5 +77,3 @@
     news_bound: timedelta
     #: From the request to stop until the process is killed.
     stop_time: timedelta
-    #: File descriptors that the process may use.
-    max_descriptors: int
