Remember slow targets longer, and judge given-up waits by their whole

Cause: on the grown sites a host asks a target about once a second; a slow one was forgotten in between, and a try that lost against its hedge counted as hardly slow, so hedges spent the retry budget (explain: over_budget). Change: impressions fade in 6 s, and the wait of a given-up request counts twice. The new test fails on the code before.

--- a/packages/core/almonddock_core/placement/_health.py
+++ b/packages/core/almonddock_core/placement/_health.py
@@ -7,8 +7,13 @@
 #: The weight of a new observation in the averages of slowness and failures.
 OBSERVATION_WEIGHT = 0.3
 
-#: How fast an old impression fades when no reply confirms it, in seconds.
-FADE_SECONDS = 2.5
+#: How fast an old impression fades when no reply confirms it, in seconds: a
+#: host of a large deployment asks each target about once a second.
+FADE_SECONDS = 6
+
+#: A request that was given up waited for a part of its time only: the whole is
+#: taken as this many times what it waited (trials of 2026-12-04, decision 042).
+UNFINISHED_FACTOR = 2
 
 #: One very late reply counts at most this many times the typical latency.
 MAX_SLOWNESS = 12
@@ -62,6 +67,7 @@
     def observe_wait(self, slowness: float, now: timedelta) -> None:
         """Takes a request that was given up before its reply came."""
         self._fade(now)
+        slowness *= UNFINISHED_FACTOR
         if slowness > self.slowness:
             self.slowness += OBSERVATION_WEIGHT * (
                 min(slowness, MAX_SLOWNESS) - self.slowness
--- a/packages/core/almonddock_core/tests/test_target_choice.py
+++ b/packages/core/almonddock_core/tests/test_target_choice.py
@@ -55,6 +55,19 @@
             self.near.health.observe_wait(6, START)
         self.assertIs(self.choose(), self.far)
 
+    def test_slow_target_is_left_by_a_host_that_seldom_asks(self) -> None:
+        """Load: 26 hosts, so each asks a target about once a second."""
+        asked_slow = 0
+        for second in range(8):
+            now = second * SECOND
+            if self.choose(now) is self.near:
+                asked_slow += 1
+                # Hedged after twice the usual time, and won by the hedge.
+                self.near.health.observe_wait(3, now)
+            else:
+                self.far.health.observe_reply(1, now)
+        self.assertLessEqual(asked_slow, 3)
+
     def test_failing_target_is_left(self) -> None:
         self.near.health.observe_failure(START)
         self.assertIs(self.choose(), self.far)
