--- a/packages/core/almonddock_core/placement/_cold.py
+++ b/packages/core/almonddock_core/placement/_cold.py
@@ -7,7 +7,7 @@
 
 import zlib
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 
 #: Hosts that send to one cold target. Each may send one request ahead of its
@@ -24,15 +24,21 @@
     updated: timedelta
 
 
-@dataclass(slots=True)
 class ColdGuard:
     """Bounds the requests of this host to each cold target."""
 
-    #: The name of this host.
-    host: str
-    #: The names of the other hosts.
-    peers: Collection[str] = ()
-    _allowances: dict[str, _Allowance] = field(default_factory=dict)
+    def __init__(self, host: str, peers: Collection[str] = ()) -> None:
+        """Takes the names of this host and of the others."""
+        self._host = host
+        self._peers = frozenset(peers)
+        self._allowances: dict[str, _Allowance] = {}
+        self._senders: dict[str, list[str]] = {}
+
+    def set_peers(self, peers: Collection[str]) -> None:
+        """Takes the names of the other hosts."""
+        if self._peers != frozenset(peers):
+            self._peers = frozenset(peers)
+            self._senders = {}
 
     def may_send(self, target_id: str, rate: float, now: timedelta) -> bool:
         """Whether one more request may go to a cold target.
@@ -42,8 +48,11 @@
         """
         if not rate:
             return True
-        senders = self._choose_senders(target_id)
-        if self.host not in senders:
+        senders = self._senders.get(target_id)
+        if senders is None:
+            senders = self._choose_senders(target_id)
+            self._senders[target_id] = senders
+        if self._host not in senders:
             return False
         return self._refill(target_id, rate / len(senders), now).tokens >= 1
 
@@ -56,7 +65,7 @@
     def _choose_senders(self, target_id: str) -> list[str]:
         """Returns the same few hosts on every host that knows the same."""
         ranked = sorted(
-            (self.host, *self.peers),
+            (self._host, *self._peers),
             key=lambda name: zlib.crc32(f'{target_id} {name}'.encode()),
         )
         return ranked[:HOSTS_PER_TARGET]
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -403,7 +403,7 @@
         while True:
             await asyncio.sleep(SWEEP.total_seconds())
             self._budget.hosts = self._hosts.count
-            self._cold.peers = [peer.name for peer in self._hosts.peers]
+            self._cold.set_peers([peer.name for peer in self._hosts.peers])
             self._listing.forget_lapsed()
             self._reach.check()
             self._pools.close_idle()
