Tell other hosts before stopping, and keep links through a lapse

Change: a message to the hosts that opened links, links to unlisted hosts stay until another one serves the data centre and they are idle, idle counts are forgotten, 0.2 s for the end of a registration.

--- a/packages/core/almonddock_core/dispatch/_budget.py
+++ b/packages/core/almonddock_core/dispatch/_budget.py
@@ -101,6 +101,13 @@
         extras.add(now)
         return True
 
+    def forget_idle(self, now: timedelta) -> None:
+        """Drops counts of routes and services without any event left."""
+        for counts in (self._requests, self._extras):
+            idle = tuple(one for one in counts if not counts[one].count(now))
+            for name in idle:
+                del counts[name]
+
     def _get(
         self,
         counts: dict[str, SlidingCount],
--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -34,6 +34,20 @@
             self._latencies[route.name] = latency
         return latency
 
+    def put_in_force(self, table: RoutingTable) -> None:
+        """Takes a new configuration, and forgets routes that it dropped."""
+        self.table = table
+        names = {
+            route.name
+            for by_prefix in table.routes.values()
+            for route in by_prefix.values()
+        }
+        self._latencies = {
+            name: latency
+            for name, latency in self._latencies.items()
+            if name in names
+        }
+
     def list_routes_to(self, service: str) -> tuple[str, ...]:
         """Returns the names of the routes that lead to a service."""
         if self.table is None:
--- a/packages/core/almonddock_core/placement/_cold.py
+++ b/packages/core/almonddock_core/placement/_cold.py
@@ -34,7 +34,7 @@
         self._allowances: dict[str, _Allowance] = {}
         self._senders: dict[str, list[str]] = {}
 
-    def set_peers(self, peers: Collection[str]) -> None:
+    def note_peers(self, peers: Collection[str]) -> None:
         """Takes the names of the other hosts."""
         if self._peers != frozenset(peers):
             self._peers = frozenset(peers)
--- a/packages/core/almonddock_core/tests/test_target_choice.py
+++ b/packages/core/almonddock_core/tests/test_target_choice.py
@@ -167,6 +167,16 @@
         after = sum(self.spend_all(limits, 4, 0) for _ in range(4))
         self.assertLessEqual(before + after, 52)
 
+    def test_idle_counts_are_forgotten_and_others_are_not(self) -> None:
+        limits = BudgetLimits(ratio=0, slack=4, window=10 * SECOND)
+        budget = RetryBudget(limits)
+        spent = [budget.spend('desk', (), START) for _ in range(5)]
+        self.assertFalse(spent[-1])
+        budget.forget_idle(SECOND)
+        self.assertFalse(budget.spend('desk', (), SECOND))
+        budget.forget_idle(30 * SECOND)
+        self.assertTrue(budget.spend('desk', (), 30 * SECOND))
+
     def test_window_slides(self) -> None:
         count = SlidingCount(10 * SECOND)
         for second in range(30):
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -1,12 +1,14 @@
 """One gateway process, from its settings to its end."""
 
 import asyncio
+import contextlib
 import gc
 import importlib
 import signal
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
+from typing import cast
 
 from almonddock_core.dispatch import DispatchContext, RetryBudget
 from almonddock_core.model import AlmonddockError
@@ -32,6 +34,7 @@
     Exchange,
 )
 from almonddock_gateway.relays import (
+    Leaving,
     LinkMessage,
     MessageLink,
     RelayBoard,
@@ -93,6 +96,10 @@
 #: Connections that are still idle are closed after this share of the time.
 CLOSE_IDLE_SHARE = 0.42
 
+#: How long the process waits for the end of its registration.
+LEAVE_TIME_MS = 200
+LEAVE_TIME = timedelta(milliseconds=LEAVE_TIME_MS)
+
 #: The process ends at this share of the time at the latest.
 END_SHARE = 0.95
 
@@ -222,6 +229,8 @@
             self.telemetry,
         )
         self._servers: list[asyncio.Server] = []
+        # Links that other hosts opened to this one.
+        self._accepted: set[MessageLink] = set()
         self._connections: set[CallerConnection] = set()
         self._stopping = asyncio.Event()
 
@@ -382,9 +391,19 @@
             store_server.receive(link, message)
 
         place = self.settings.links
+
+        def forget(link: MessageLink) -> None:
+            self._accepted.discard(link)
+            server.forget(link)
+
+        def accept() -> asyncio.BaseProtocol:
+            link: asyncio.BaseProtocol = links.Link(receive, forget)
+            self._accepted.add(cast(MessageLink, link))
+            return link
+
         self._servers.append(
             await asyncio.get_running_loop().create_server(
-                lambda: links.Link(receive, server.forget),
+                accept,
                 place.host,
                 place.port,
                 reuse_address=True,
@@ -403,7 +422,8 @@
         while True:
             await asyncio.sleep(SWEEP.total_seconds())
             self._budget.hosts = self._hosts.count
-            self._cold.set_peers([peer.name for peer in self._hosts.peers])
+            self._cold.note_peers([peer.name for peer in self._hosts.peers])
+            self._budget.forget_idle(self._clock.now())
             self._listing.forget_lapsed()
             self._reach.check()
             self._pools.close_idle()
@@ -421,6 +441,8 @@
         asked = self._clock.now()
         self.telemetry.note('stopping', running=self._entry.running)
         self.telemetry.flush()
+        for link in self._accepted:
+            link.send(Leaving())
         await self._sleep_until(asked + total * CLOSE_IDLE_SHARE)
         for connection in tuple(self._connections):
             connection.close_if_idle()
@@ -430,7 +452,12 @@
         while self._entry.running and self._clock.now() < end:
             await asyncio.sleep(LOG_FLUSH.total_seconds())
         callers.close()
-        await self._hosts.leave()
+        with contextlib.suppress(TimeoutError):
+            # The registration lapses by itself if the store does not answer.
+            await asyncio.wait_for(
+                self._hosts.leave(),
+                LEAVE_TIME.total_seconds(),
+            )
 
     async def _sleep_until(self, moment: timedelta) -> None:
         wait = moment - self._clock.now()
--- a/packages/gateway/almonddock_gateway/links/_peers.py
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -102,13 +102,28 @@
                 if peer not in self._links and peer not in self._dialling:
                     dial = asyncio.create_task(self._dial(peer))
                     self._dialling[peer] = dial
-            for peer, link in tuple(self._links.items()):
-                if peer in wanted:
-                    link.check()
-                else:
-                    link.close()
+            for link in self._links.values():
+                link.check()
+            self._close_unwanted(wanted)
             await asyncio.sleep(PERIOD_S)
 
+    def _close_unwanted(self, wanted: set[Peer]) -> None:
+        """Closes idle links to hosts that others have taken the place of.
+
+        Registrations lapse with the store, so a host that is no longer listed
+        may be well, and its link stays until another one serves.
+        """
+        served = {
+            peer.data_centre
+            for peer in wanted
+            if peer in self._links and self._links[peer].usable
+        }
+        busy = {link for link, _ in self._waiting}
+        for peer, link in tuple(self._links.items()):
+            replaced = peer not in wanted and peer.data_centre in served
+            if replaced and link not in busy:
+                link.close()
+
     def _take_turn(self, links: list[Link]) -> Link | None:
         usable = [
             link for link in links if link.usable and link not in self._leaving
--- a/packages/gateway/almonddock_gateway/tests/test_links.py
+++ b/packages/gateway/almonddock_gateway/tests/test_links.py
@@ -1,10 +1,27 @@
 """When a link to another host may be used."""
 
+import os
 import unittest
+import zlib
+from datetime import timedelta
 
 from almonddock_core.framing import FrameReader
-from almonddock_gateway.links import Link, decode
-from almonddock_gateway.relays import LinkMessage, MessageLink, Ping, Pong
+from almonddock_core.model import ManualClock
+from almonddock_gateway.controllers import Peer
+from almonddock_gateway.links import Link, PeerLinks, decode
+from almonddock_gateway.relays import (
+    Leaving,
+    LinkMessage,
+    MessageLink,
+    Ping,
+    Pong,
+    StoreQuery,
+)
+from almonddock_gateway.telemetry import (
+    GatewayMetrics,
+    LineWriter,
+    Telemetry,
+)
 from almonddock_gateway.tests.fakes import FakeTransport
 
 
@@ -69,5 +86,71 @@
         self.assertEqual([decode(frame) for frame in frames], [Ping(1)])
 
 
+class PeerLinksTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        telemetry = Telemetry(
+            LineWriter(writer, {}),
+            GatewayMetrics(),
+            ManualClock(),
+        )
+        self.listed: list[Peer] = []
+        self.peers = PeerLinks('kyu-1', 'a', lambda: self.listed, telemetry)
+
+    def add_link(self, name: str) -> tuple[Peer, Link, FakeTransport]:
+        """Returns a usable link to a host of data centre b."""
+        peer = Peer(name, 'b', '10.0.0.1', 1)
+        link = Link(self.peers._receive, self.peers._forget_link)
+        transport = FakeTransport()
+        link.connection_made(transport)
+        self.peers._links[peer] = link
+        self.receive(link, Pong(0))
+        return peer, link, transport
+
+    def receive(self, link: Link, message: LinkMessage) -> None:
+        other = Link(lambda sender, got: None, lambda sender: None)
+        transport = FakeTransport()
+        other.connection_made(transport)
+        other.send(message)
+        link._expander = zlib.decompressobj(wbits=-13)
+        link.data_received(transport.written)
+
+    async def test_host_that_leaves_gets_no_new_queries(self) -> None:
+        _, link, transport = self.add_link('kyu-2')
+        self.assertIs(self.peers.find_link('b'), link)
+        self.receive(link, Leaving())
+        self.assertIsNone(self.peers.find_link('b'))
+        self.assertFalse(transport.closed)
+
+    async def test_lapsed_host_keeps_its_link_until_another_serves(
+        self,
+    ) -> None:
+        _, _, transport = self.add_link('kyu-2')
+        self.peers._close_unwanted(set())
+        self.assertFalse(transport.closed)
+        other, _, _ = self.add_link('kyu-3')
+        self.peers._close_unwanted({other})
+        self.assertTrue(transport.closed)
+
+    async def test_link_in_use_is_not_closed(self) -> None:
+        _, link, transport = self.add_link('kyu-2')
+        query = StoreQuery(1, '', None, timedelta())
+        self.peers.ask(link, query, lambda message: None)
+        other, _, _ = self.add_link('kyu-3')
+        self.peers._close_unwanted({other})
+        self.assertFalse(transport.closed)
+
+    async def test_closed_link_ends_its_queries(self) -> None:
+        _, link, _ = self.add_link('kyu-2')
+        got: list[LinkMessage | None] = []
+        query = StoreQuery(1, '', None, timedelta())
+        self.peers.ask(link, query, got.append)
+        link.connection_lost(None)
+        self.assertEqual(got, [None])
+        self.assertIsNone(self.peers.find_link('b'))
+
+
 if __name__ == '__main__':
     unittest.main()
