--- /dev/null
+++ b/packages/gateway/almonddock_gateway/aside.py
@@ -0,0 +1,33 @@
+"""Answers the balancer and the reader of metrics."""
+
+from collections.abc import Callable, Mapping
+
+from almonddock_gateway.http import CallerConnection, CallerRequest
+from almonddock_gateway.settings import GatewaySettings
+from almonddock_gateway.telemetry import GatewayMetrics
+
+OK = 200
+NOT_FOUND = 404
+UNAVAILABLE = 503
+
+
+def build_aside(
+    settings: GatewaySettings,
+    is_ready: Callable[[], bool],
+    count_state: Callable[[], Mapping[str, float]],
+    metrics: GatewayMetrics,
+) -> Callable[[CallerRequest, CallerConnection], None]:
+    """Returns the handler of requests that are not callers'."""
+
+    def answer(request: CallerRequest, connection: CallerConnection) -> None:
+        path = request.url.decode('latin-1').partition('?')[0]
+        if path == settings.readiness_path:
+            connection.send(OK if is_ready() else UNAVAILABLE, (), b'')
+        elif path == settings.metrics_path:
+            for name, number in count_state().items():
+                metrics.state.set({'name': name}, number)
+            connection.send(OK, (), metrics.render())
+        else:
+            connection.send(NOT_FOUND, (), b'')
+
+    return answer
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -3,18 +3,17 @@
 import asyncio
 import contextlib
 import gc
-import importlib
 import signal
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
-from typing import cast
 
 from almonddock_core.dispatch import DispatchContext, RetryBudget
 from almonddock_core.model import AlmonddockError
 from almonddock_core.placement import ColdGuard
 from almonddock_core.routing import CallerLimits, KnownTarget, TargetTable
 from almonddock_gateway._clock import SteadyClock
+from almonddock_gateway.aside import build_aside
 from almonddock_gateway.controllers import (
     ConfigurationController,
     Follower,
@@ -27,23 +26,10 @@
 from almonddock_gateway.controllers._targets import DecodeTarget
 from almonddock_gateway.entry import Entry, EntryState
 from almonddock_gateway.entry._exchange import ExchangeSettings
-from almonddock_gateway.http import (
-    CallerConnection,
-    CallerRequest,
-    ConnectionSettings,
-    Exchange,
-)
-from almonddock_gateway.relays import (
-    Leaving,
-    LinkMessage,
-    MessageLink,
-    RelayBoard,
-    RelayServer,
-    RelaySettings,
-    SharedStore,
-    StoreServer,
-)
-from almonddock_gateway.settings import Address, GatewaySettings
+from almonddock_gateway.linking import HostLinks
+from almonddock_gateway.relays import RelayBoard, RelaySettings, SharedStore
+from almonddock_gateway.serving import START_LIMITS, CallerServers
+from almonddock_gateway.settings import GatewaySettings
 from almonddock_gateway.store import Store, StoreView
 from almonddock_gateway.targets import TargetPools
 from almonddock_gateway.telemetry import (
@@ -52,18 +38,6 @@
     Telemetry,
 )
 
-#: The usual limits of HTTP servers, until the operators' limits are known.
-START_HEADER_BYTES = 16_384
-START_BODY_BYTES = 262_144
-
-#: Limits for callers before the first configuration was read.
-START_LIMITS = CallerLimits(
-    header_bytes=START_HEADER_BYTES,
-    body_bytes=START_BODY_BYTES,
-    header_timeout=timedelta(seconds=3),
-    idle_timeout=timedelta(minutes=1),
-)
-
 #: The store's keys are followed as one: every call is paid for, and targets
 #: write so often that a watch of them returns at once and may as well carry
 #: the rest.
@@ -78,8 +52,8 @@
 #: second call if the first one is lost.
 NEWS_SHARE = 0.4
 
-#: How long a host serves callers before it opens links to others: loading
-#: what they need holds other work for about a tenth of a second.
+#: How long a host serves callers before it opens links to others, which
+#: loads what they need and holds other work for about a tenth of a second.
 LINK_DELAY = timedelta(seconds=2)
 
 #: The pause between sweeps over connections and lapsed entries.
@@ -106,11 +80,6 @@
 #: Collections of the youngest generation happen after so many allocations.
 GC_THRESHOLD = 50_000
 
-BACKLOG = 1024
-OK = 200
-NOT_FOUND = 404
-UNAVAILABLE = 503
-
 
 @dataclass(frozen=True, slots=True)
 class Decoders:
@@ -173,7 +142,6 @@
             ),
             self.telemetry,
         )
-        self._store = store
         shared = SharedStore(
             store,
             self._relays,
@@ -228,11 +196,24 @@
             self._clock,
             self.telemetry,
         )
-        self._servers: list[asyncio.Server] = []
-        # Links that other hosts opened to this one.
-        self._accepted: set[MessageLink] = set()
-        self._connections: set[CallerConnection] = set()
         self._stopping = asyncio.Event()
+        self._servers = CallerServers(
+            self._get_limits,
+            self._stopping.is_set,
+            self._clock,
+        )
+        self._links = HostLinks(
+            settings,
+            RelaySettings(
+                settings.headers,
+                self._targets,
+                self._pools,
+                self._clock,
+            ),
+            store,
+            self._hosts,
+            self.telemetry,
+        )
 
     @property
     def drained(self) -> frozenset[str]:
@@ -257,20 +238,26 @@
         loop.add_signal_handler(signal.SIGHUP, self._take_settings)
         settings = self.settings
         self.telemetry.note('started', callers=settings.callers)
-        callers = await self._listen(settings.callers, self._entry.handle)
+        await self._servers.listen(settings.callers, self._entry.handle)
+        answer_aside = build_aside(
+            settings,
+            lambda: self.is_ready,
+            self._count_state,
+            self.telemetry.metrics,
+        )
         for address in (settings.readiness, settings.metrics):
-            await self._listen(address, self._answer_aside)
+            await self._servers.listen(address, answer_aside)
         tasks = self._start_tasks()
         await self._stopping.wait()
-        await self._stop(callers)
+        await self._stop()
         await self._end(tasks)
 
     async def _end(self, tasks: list[asyncio.Task[None]]) -> None:
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for server in self._servers:
-            server.close()
+        self._servers.close()
+        self._links.close()
         self.telemetry.note('stopped', running=self._entry.running)
         self.telemetry.flush()
 
@@ -279,7 +266,7 @@
         works = (
             self._follower.run(),
             self._hosts.run(),
-            self._run_links(),
+            self._open_links(),
             self._sweep(),
             self._flush_logs(),
         )
@@ -297,29 +284,6 @@
             return 1
         return max(1, known.max_connections // self._hosts.count)
 
-    async def _listen(
-        self,
-        address: Address,
-        handle: Callable[[CallerRequest, CallerConnection], Exchange | None],
-    ) -> asyncio.Server:
-        shared = ConnectionSettings(
-            handle=handle,
-            get_limits=self._get_limits,
-            is_stopping=self._stopping.is_set,
-            opened=self._connections.add,
-            closed=self._connections.discard,
-            clock=self._clock,
-        )
-        server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(shared),
-            address.host,
-            address.port,
-            backlog=BACKLOG,
-            reuse_address=True,
-        )
-        self._servers.append(server)
-        return server
-
     def _note_reach(self, target: KnownTarget) -> None:
         """Writes that a target can be reached again, or no longer."""
         entry = target.entry
@@ -332,32 +296,16 @@
             reached=health.reached,
         )
 
-    def _answer_aside(
-        self,
-        request: CallerRequest,
-        connection: CallerConnection,
-    ) -> None:
-        """Answers the balancer and the reader of metrics."""
-        path = request.url.decode('latin-1').partition('?')[0]
-        if path == self.settings.readiness_path:
-            connection.send(OK if self.is_ready else UNAVAILABLE, (), b'')
-        elif path == self.settings.metrics_path:
-            connection.send(OK, (), self._render_metrics())
-        else:
-            connection.send(NOT_FOUND, (), b'')
-
-    def _render_metrics(self) -> bytes:
+    def _count_state(self) -> dict[str, float]:
+        """Returns the numbers of the host, for the metrics."""
         table = self._state.table
-        numbers = {
+        return {
             'configuration_version': table.version if table else 0,
             'targets': len(self._targets),
             'hosts': self._hosts.count,
             'connections_opened': self._pools.count_dials(),
             'requests_running': self._entry.running,
         }
-        for name, number in numbers.items():
-            self.telemetry.metrics.state.set({'name': name}, number)
-        return self.telemetry.metrics.render()
 
     def _take_settings(self) -> None:
         """Reads the settings file again; limits of bounds may change."""
@@ -370,53 +318,13 @@
         self._budget.change_limits(settings.budget)
         self.telemetry.note('settings_reloaded', budget=settings.budget)
 
-    async def _run_links(self) -> None:
+    async def _open_links(self) -> None:
         """Opens links to other hosts once this host serves callers."""
         while not self.is_ready:
             await asyncio.sleep(SWEEP.total_seconds())
         await asyncio.sleep(LINK_DELAY.total_seconds())
-        links = importlib.import_module('almonddock_gateway.links')
-        server = RelayServer(
-            RelaySettings(
-                self.settings.headers,
-                self._targets,
-                self._pools,
-                self._clock,
-            ),
-        )
-        store_server = StoreServer(self._store)
-
-        def receive(link: MessageLink, message: LinkMessage) -> None:
-            server.receive(link, message)
-            store_server.receive(link, message)
-
-        place = self.settings.links
-
-        def forget(link: MessageLink) -> None:
-            self._accepted.discard(link)
-            server.forget(link)
-
-        def accept() -> asyncio.BaseProtocol:
-            link: asyncio.BaseProtocol = links.Link(receive, forget)
-            self._accepted.add(cast(MessageLink, link))
-            return link
-
-        self._servers.append(
-            await asyncio.get_running_loop().create_server(
-                accept,
-                place.host,
-                place.port,
-                reuse_address=True,
-            ),
-        )
-        peers = links.PeerLinks(
-            self.settings.host,
-            self.settings.data_centre,
-            lambda: self._hosts.peers,
-            self.telemetry,
-        )
-        self._relays.links = peers
-        await peers.run()
+        self._relays.links = await self._links.open()
+        await self._relays.links.run()
 
     async def _sweep(self) -> None:
         while True:
@@ -427,31 +335,27 @@
             self._listing.forget_lapsed()
             self._reach.check()
             self._pools.close_idle()
-            for connection in tuple(self._connections):
-                connection.check_time()
+            self._servers.check_time()
 
     async def _flush_logs(self) -> None:
         while True:
             await asyncio.sleep(LOG_FLUSH.total_seconds())
             self.telemetry.flush()
 
-    async def _stop(self, callers: asyncio.Server) -> None:
+    async def _stop(self) -> None:
         """Lets the balancer notice, then finishes accepted requests."""
         total = self.settings.stop_time
         asked = self._clock.now()
         self.telemetry.note('stopping', running=self._entry.running)
         self.telemetry.flush()
-        for link in self._accepted:
-            link.send(Leaving())
+        self._links.announce_stop()
         await self._sleep_until(asked + total * CLOSE_IDLE_SHARE)
-        for connection in tuple(self._connections):
-            connection.close_if_idle()
+        self._servers.close_idle()
         await self._sleep_until(asked + total * SERVE_SHARE)
         self._state.closing = True
         end = asked + total * END_SHARE
         while self._entry.running and self._clock.now() < end:
             await asyncio.sleep(LOG_FLUSH.total_seconds())
-        callers.close()
         with contextlib.suppress(TimeoutError):
             # The registration lapses by itself if the store does not answer.
             await asyncio.wait_for(
--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -1,7 +1,6 @@
 """One connection of a caller."""
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -12,6 +11,7 @@
 from almonddock_core.model import Clock
 from almonddock_core.routing import CallerLimits
 from almonddock_gateway.http._messages import Headers, format_response
+from almonddock_gateway.http._sockets import limit_unconfirmed
 
 #: Requests that one connection may send ahead of their answers.
 MAX_PIPELINED = 16
@@ -23,8 +23,6 @@
 #: How long written bytes may stay unconfirmed, in milliseconds.
 UNCONFIRMED_MS = 10_000
 
-#: What the headers of one request may take beyond the limit, in bytes, before
-#: the rest of what was read with them is known not to be a body.
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 BODY_TOO_LARGE = 413
@@ -143,13 +141,7 @@
         """Keeps the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        endpoint = transport.get_extra_info('socket')
-        if endpoint is not None:
-            endpoint.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                UNCONFIRMED_MS,
-            )
+        limit_unconfirmed(transport, UNCONFIRMED_MS)
         self._settings.opened(self)
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/packages/gateway/almonddock_gateway/http/_client_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_client_connection.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import enum
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import httptools
 
 from almonddock_gateway.http._messages import Headers
+from almonddock_gateway.http._sockets import limit_unconfirmed
 
 #: Bytes of one reply that are held in memory; a longer one ends in failure.
 MAX_REPLY_BYTES = 0x1000000
@@ -107,13 +107,7 @@
         """Keeps the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        endpoint = transport.get_extra_info('socket')
-        if endpoint is not None:
-            endpoint.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                UNCONFIRMED_MS,
-            )
+        limit_unconfirmed(transport, UNCONFIRMED_MS)
 
     def data_received(self, received: bytes) -> None:
         """Feeds the parser; bytes that nobody asked for end the connection."""
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -0,0 +1,86 @@
+"""The links between this host and others."""
+
+import asyncio
+import importlib
+from typing import TYPE_CHECKING, cast
+
+from almonddock_gateway.controllers import HostController
+from almonddock_gateway.relays import (
+    Leaving,
+    LinkMessage,
+    MessageLink,
+    RelayServer,
+    RelaySettings,
+    StoreServer,
+)
+from almonddock_gateway.settings import GatewaySettings
+from almonddock_gateway.store import Store
+from almonddock_gateway.telemetry import Telemetry
+
+if TYPE_CHECKING:
+    from almonddock_gateway.links import PeerLinks
+
+#: Loaded when links are opened, because it takes long to load.
+LINKS_MODULE = 'almonddock_gateway.links'
+
+
+class HostLinks:
+    """Serves the links that others open, and opens this host's own."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        relay_settings: RelaySettings,
+        store: Store,
+        hosts: HostController,
+        telemetry: Telemetry,
+    ) -> None:
+        self._settings = settings
+        self._hosts = hosts
+        self._telemetry = telemetry
+        self._relay_server = RelayServer(relay_settings)
+        self._store_server = StoreServer(store)
+        self._accepted: set[MessageLink] = set()
+        self._server: asyncio.Server | None = None
+
+    async def open(self) -> 'PeerLinks':
+        """Accepts links, and returns those to other hosts, not yet open."""
+        links = importlib.import_module(LINKS_MODULE)
+
+        def accept() -> asyncio.BaseProtocol:
+            link: asyncio.BaseProtocol = links.Link(self._receive, self._forget)
+            self._accepted.add(cast(MessageLink, link))
+            return link
+
+        place = self._settings.links
+        self._server = await asyncio.get_running_loop().create_server(
+            accept,
+            place.host,
+            place.port,
+            reuse_address=True,
+        )
+        peers: PeerLinks = links.PeerLinks(
+            self._settings.host,
+            self._settings.data_centre,
+            lambda: self._hosts.peers,
+            self._telemetry,
+        )
+        return peers
+
+    def announce_stop(self) -> None:
+        """Asks other hosts to send no new queries."""
+        for link in self._accepted:
+            link.send(Leaving())
+
+    def close(self) -> None:
+        """Stops accepting links."""
+        if self._server is not None:
+            self._server.close()
+
+    def _receive(self, link: MessageLink, message: LinkMessage) -> None:
+        self._relay_server.receive(link, message)
+        self._store_server.receive(link, message)
+
+    def _forget(self, link: MessageLink) -> None:
+        self._accepted.discard(link)
+        self._relay_server.forget(link)
