Take a dial that times out as proof that a target cannot be reached

Change: a dial that times out closes idle connections and marks the target; one that is refused says so only if no connection is open. The new test of the pool fails on the code before.

--- a/packages/gateway/almonddock_gateway/targets/_pool.py
+++ b/packages/gateway/almonddock_gateway/targets/_pool.py
@@ -181,9 +181,15 @@
                     entry.host,
                     entry.port,
                 )
-        except (OSError, TimeoutError):
+        except TimeoutError:
+            # Connections that are open lead nowhere either.
+            self.close()
             self._note_unreachable()
             return
+        except OSError:
+            if not self._open:
+                self._note_unreachable()
+            return
         self._note_reachable()
         self._open.add(connection)
         if connection.usable:
@@ -202,8 +208,6 @@
 
     def _note_unreachable(self) -> None:
         """Reports attempts that no connection is left to carry."""
-        if self._open:
-            return
         target = self._settings.target
         if not target.health.unreachable:
             target.health.unreachable = True
@@ -219,7 +223,7 @@
     def _dial_again(self) -> None:
         """Opens a connection without a request, to see if one can be had."""
         self._redial = None
-        if self._settings.target.dropped or self._open or self._dialling:
+        if self._settings.target.dropped or self._dialling:
             return
         self._start_dial()
 
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/tests/test_pool.py
@@ -0,0 +1,191 @@
+"""The connections to one target, by what the network does."""
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from datetime import timedelta
+
+from almonddock_core.dispatch import Failure
+from almonddock_core.routing import KnownTarget, TargetTable
+from almonddock_core.tests.dispatch_cases import make_entry
+from almonddock_gateway.http import ClientConnection, Reply
+from almonddock_gateway.targets import (
+    PoolSettings,
+    TargetAttempt,
+    TargetPool,
+)
+from almonddock_gateway.tests.fakes import FakeTransport
+
+REPLY = b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'
+
+
+class FakeLoop:
+    """A loop whose time stands still and whose dials end as a test says."""
+
+    def __init__(self) -> None:
+        self.now: float = 100
+        #: Raised by the next dials; None lets them succeed.
+        self.fault: Exception | None = None
+        self.timers: list[Callable[[], None]] = []
+        self.transports: list[FakeTransport] = []
+        self.connections: list[ClientConnection] = []
+        self._loop = asyncio.get_running_loop()
+
+    def time(self) -> float:
+        """Returns the time that was set."""
+        return self.now
+
+    def call_later(self, wait: float, work: Callable[[], None]) -> object:
+        """Keeps a timer for the test to fire."""
+        self.timers.append(work)
+        return work
+
+    def create_task(self, work: object) -> object:
+        """Runs a task on the real loop."""
+        return self._loop.create_task(work)  # type: ignore[arg-type]
+
+    async def create_connection(
+        self,
+        build: Callable[[], ClientConnection],
+        host: str,
+        port: int,
+    ) -> tuple[FakeTransport, ClientConnection]:
+        """Connects, or raises the fault."""
+        if self.fault is not None:
+            raise self.fault
+        connection = build()
+        transport = FakeTransport()
+        connection.connection_made(transport)
+        self.transports.append(transport)
+        self.connections.append(connection)
+        return transport, connection
+
+
+class PoolTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        table = TargetTable()
+        table.put(make_entry('t1'), timedelta())
+        self.target = table.list_all()[0]
+        self.noted: list[bool] = []
+        self.failures: list[Failure] = []
+        self.limit = 2
+        self.loop = FakeLoop()
+        self.pool = TargetPool(
+            PoolSettings(self.target, lambda: self.limit, self.note),
+        )
+        self.pool._loop = self.loop  # type: ignore[assignment]
+
+    def note(self, target: KnownTarget) -> None:
+        self.noted.append(target.health.unreachable)
+
+    async def submit(
+        self,
+        name: bytes = b'x',
+        *,
+        priority: int = 1,
+        fresh_only: bool = False,
+    ) -> TargetAttempt:
+        attempt = TargetAttempt(
+            encode=lambda: name,
+            receive=lambda reply: Reply.ACCEPTED,
+            fail=self.failures.append,
+            fresh_only=fresh_only,
+            priority=priority,
+        )
+        self.pool.submit(attempt)
+        await self.run_tasks()
+        return attempt
+
+    async def run_tasks(self) -> None:
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    def list_written(self) -> list[bytes]:
+        return [transport.written for transport in self.loop.transports]
+
+    async def test_idle_connection_is_used_again(self) -> None:
+        await self.submit(b'a')
+        self.loop.connections[0].data_received(REPLY)
+        await self.submit(b'b')
+        self.assertEqual(self.list_written(), [b'ab'])
+
+    async def test_connections_keep_to_the_limit_and_the_urgent_go_first(
+        self,
+    ) -> None:
+        for name, priority in ((b'a', 1), (b'b', 1), (b'c', 2), (b'd', 0)):
+            await self.submit(name, priority=priority)
+        self.assertEqual(self.list_written(), [b'a', b'b'])
+        self.loop.connections[0].data_received(REPLY)
+        self.assertEqual(self.list_written(), [b'ad', b'b'])
+
+    async def test_old_connection_carries_nothing_that_must_run_once(
+        self,
+    ) -> None:
+        await self.submit(b'a')
+        self.loop.connections[0].data_received(REPLY)
+        self.loop.now += 1
+        await self.submit(b'b', fresh_only=True)
+        self.assertEqual(self.list_written(), [b'a', b'b'])
+
+    async def test_cancelled_attempt_closes_its_connection(self) -> None:
+        attempt = await self.submit(b'a')
+        self.pool.cancel(attempt)
+        self.assertTrue(self.loop.transports[0].closed)
+        self.assertEqual(self.failures, [])
+
+    async def test_refused_dial_reports_what_waits(self) -> None:
+        self.loop.fault = ConnectionRefusedError()
+        await self.submit()
+        self.assertEqual(self.failures, [Failure.UNSENT])
+        self.assertEqual(self.noted, [True])
+
+    async def test_refused_dial_says_little_while_a_connection_works(
+        self,
+    ) -> None:
+        await self.submit(b'a')
+        self.loop.fault = ConnectionResetError()
+        await self.submit(b'b')
+        self.assertEqual(self.failures, [])
+        self.assertFalse(self.target.health.unreachable)
+
+    async def test_silent_dial_shows_that_open_connections_are_dead_too(
+        self,
+    ) -> None:
+        await self.submit(b'a')
+        await self.submit(b'b')
+        self.loop.connections[0].data_received(REPLY)
+        self.loop.now += 1
+        self.loop.fault = TimeoutError()
+        self.limit = 3
+        await self.submit(b'c', fresh_only=True)
+        self.assertEqual(self.failures, [Failure.UNSENT])
+        self.assertTrue(self.target.health.unreachable)
+        self.assertTrue(self.loop.transports[0].closed)
+        self.assertFalse(self.loop.transports[1].closed)
+
+    async def test_target_is_found_again_without_a_request(self) -> None:
+        self.loop.fault = TimeoutError()
+        await self.submit()
+        self.loop.fault = None
+        self.loop.timers.pop()()
+        await self.run_tasks()
+        self.assertEqual(self.noted, [True, False])
+        self.assertEqual(self.list_written(), [b''])
+
+    async def test_dropped_target_is_not_dialled_again(self) -> None:
+        self.loop.fault = TimeoutError()
+        await self.submit()
+        self.target.dropped = True
+        self.loop.fault = None
+        self.loop.timers.pop()()
+        await self.run_tasks()
+        self.assertEqual(self.loop.transports, [])
+
+    async def test_lost_connection_loses_its_request(self) -> None:
+        await self.submit()
+        self.loop.connections[0].connection_lost(None)
+        self.assertEqual(self.failures, [Failure.LOST])
+
+
+if __name__ == '__main__':
+    unittest.main()
