Add a randomized fault soak over the real programs

Change: soak/ runs the gateway as separate processes on loopback, with a proxy on every way (callers, links, store, targets), signals from outside, a store that is down, silent, slow, lossy, forgetful or lets entries lapse, and targets that crash, leave, vanish, turn cold, fail, lose or double their replies. Sixteen promises are checked from what callers and targets saw. The stand-ins of platform/ became a package that speaks the platform's formats, so that soak/ uses the project's words only.

Ruled out: a network namespace or clock shim (no isolation tools, no root); cutting a host from single targets (loopback shows no source address).

Clocks are not disturbed: the gateway reads the steady clock only.

--- a/Makefile
+++ b/Makefile
@@ -7,10 +7,10 @@
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(SOURCES)):$(CURDIR)
-CODE := packages platform tests bench tools
+CODE := packages platform tests bench soak tools
 STAMP := $(VENV)/.almonddock-$(shell cat constraints.txt requirements.txt | cksum | cut -d' ' -f1)
 
-.PHONY: setup test lint format demo bench report
+.PHONY: setup test lint format demo bench soak report
 
 setup: $(STAMP)
 
@@ -39,5 +39,8 @@
 bench: setup
 	$(BIN)/python -m bench $(EXPERIMENT)
 
+soak: setup
+	$(BIN)/python -m soak --seed $(or $(SEED),0) --runs $(or $(RUNS),1)
+
 report: setup
 	$(BIN)/python -m almonddock_cli report bench/results
--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -121,6 +121,11 @@
         elif self._waiting:
             self._start_next()
 
+    def abort(self) -> None:
+        """Closes the connection at once, whatever is under way."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is under way."""
         if self.idle and self._transport is not None:
--- /dev/null
+++ b/soak/promises/__init__.py
@@ -0,0 +1,62 @@
+"""Checks the promises of the system against what a run has shown.
+
+Each check is a function from the evidence to its findings; the bounds come
+from the users' rules. A bound on time counts only for hosts that nothing has
+disturbed for a while, as those rules say; what concerns truth always counts.
+"""
+
+from collections.abc import Sequence
+
+from soak.observations import Evidence
+from soak.promises._bounds import (
+    check_budget,
+    check_cold,
+    check_drained,
+    check_gone,
+    check_in_time,
+    check_leaving,
+)
+from soak.promises._findings import Check, Finding
+from soak.promises._hosts import (
+    check_processes,
+    check_recovery,
+    check_stops,
+)
+from soak.promises._truth import (
+    check_answers,
+    check_asked,
+    check_deadlines,
+    check_denials,
+    check_once,
+    check_refusals,
+)
+from soak.promises._versions import check_versions
+from soak.settings import Promises
+
+__all__ = ['CHECKS', 'Check', 'Finding', 'check_all']
+
+CHECKS: Sequence[Check] = (
+    check_answers,
+    check_asked,
+    check_once,
+    check_refusals,
+    check_denials,
+    check_deadlines,
+    check_in_time,
+    check_leaving,
+    check_drained,
+    check_cold,
+    check_budget,
+    check_versions,
+    check_stops,
+    check_gone,
+    check_processes,
+    check_recovery,
+)
+
+
+def check_all(evidence: Evidence, promises: Promises) -> list[Finding]:
+    """Returns every finding, in the order of the checks."""
+    return [
+        finding for check in CHECKS for finding in check(evidence, promises)
+    ]
--- /dev/null
+++ b/soak/promises/_hosts.py
@@ -0,0 +1,62 @@
+"""Checks of the hosts: their stops, their processes, their recovery."""
+
+from collections.abc import Iterator
+from datetime import timedelta
+
+from soak.observations import Evidence
+from soak.promises._calm import list_unplanned
+from soak.promises._findings import Finding, blame
+from soak.settings import MEMORY_LIMIT, Promises
+
+OK = 200
+NOT_FOUND = 404
+
+
+def check_stops(evidence: Evidence, promises: Promises) -> Iterator[Finding]:
+    """A host that is asked to stop cuts no request."""
+    for call in evidence.calls:
+        if call.answer is not None or call.left:
+            continue
+        if call.ended - call.sent <= promises.loss_slack:
+            continue
+        stopping = any(
+            host == call.host and at <= call.ended <= at + promises.grace
+            for host, at in evidence.stops
+        )
+        start = call.sent - promises.contact
+        if stopping and not list_unplanned(evidence, start, call.ended):
+            yield blame('graceful stops', call, 'the connection ended')
+
+
+def check_processes(
+    evidence: Evidence,
+    promises: Promises,
+) -> Iterator[Finding]:
+    """No process ends by itself, complains, or takes too much memory."""
+    for end in evidence.ends:
+        if not end.asked:
+            name = f'host {end.host}'
+            yield Finding('processes', name, end.at, f'exit code {end.code}')
+    for host, errors in evidence.errors.items():
+        if errors:
+            name = f'host {host}'
+            start = timedelta()
+            yield Finding('processes', name, start, errors.splitlines()[-1])
+    if evidence.memory > MEMORY_LIMIT:
+        detail = f'{evidence.memory} bytes'
+        yield Finding('processes', 'memory', timedelta(), detail)
+
+
+def check_recovery(
+    evidence: Evidence,
+    promises: Promises,
+) -> Iterator[Finding]:
+    """Service is back some time after the last fault."""
+    since = evidence.calm_since + promises.recovery
+    later = [one for one in evidence.calls if one.sent > since and not one.left]
+    served = sum(
+        call.answer is not None and call.answer.status == OK for call in later
+    )
+    if not later or served < promises.recovered_share * len(later):
+        detail = f'{served} of {len(later)} served'
+        yield Finding('recovery', 'all', since, detail)
--- /dev/null
+++ b/soak/promises/_truth.py
@@ -0,0 +1,145 @@
+"""Checks of what always holds, whatever is wrong."""
+
+from collections import Counter
+from collections.abc import Iterator, Sequence
+
+from almonddock_core.dispatch import count_needed
+from almonddock_core.routing import Route
+from almonddock_platform.standins import list_records, read_stamp
+from soak.observations import Call, Evidence
+from soak.promises._findings import Finding, blame, point
+from soak.promises._routes import is_idempotent, list_routes
+from soak.settings import Promises
+
+OK = 200
+NOT_FOUND = 404
+
+
+#: Answers that say that the request has not run and never will.
+NOT_RUN = frozenset((408, 421, 429, 503))
+
+
+def check_answers(
+    evidence: Evidence,
+    promises: Promises,
+) -> Iterator[Finding]:
+    """Every success is whole, right, and honest about what it covers."""
+    for call in evidence.calls:
+        answer = call.answer
+        if call.surplus:
+            yield blame('right answers', call, 'bytes beside the answer')
+        if answer is None or answer.status != OK:
+            continue
+        routes = list_routes(evidence.versions, call.path)
+        faults = [_find_fault(call, route) for route in routes]
+        if all(faults):
+            yield blame('right answers', call, '; '.join(set(faults)))
+
+
+def check_asked(evidence: Evidence, promises: Promises) -> Iterator[Finding]:
+    """Targets run only what callers have asked for, unchanged."""
+    asked = {call.attempt_id: call for call in evidence.calls}
+    for arrival in evidence.arrivals:
+        call = asked.get(arrival.attempt_id)
+        if call is None:
+            yield point('asked for', arrival, 'no caller has sent it')
+        elif call.digest != arrival.digest:
+            yield point('asked for', arrival, 'it was changed on the way')
+        elif not any(
+            arrival.service in route.list_services()
+            for route in list_routes(evidence.versions, call.path)
+        ):
+            yield point('asked for', arrival, 'no version allows the service')
+
+
+def check_once(evidence: Evidence, promises: Promises) -> Iterator[Finding]:
+    """A request that is not idempotent runs at most once."""
+    runs = Counter(arrival.attempt_id for arrival in evidence.arrivals)
+    for call in evidence.calls:
+        if is_idempotent(evidence, call.path):
+            continue
+        if runs[call.attempt_id] > 1:
+            yield blame('at most once', call, f'{runs[call.attempt_id]} runs')
+
+
+def check_refusals(
+    evidence: Evidence,
+    promises: Promises,
+) -> Iterator[Finding]:
+    """What is said not to have run has not run, and does not run later."""
+    runs = Counter(arrival.attempt_id for arrival in evidence.arrivals)
+    for call in evidence.calls:
+        answer = call.answer
+        if answer is None or answer.status not in NOT_RUN:
+            continue
+        if runs[call.attempt_id]:
+            detail = f'{answer.status} after {runs[call.attempt_id]} runs'
+            yield blame('true refusals', call, detail)
+
+
+def check_denials(evidence: Evidence, promises: Promises) -> Iterator[Finding]:
+    """Proper requests get no answer that blames the caller."""
+    for call in evidence.calls:
+        answer = call.answer
+        if answer is None or not 300 <= answer.status < 500:
+            continue
+        if answer.status in NOT_RUN:
+            continue
+        if all(one.find_route(call.path) for one in evidence.versions):
+            yield blame('no denials', call, f'status {answer.status}')
+
+
+def check_deadlines(
+    evidence: Evidence,
+    promises: Promises,
+) -> Iterator[Finding]:
+    """Targets are told of no more time than the caller gives."""
+    given = {call.attempt_id: call.deadline_ms for call in evidence.calls}
+    for arrival in evidence.arrivals:
+        told = arrival.deadline_ms
+        allowed = given.get(arrival.attempt_id, 0)
+        if told is None or told > allowed:
+            yield point('deadlines', arrival, f'{told} of {allowed} ms')
+
+
+def _find_fault(call: Call, route: Route) -> str:
+    """Returns what is wrong with a success under a route; empty if nothing."""
+    answer = call.answer
+    assert answer is not None
+    stamps = answer.parts if route.shards else (answer.stamp,)
+    try:
+        read = [read_stamp(stamp) for stamp in stamps]
+    except ValueError:
+        return f'unreadable proof in {stamps}'
+    services = [service for _, service, _ in read]
+    if any(attempt != call.attempt_id for _, _, attempt in read):
+        return 'a part answers another request'
+    if len(set(services)) < len(services):
+        return 'a shard is in twice'
+    if not set(services) <= set(route.list_services()):
+        return 'a part is of a service without a route'
+    if not route.shards:
+        body = b''.join(list_records(services[0], call.attempt_id))
+        return '' if answer.body == body else 'wrong body'
+    return _find_merge_fault(call, route, services)
+
+
+def _find_merge_fault(
+    call: Call,
+    route: Route,
+    services: Sequence[str],
+) -> str:
+    """Returns what is wrong with the merge of good parts."""
+    answer = call.answer
+    assert answer is not None
+    records = [
+        record
+        for service in services
+        for record in list_records(service, call.attempt_id)
+    ]
+    if len(services) + answer.missing != len(route.shards):
+        return f'{len(services)} parts and {answer.missing} missing'
+    if len(services) < count_needed(route):
+        return f'only {len(services)} parts'
+    greatest = sorted(records, reverse=True)[: route.top_records]
+    return '' if answer.body == b''.join(greatest) else 'wrong records'
--- /dev/null
+++ b/soak/promises/_versions.py
@@ -0,0 +1,107 @@
+"""Checks that versions come into force, and stay."""
+
+from collections import defaultdict
+from collections.abc import Iterator, Sequence
+from datetime import timedelta
+
+from almonddock_platform.standins import Arrival
+from soak.observations import Call, Evidence, Version
+from soak.promises._calm import is_informed
+from soak.promises._findings import Finding, blame
+from soak.settings import Promises
+
+NOT_FOUND = 404
+
+
+def check_versions(
+    evidence: Evidence,
+    promises: Promises,
+) -> Iterator[Finding]:
+    """A version is in force in time, and no host goes back behind it."""
+    arrivals = defaultdict(list)
+    for arrival in evidence.arrivals:
+        arrivals[arrival.attempt_id].append(arrival)
+    shown: dict[tuple[int, int], list[tuple[timedelta, int]]] = {}
+    for call in sorted(evidence.calls, key=lambda one: one.sent):
+        newest = _find_newest(evidence, call, arrivals[call.attempt_id])
+        if newest is None:
+            continue
+        known = shown.setdefault((call.host, call.lifetime), [])
+        slack = promises.rollback_slack
+        before = [least for at, least in known if at + slack < call.sent]
+        if newest < max(before, default=newest):
+            yield blame('no reversion', call, f'version {newest}')
+        least = _find_oldest(evidence, call, arrivals[call.attempt_id])
+        if least is not None:
+            seen_at = min(one.at for one in arrivals[call.attempt_id])
+            known.append((seen_at, least))
+        due = _find_due(evidence, promises, call)
+        if newest < due:
+            yield blame('in force', call, f'version {newest}, due {due}')
+
+
+def _allows(
+    version: Version,
+    call: Call,
+    arrivals: Sequence[Arrival],
+) -> bool:
+    """Whether a request was handled as a version says."""
+    route = version.find_route(call.path)
+    if route is None:
+        answer = call.answer
+        return answer is not None and answer.status == NOT_FOUND
+    services = route.list_services()
+    return bool(arrivals) and all(one.service in services for one in arrivals)
+
+
+def _list_allowing(
+    evidence: Evidence,
+    call: Call,
+    arrivals: Sequence[Arrival],
+) -> list[int]:
+    """Returns the versions that a request may have been handled by.
+
+    A request without a visible effect may have been handled by any.
+    """
+    answer = call.answer
+    visible = arrivals or (answer is not None and answer.status == NOT_FOUND)
+    if not visible:
+        return []
+    return [
+        version.number
+        for version in evidence.versions
+        if version.written <= call.ended and _allows(version, call, arrivals)
+    ]
+
+
+def _find_newest(
+    evidence: Evidence,
+    call: Call,
+    arrivals: Sequence[Arrival],
+) -> int | None:
+    return max(_list_allowing(evidence, call, arrivals), default=None)
+
+
+def _find_oldest(
+    evidence: Evidence,
+    call: Call,
+    arrivals: Sequence[Arrival],
+) -> int | None:
+    return min(_list_allowing(evidence, call, arrivals), default=None)
+
+
+def _find_due(evidence: Evidence, promises: Promises, call: Call) -> int:
+    """Returns the newest version that the host must have in force."""
+    due = [
+        version.number
+        for version in evidence.versions
+        if version.written + promises.in_force < call.sent
+        and is_informed(
+            evidence,
+            promises,
+            call.host,
+            version.written,
+            call.sent,
+        )
+    ]
+    return max(due, default=0)
--- /dev/null
+++ b/soak/tests/test_promises.py
@@ -0,0 +1,228 @@
+"""Each check passes what is right, and notices what is wrong."""
+
+import unittest
+from dataclasses import replace
+from typing import Any
+
+from soak.observations import Closure, ColdSpan, Evidence, FaultSpan
+from soak.processes import ProcessEnd
+from soak.promises import check_all
+from soak.schedule import FaultKind
+from soak.settings import MEMORY_LIMIT
+from soak.tests.cases import (
+    PROMISES,
+    SHARDS,
+    answer_query,
+    answer_single,
+    build_arrival,
+    build_call,
+    build_evidence,
+    build_version,
+    refuse,
+    seconds,
+)
+
+
+def list_broken(evidence: Evidence) -> set[str]:
+    return {finding.promise for finding in check_all(evidence, PROMISES)}
+
+
+def replace_answer(attempt_id: str, answer: Any) -> Evidence:
+    evidence = build_evidence()
+    return replace(
+        evidence,
+        calls=[
+            replace(call, answer=answer)
+            if call.attempt_id == attempt_id
+            else call
+            for call in evidence.calls
+        ],
+    )
+
+
+def add_arrival(attempt_id: str, at: float, **changes: Any) -> Evidence:
+    evidence = build_evidence()
+    service = changes.pop('service', 'ledger')
+    added = build_arrival(attempt_id, service, at, **changes)
+    return replace(evidence, arrivals=[*evidence.arrivals, added])
+
+
+def add_call(attempt_id: str, at: float, **changes: Any) -> Evidence:
+    evidence = build_evidence()
+    added = build_call(attempt_id, '/one/x', at, **changes)
+    return replace(evidence, calls=[*evidence.calls, added])
+
+
+class KeptTest(unittest.TestCase):
+    def test_good_run_has_no_findings(self) -> None:
+        self.assertEqual(check_all(build_evidence(), PROMISES), [])
+
+    def test_honest_answer_with_a_shard_missing_is_right(self) -> None:
+        partial = answer_query('q', SHARDS[:3])
+        self.assertEqual(list_broken(replace_answer('q', partial)), set())
+
+    def test_disturbed_hosts_are_excused_from_bounds_on_time(self) -> None:
+        pause = FaultSpan(FaultKind.HOST_PAUSE, 0, seconds(29), seconds(31))
+        late = add_call('l', 30, ended=seconds(33))
+        self.assertEqual(list_broken(replace(late, spans=(pause,))), set())
+
+
+class AnswerTest(unittest.TestCase):
+    def test_wrong_answers_are_found(self) -> None:
+        good = answer_query('q', SHARDS)
+        for name, answer in (
+            ('another request', answer_query('other', SHARDS)),
+            ('too few parts', answer_query('q', SHARDS[:2])),
+            ('silence on a missing part', replace(good, parts=good.parts[1:])),
+            ('a part twice', replace(good, parts=good.parts[:1] * 4)),
+            (
+                'wrong records',
+                replace(good, body=good.body[16:] + good.body[:16]),
+            ),
+            ('unreadable proof', replace(good, parts=('x',))),
+        ):
+            with self.subTest(name):
+                broken = list_broken(replace_answer('q', answer))
+                self.assertEqual(broken, {'right answers'})
+
+    def test_single_answers_are_compared(self) -> None:
+        good = answer_single('f', 'ledger')
+        for answer in (
+            replace(good, body=good.body[:-1]),
+            answer_single('f', 'archive'),
+            answer_single('o', 'ledger'),
+        ):
+            broken = list_broken(replace_answer('f', answer))
+            self.assertEqual(broken, {'right answers'})
+
+    def test_surplus_bytes_are_found(self) -> None:
+        evidence = add_call('s', 30, surplus=True)
+        self.assertEqual(list_broken(evidence), {'right answers'})
+
+
+class RunTest(unittest.TestCase):
+    def test_wrong_runs_are_found(self) -> None:
+        for promise, evidence in (
+            ('asked for', add_arrival('nobody', 12, deadline_ms=0)),
+            ('asked for', add_arrival('f', 12, digest='changed')),
+            ('asked for', add_arrival('f', 12, service='archive')),
+            ('at most once', add_arrival('o', 12.2)),
+            ('deadlines', add_arrival('f', 12, deadline_ms=2001)),
+            ('deadlines', add_arrival('f', 12, deadline_ms=None)),
+        ):
+            with self.subTest(promise):
+                self.assertIn(promise, list_broken(evidence))
+
+    def test_refusal_of_what_has_run_is_found(self) -> None:
+        for status in (408, 421, 429, 503):
+            evidence = replace_answer('o', refuse(status))
+            self.assertEqual(list_broken(evidence), {'true refusals'})
+        evidence = replace_answer('o', refuse(502))
+        self.assertEqual(list_broken(evidence), set())
+
+    def test_blaming_the_caller_is_found(self) -> None:
+        evidence = replace_answer('f', refuse(404))
+        self.assertIn('no denials', list_broken(evidence))
+
+    def test_work_for_a_caller_that_left_is_found(self) -> None:
+        evidence = add_call('g', 30, left=True, answer=None)
+        added = build_arrival('g', 'ledger', 30.6)
+        evidence = replace(evidence, arrivals=[*evidence.arrivals, added])
+        self.assertEqual(list_broken(evidence), {'callers that left'})
+
+
+class BoundTest(unittest.TestCase):
+    def test_late_answers_are_found(self) -> None:
+        evidence = add_call('l', 30, ended=seconds(32.1))
+        self.assertEqual(list_broken(evidence), {'in time'})
+
+    def test_work_for_closed_parts_is_found(self) -> None:
+        for promise, changes in (
+            ('leaving targets', {'leaving': [Closure('t0-1', seconds(5))]}),
+            ('drained data centres', {'drained': [Closure('a', seconds(4))]}),
+        ):
+            evidence = build_evidence(**changes)
+            self.assertEqual(list_broken(evidence), {promise})
+
+    def test_too_much_for_a_cold_target_is_found(self) -> None:
+        evidence = build_evidence()
+        span = ColdSpan('t0-1', seconds(13), seconds(16), 2)
+        for number, broken in ((8, set()), (9, {'cold targets'})):
+            many = [
+                build_arrival('f', 'ledger', 14 + index / 10)
+                for index in range(number)
+            ]
+            arrivals = [*evidence.arrivals, *many]
+            loaded = replace(evidence, arrivals=arrivals, cold=[span])
+            self.assertEqual(list_broken(loaded), broken)
+
+    def test_retries_over_the_budget_are_found(self) -> None:
+        evidence = build_evidence()
+        for number, broken in ((52, set()), (53, {'retry budget'})):
+            many = [
+                build_arrival('f', 'ledger', 11.1 + index / 100)
+                for index in range(number)
+            ]
+            arrivals = [*evidence.arrivals, *many]
+            self.assertEqual(
+                list_broken(replace(evidence, arrivals=arrivals)),
+                broken,
+            )
+
+    def test_old_versions_are_found(self) -> None:
+        versions = (build_version(1, 0), build_version(2, 26, 'archive'))
+        moved = answer_single('m', 'archive')
+        for sent, promises in (
+            (30, {'in force', 'no reversion'}),
+            (27.2, {'no reversion'}),
+            (27.1, set()),
+        ):
+            evidence = build_evidence(versions=versions)
+            calls = [
+                *evidence.calls[:-1],
+                build_call('m', '/one/x', 26.9, answer=moved),
+                build_call('old', '/one/x', sent),
+                build_call(
+                    'z', '/one/x', 60, answer=answer_single('z', 'archive')
+                ),
+            ]
+            arrivals = [
+                *evidence.arrivals[:-1],
+                build_arrival('m', 'archive', 26.91),
+                build_arrival('old', 'ledger', sent + 0.01),
+                build_arrival('z', 'archive', 60.01),
+            ]
+            with self.subTest(sent):
+                changed = replace(evidence, calls=calls, arrivals=arrivals)
+                self.assertEqual(list_broken(changed), promises)
+
+
+class HostTest(unittest.TestCase):
+    def test_requests_cut_by_a_stop_are_found(self) -> None:
+        cut = add_call('c', 30, answer=None, ended=seconds(30.3))
+        stops = [(0, seconds(29))]
+        stopped = replace(cut, stops=stops)
+        self.assertEqual(list_broken(stopped), {'graceful stops'})
+        self.assertEqual(list_broken(cut), set())
+
+    def test_trouble_of_processes_is_found(self) -> None:
+        end = ProcessEnd(0, 1, seconds(12), 1, asked=False)
+        for changes in (
+            {'ends': [end]},
+            {'errors': {0: 'Traceback\nValueError'}},
+            {'memory': MEMORY_LIMIT + 1},
+        ):
+            evidence = build_evidence(**changes)
+            self.assertEqual(list_broken(evidence), {'processes'})
+        asked = build_evidence(ends=[replace(end, asked=True)])
+        self.assertEqual(list_broken(asked), set())
+
+    def test_missing_recovery_is_found(self) -> None:
+        evidence = replace_answer('late', refuse(502))
+        self.assertEqual(list_broken(evidence), {'recovery'})
+        nobody = replace(evidence, calls=evidence.calls[:-1])
+        self.assertIn('recovery', list_broken(nobody))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/soak/tests/test_proxy.py
@@ -0,0 +1,89 @@
+"""The proxy does to connections what it is told."""
+
+import asyncio
+import unittest
+
+from almonddock_gateway.settings import Address
+from almonddock_platform.standins import LOOPBACK
+from soak.proxy import SILENT, SOUND, PathTrouble, Proxy
+
+#: Long enough for a busy machine.
+PATIENCE_S = 10
+#: Nothing comes within this.
+SILENCE_S = 0.2
+
+
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.server = await asyncio.start_server(self.echo, LOOPBACK, 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.proxy = Proxy(Address(LOOPBACK, port))
+        self.address = await self.proxy.start(LOOPBACK)
+
+    async def asyncTearDown(self) -> None:
+        self.proxy.close()
+        self.server.close()
+
+    async def echo(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        while received := await reader.read(100):
+            writer.write(received)
+        writer.close()
+
+    async def ask(self, trouble: PathTrouble, length: int = 4) -> bytes:
+        reader, writer = await asyncio.open_connection(
+            self.address.host,
+            self.address.port,
+        )
+        self.addCleanup(writer.close)
+        writer.write(b'ab')
+        await reader.readexactly(2)
+        self.proxy.trouble = trouble
+        writer.write(b'cdef')
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                return await reader.readexactly(length)
+        finally:
+            self.proxy.trouble = SOUND
+
+    async def test_sound_and_slow_paths_pass_everything_on(self) -> None:
+        for trouble in (SOUND, PathTrouble(delay_s=0.05)):
+            self.assertEqual(await self.ask(trouble), b'cdef')
+
+    async def test_replies_come_twice(self) -> None:
+        doubled = await self.ask(PathTrouble(doubled=True), 8)
+        self.assertEqual(doubled, b'cdefcdef')
+
+    async def test_cut_replies_end_in_a_reset(self) -> None:
+        with self.assertRaises(
+            (ConnectionResetError, asyncio.IncompleteReadError)
+        ):
+            await self.ask(PathTrouble(cut=True))
+
+    async def test_silent_paths_pass_nothing_on(self) -> None:
+        for trouble in (SILENT, PathTrouble(deaf=True), PathTrouble(mute=True)):
+            with self.assertRaises(TimeoutError):
+                await asyncio.wait_for(self.ask(trouble), SILENCE_S)
+
+    async def test_refused_and_reset_connections_end(self) -> None:
+        self.proxy.trouble = PathTrouble(refused=True)
+        with self.assertRaises((OSError, asyncio.IncompleteReadError)):
+            await self.ask(SOUND)
+        self.proxy.trouble = SOUND
+        reader, writer = await asyncio.open_connection(
+            self.address.host,
+            self.address.port,
+        )
+        self.addCleanup(writer.close)
+        writer.write(b'ab')
+        await reader.readexactly(2)
+        self.proxy.reset_all()
+        with self.assertRaises(ConnectionResetError):
+            await asyncio.wait_for(reader.readexactly(1), PATIENCE_S)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -18,6 +18,7 @@
     'platform/*/tests',
     'tests/scenarios',
     'bench/tests',
+    'soak/tests',
 )
 
 #: Folders whose tests are named from their package, not from the root.
