Let a few hosts follow the store and tell the others

Change: two hosts of a data centre follow the store (rendezvous by name); the others ask them over links, get only what is new, and read the store themselves when no watcher answers. Hosts take longer pauses at a start the more they are. Where a service states what cold targets bear, watchers read four times a second, and a target that was warm gets nothing ahead of its rate.

Ruled out: stale reads (they may be seconds old, and drain bounds are 3 s); longer pauses for all (0.4 of the bound leaves one lost call).

--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -72,7 +72,12 @@
             return True
         entry = target.entry
         rate = self._get_cold_rate(entry.service)
-        return self.cold.may_send(entry.target_id, rate, now)
+        return self.cold.may_send(
+            entry.target_id,
+            rate,
+            now,
+            was_warm=target.was_warm,
+        )
 
     def _get_cold_rate(self, service: str) -> float:
         known = self.table.services.get(service) if self.table else None
--- a/packages/core/almonddock_core/placement/_cold.py
+++ b/packages/core/almonddock_core/placement/_cold.py
@@ -40,11 +40,19 @@
             self._peers = frozenset(peers)
             self._senders = {}
 
-    def may_send(self, target_id: str, rate: float, now: timedelta) -> bool:
+    def may_send(
+        self,
+        target_id: str,
+        rate: float,
+        now: timedelta,
+        *,
+        was_warm: bool = False,
+    ) -> bool:
         """Whether one more request may go to a cold target.
 
         ``rate`` is what the target bears, in requests a second from all
-        hosts; 0 if no bound is stated.
+        hosts; 0 if no bound is stated. A target that ``was_warm`` has had its
+        usual load a moment ago, so nothing goes ahead of the rate.
         """
         if not rate:
             return True
@@ -54,8 +62,16 @@
             self._senders[target_id] = senders
         if self._host not in senders:
             return False
+        if target_id not in self._allowances:
+            ahead = 0 if was_warm else BURST
+            self._allowances[target_id] = _Allowance(ahead, now)
         return self._refill(target_id, rate / len(senders), now).tokens >= 1
 
+    def forget_warm(self, cold: Collection[str]) -> None:
+        """Drops the counts of targets that are no longer cold."""
+        for target_id in self._allowances.keys() - set(cold):
+            del self._allowances[target_id]
+
     def note_sent(self, target_id: str) -> None:
         """Counts a request that was sent to a cold target."""
         allowance = self._allowances.get(target_id)
@@ -76,10 +92,7 @@
         rate: float,
         now: timedelta,
     ) -> _Allowance:
-        allowance = self._allowances.get(target_id)
-        if allowance is None:
-            allowance = _Allowance(BURST, now)
-            self._allowances[target_id] = allowance
+        allowance = self._allowances[target_id]
         elapsed = (now - allowance.updated).total_seconds()
         allowance.tokens = min(BURST, allowance.tokens + elapsed * rate)
         allowance.updated = now
--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -52,6 +52,8 @@
     cold_until: timedelta
     #: Set while a removed entry may be a lapse that is about to return.
     lapse_ends: timedelta | None = None
+    #: Whether the target was warm before it turned cold.
+    was_warm: bool = False
     #: Set once another target answered at this address.
     replaced: bool = False
     #: Set once the table no longer lists the target.
@@ -91,6 +93,13 @@
         """Returns every target, usable or not."""
         return list(self._targets.values())
 
+    def knows(self, entry: TargetEntry) -> bool:
+        """Whether an entry says nothing new."""
+        known = self._targets.get(entry.target_id)
+        if known is None or known.lapse_ends is not None:
+            return False
+        return known.entry == entry
+
     def find_usable(
         self,
         target_id: str,
@@ -128,6 +137,8 @@
         if before.service != entry.service or _is_moved(before, entry):
             return self._add(entry, now)
         known.entry = entry
+        if known.cold_until <= now < now + entry.cold_for:
+            known.was_warm = True
         known.cold_until = max(known.cold_until, now + entry.cold_for)
         if before.state is entry.state:
             return None
--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_news.py
@@ -0,0 +1,169 @@
+"""Few hosts follow the store, and tell the others everything."""
+
+import unittest
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almonddock_core.news import (
+    WATCHERS_PER_DATA_CENTRE,
+    FollowState,
+    NewsLog,
+    choose_pause,
+    choose_watchers,
+)
+from almonddock_core.news._log import KEPT_REMOVALS
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    key: str
+    content: bytes | None
+    revision: int
+
+
+def list_places(hosts: int, data_centres: int = 3) -> list[tuple[str, str]]:
+    return [
+        (f'host-{number}', f'dc-{number % data_centres}')
+        for number in range(hosts)
+    ]
+
+
+class WatchersTest(unittest.TestCase):
+    """Load: calls to the store must not grow with the number of hosts."""
+
+    def test_number_of_watchers_does_not_grow_with_the_hosts(self) -> None:
+        for hosts, watchers in ((4, 4), (33, 6), (300, 6), (1600, 6)):
+            chosen = choose_watchers(list_places(hosts))
+            self.assertEqual(len(chosen), watchers)
+
+    def test_every_data_centre_has_watchers_of_its_own(self) -> None:
+        places = dict(list_places(33))
+        chosen = [places[name] for name in choose_watchers(places.items())]
+        for place in set(places.values()):
+            self.assertEqual(chosen.count(place), WATCHERS_PER_DATA_CENTRE)
+
+    def test_one_host_more_or_less_changes_one_watcher_at_most(self) -> None:
+        places = list_places(33)
+        before = choose_watchers(places)
+        for number in range(33):
+            rest = places[:number] + places[number + 1 :]
+            self.assertLessEqual(len(before - choose_watchers(rest)), 1)
+
+
+class PauseTest(unittest.TestCase):
+    """Load: calls of 33 hosts that start together, and a cold target."""
+
+    def choose(self, **changes: Any) -> float:
+        state = FollowState(
+            bound=timedelta(seconds=5),
+            hosts=4,
+            has_cold_rates=False,
+            is_returning=False,
+            asks_peer=False,
+        )
+        return choose_pause(replace(state, **changes)).total_seconds()
+
+    def test_news_is_in_force_in_time_with_one_call_lost(self) -> None:
+        self.assertLess(2 * self.choose(), 5)
+
+    def test_hosts_together_make_no_more_calls_when_entries_return(
+        self,
+    ) -> None:
+        few = 4 / self.choose(is_returning=True)
+        for hosts in (8, 16, 33):
+            pause = self.choose(is_returning=True, hosts=hosts)
+            self.assertLessEqual(hosts / pause, few + 0.001)
+
+    def test_cold_targets_are_learned_of_soon(self) -> None:
+        self.assertLessEqual(self.choose(has_cold_rates=True), 0.25)
+
+    def test_asking_a_host_costs_the_store_nothing(self) -> None:
+        self.assertLess(self.choose(asks_peer=True), 0.1)
+
+
+class LogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.log: NewsLog[Item] = NewsLog()
+        self.log.take_all([Item('a', b'1', 3), Item('b', b'1', 5)], 6)
+
+    def test_what_confirms_a_key_is_no_news(self) -> None:
+        self.log.take_changes([Item('a', b'1!', 7)], 7, unchanged=('a',))
+        self.assertEqual(self.log.list_changes(6), [])
+        self.assertEqual(self.log.revision, 7)
+
+    def test_removed_key_that_returns_is_news(self) -> None:
+        self.log.take_changes([Item('a', None, 7)], 7)
+        self.log.take_changes([Item('a', b'1', 8)], 8, unchanged=('a',))
+        self.assertEqual(self.log.list_changes(6), [Item('a', b'1', 8)])
+
+    def test_host_from_before_the_first_read_has_to_read_all(self) -> None:
+        self.assertIsNone(self.log.list_changes(5))
+        self.assertEqual(self.log.list_changes(6), [])
+
+    def test_forgotten_removals_are_told(self) -> None:
+        gone = [Item(f'k{one}', None, one) for one in range(7, 10_000)]
+        self.log.take_changes(gone, 10_000)
+        kept = 10_000 - KEPT_REMOVALS
+        self.assertIsNone(self.log.list_changes(kept - 2))
+        changes = self.log.list_changes(kept)
+        self.assertIsNotNone(changes)
+        self.assertLess(len(changes or ()), KEPT_REMOVALS + 1)
+
+
+CHANGES = st.lists(
+    st.tuples(st.sampled_from('abcd'), st.booleans(), st.booleans()),
+    max_size=30,
+)
+
+
+class FollowingTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(changes=CHANGES, lag=st.integers(1, 8))
+    def test_follower_ends_with_the_same_keys(
+        self,
+        changes: list[tuple[str, bool, bool]],
+        lag: int,
+    ) -> None:
+        """Whenever it asks, a follower ends with what the store holds."""
+        log: NewsLog[Item] = NewsLog()
+        log.take_all([], 0)
+        store: dict[str, bytes] = {}
+        follower: dict[str, bytes] = {}
+        seen = 0
+        for revision, (key, removed, same) in enumerate(changes, 1):
+            repeated = same and key in store and not removed
+            content = store[key] if repeated else b'%d' % revision
+            item = Item(key, None if removed else content, revision)
+            if removed:
+                store.pop(key, None)
+            else:
+                store[key] = content
+            log.take_changes([item], revision, (key,) if repeated else ())
+            if revision % lag == 0:
+                seen = self.follow(follower, log, seen)
+        self.follow(follower, log, seen)
+        self.assertEqual(follower, store)
+
+    def follow(
+        self,
+        follower: dict[str, bytes],
+        log: NewsLog[Item],
+        seen: int,
+    ) -> int:
+        changes: Iterable[Item] | None = log.list_changes(seen)
+        assert changes is not None
+        for item in changes:
+            if item.content is None:
+                follower.pop(item.key, None)
+            else:
+                follower[item.key] = item.content
+        return log.revision or 0
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/packages/core/almonddock_core/tests/test_target_choice.py
+++ b/packages/core/almonddock_core/tests/test_target_choice.py
@@ -129,12 +129,38 @@
                     later = self.count_sent(hosts, rate, seconds=10)
                     self.assertGreater(later, rate * 9)
 
+    def test_target_that_turns_cold_under_load_gets_nothing_ahead(
+        self,
+    ) -> None:
+        """Load: each host has just sent a warm target its usual share."""
+        for hosts in (1, 4, 33):
+            sent = self.count_sent(hosts, 4, seconds=1, was_warm=True)
+            self.assertLessEqual(sent, 4)
+            later = self.count_sent(hosts, 4, seconds=10, was_warm=True)
+            self.assertGreater(later, 4 * 8)
+
+    def test_target_that_turns_cold_again_starts_anew(self) -> None:
+        guard = ColdGuard('kyu-1')
+        guard.may_send('target', 10, START)
+        guard.note_sent('target')
+        later = START + 60 * SECOND
+        self.assertTrue(guard.may_send('target', 10, later))
+        guard.forget_warm([])
+        self.assertFalse(guard.may_send('target', 10, later, was_warm=True))
+
     def test_no_stated_rate_is_no_bound(self) -> None:
         guard = ColdGuard('kyu-1')
         for _ in range(100):
             self.assertTrue(guard.may_send('target', 0, START))
 
-    def count_sent(self, hosts: int, rate: float, seconds: int) -> int:
+    def count_sent(
+        self,
+        hosts: int,
+        rate: float,
+        seconds: int,
+        *,
+        was_warm: bool = False,
+    ) -> int:
         names = [f'kyu-{number}' for number in range(hosts)]
         guards = [
             ColdGuard(name, [peer for peer in names if peer != name])
@@ -143,7 +169,8 @@
         sent = 0
         for step in range(seconds * 100):
             for guard in guards:
-                if guard.may_send('target', rate, 10 * step * MS):
+                now = 10 * step * MS
+                if guard.may_send('target', rate, now, was_warm=was_warm):
                     guard.note_sent('target')
                     sent += 1
         return sent
--- a/packages/gateway/almonddock_gateway/controllers/__init__.py
+++ b/packages/gateway/almonddock_gateway/controllers/__init__.py
@@ -2,14 +2,20 @@
 
 from almonddock_gateway.controllers._configuration import (
     ConfigurationController,
+    DecodeTable,
 )
 from almonddock_gateway.controllers._follower import Follower, FollowSettings
 from almonddock_gateway.controllers._hosts import HostController, Peer
 from almonddock_gateway.controllers._reach import ReachController
-from almonddock_gateway.controllers._targets import TargetController
+from almonddock_gateway.controllers._targets import (
+    DecodeTarget,
+    TargetController,
+)
 
 __all__ = [
     'ConfigurationController',
+    'DecodeTable',
+    'DecodeTarget',
     'FollowSettings',
     'Follower',
     'HostController',
--- a/packages/gateway/almonddock_gateway/controllers/_follower.py
+++ b/packages/gateway/almonddock_gateway/controllers/_follower.py
@@ -24,10 +24,6 @@
 RETURN_TIME_S = 2.5
 RETURN_TIME = timedelta(seconds=RETURN_TIME_S)
 
-#: The pause between two watches in that time.
-RETURN_PAUSE_MS = 150
-RETURN_PAUSE = timedelta(milliseconds=RETURN_PAUSE_MS)
-
 #: The first wait after the store did not answer; it doubles to the last one.
 FIRST_RETRY = timedelta(milliseconds=100)
 LAST_RETRY_MS = 800
@@ -41,8 +37,9 @@
     prefix: str
     #: How long the store may hold a watch without a change.
     wait: timedelta
-    #: The pause between two watches, which gathers changes into one call.
-    pause: timedelta
+    #: Returns the pause between two watches; it is told whether keys that
+    #: lapsed may be coming back.
+    choose_pause: Callable[[bool], timedelta]
     #: Takes everything under the prefix.
     take_all: Callable[[StoreView], None]
     #: Takes changes.
@@ -73,6 +70,11 @@
         self._lost_since: timedelta | None = None
         self._retry = FIRST_RETRY
 
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the store has answered the last call."""
+        return self.fresh_at is not None and self._lost_since is None
+
     async def run(self) -> None:
         """Follows the prefix until cancelled."""
         while True:
@@ -109,11 +111,8 @@
         await asyncio.sleep(self._choose_pause().total_seconds())
 
     def _choose_pause(self) -> timedelta:
-        """Returns a short pause while lapsed keys may be coming back."""
         since = self._clock.now() - self._back_at
-        if since < RETURN_TIME:
-            return min(RETURN_PAUSE, self._settings.pause)
-        return self._settings.pause
+        return self._settings.choose_pause(since < RETURN_TIME)
 
     async def _wait_for_store(self, lost: StoreLostError) -> None:
         now = self._clock.now()
--- a/packages/gateway/almonddock_gateway/controllers/_targets.py
+++ b/packages/gateway/almonddock_gateway/controllers/_targets.py
@@ -25,6 +25,8 @@
     ) -> None:
         #: Whether the store has listed its targets once.
         self.listed = False
+        #: Keys of the last changes that only confirmed what was known.
+        self.confirmed: set[str] = set()
         self._prefix = keys.target_prefix
         self._decode = decode
         self._table = table
@@ -45,6 +47,7 @@
 
     def take_changes(self, view: StoreView) -> None:
         """Takes new, changed and removed entries in their order."""
+        self.confirmed = set()
         for item in view.items:
             if item.key.startswith(self._prefix):
                 self._take_change(item)
@@ -61,6 +64,8 @@
         if entry is None:
             change = self._table.remove(target_id, now)
         else:
+            if self._table.knows(entry):
+                self.confirmed.add(item.key)
             change = self._table.put(entry, now)
         if change is not None:
             self._telemetry.note_targets((change,), item.revision)
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -16,21 +16,20 @@
 from almonddock_gateway.aside import build_aside
 from almonddock_gateway.controllers import (
     ConfigurationController,
-    Follower,
-    FollowSettings,
+    DecodeTable,
+    DecodeTarget,
     HostController,
     ReachController,
     TargetController,
 )
-from almonddock_gateway.controllers._configuration import DecodeTable
-from almonddock_gateway.controllers._targets import DecodeTarget
 from almonddock_gateway.entry import Entry, EntryState
 from almonddock_gateway.entry._exchange import ExchangeSettings
+from almonddock_gateway.following import FollowingParts, StoreFollowing
 from almonddock_gateway.linking import HostLinks
-from almonddock_gateway.relays import RelayBoard, RelaySettings, SharedStore
+from almonddock_gateway.relays import RelayBoard, RelaySettings
 from almonddock_gateway.serving import START_LIMITS, CallerServers
 from almonddock_gateway.settings import GatewaySettings
-from almonddock_gateway.store import Store, StoreView
+from almonddock_gateway.store import Store
 from almonddock_gateway.targets import TargetPools
 from almonddock_gateway.telemetry import (
     GatewayMetrics,
@@ -38,20 +37,6 @@
     Telemetry,
 )
 
-#: The store's keys are followed as one: every call is paid for, and targets
-#: write so often that a watch of them returns at once and may as well carry
-#: the rest.
-EVERYTHING = ''
-
-#: How long the store holds a watch without a change; a connection that went
-#: silent is noticed one second later.
-NEWS_WAIT = timedelta(seconds=1)
-
-#: The pause between two watches, as a share of the time within which a change
-#: must be in force. It gathers changes into one call and leaves time for a
-#: second call if the first one is lost.
-NEWS_SHARE = 0.4
-
 #: How long a host serves callers before it opens links to others, which
 #: loads what they need and holds other work for about a tenth of a second.
 LINK_DELAY = timedelta(seconds=2)
@@ -142,12 +127,6 @@
             ),
             self.telemetry,
         )
-        shared = SharedStore(
-            store,
-            self._relays,
-            settings.keys.host_prefix,
-            self.telemetry,
-        )
         self._hosts = HostController(
             settings,
             store,
@@ -173,28 +152,18 @@
             self._clock,
             self.telemetry,
         )
-        readers = (configuration, self._listing, self._hosts)
-
-        def take_all(view: StoreView) -> None:
-            for reader in readers:
-                reader.take_all(view)
-
-        def take_changes(view: StoreView) -> None:
-            for reader in readers:
-                reader.take_changes(view)
-
-        self._follower = Follower(
-            FollowSettings(
-                prefix=EVERYTHING,
-                wait=NEWS_WAIT,
-                pause=settings.news_bound * NEWS_SHARE,
-                take_all=take_all,
-                take_changes=take_changes,
-                store_back=self._listing.note_store_back,
+        self._following = StoreFollowing(
+            FollowingParts(
+                settings=settings,
+                store=store,
+                relays=self._relays,
+                state=self._state,
+                configuration=configuration,
+                targets=self._listing,
+                hosts=self._hosts,
+                clock=self._clock,
+                telemetry=self.telemetry,
             ),
-            shared,
-            self._clock,
-            self.telemetry,
         )
         self._stopping = asyncio.Event()
         self._servers = CallerServers(
@@ -210,7 +179,7 @@
                 self._pools,
                 self._clock,
             ),
-            store,
+            self._following.server,
             self._hosts,
             self.telemetry,
         )
@@ -264,7 +233,7 @@
     def _start_tasks(self) -> list[asyncio.Task[None]]:
         loop = asyncio.get_running_loop()
         works = (
-            self._follower.run(),
+            self._following.run(),
             self._hosts.run(),
             self._open_links(),
             self._sweep(),
@@ -331,7 +300,15 @@
             await asyncio.sleep(SWEEP.total_seconds())
             self._budget.hosts = self._hosts.count
             self._cold.note_peers([peer.name for peer in self._hosts.peers])
-            self._budget.forget_idle(self._clock.now())
+            now = self._clock.now()
+            self._cold.forget_warm(
+                [
+                    target.entry.target_id
+                    for target in self._targets.list_all()
+                    if target.cold_until > now
+                ],
+            )
+            self._budget.forget_idle(now)
             self._listing.forget_lapsed()
             self._reach.check()
             self._pools.close_idle()
--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -14,7 +14,6 @@
     StoreServer,
 )
 from almonddock_gateway.settings import GatewaySettings
-from almonddock_gateway.store import Store
 from almonddock_gateway.telemetry import Telemetry
 
 if TYPE_CHECKING:
@@ -31,7 +30,7 @@
         self,
         settings: GatewaySettings,
         relay_settings: RelaySettings,
-        store: Store,
+        store_server: StoreServer,
         hosts: HostController,
         telemetry: Telemetry,
     ) -> None:
@@ -39,7 +38,7 @@
         self._hosts = hosts
         self._telemetry = telemetry
         self._relay_server = RelayServer(relay_settings)
-        self._store_server = StoreServer(store)
+        self._store_server = store_server
         self._accepted: set[MessageLink] = set()
         self._server: asyncio.Server | None = None
 
--- a/packages/gateway/almonddock_gateway/links/_peers.py
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -1,4 +1,4 @@
-"""The links of this host to hosts of other data centres."""
+"""The links of this host to others: elsewhere, and to its watchers."""
 
 import asyncio
 import itertools
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Sequence
 
+from almonddock_core.news import choose_watchers
 from almonddock_gateway.controllers import Peer
 from almonddock_gateway.links._link import Link
 from almonddock_gateway.relays import (
@@ -67,6 +68,13 @@
         """Returns a link to any host that answers, None without one."""
         return self._take_turn(list(self._links.values()))
 
+    def find_watcher(self) -> MessageLink | None:
+        """Returns a link to a host that follows the store for this one."""
+        watchers = self._list_watchers()
+        return self._take_turn(
+            [link for peer, link in self._links.items() if peer in watchers],
+        )
+
     def draw_number(self) -> int:
         """Returns the number of a new query."""
         return next(self._numbers)
@@ -137,11 +145,25 @@
         for peer in self._list_peers():
             if peer.data_centre != self._data_centre:
                 by_place[peer.data_centre].append(peer)
-        return {
+        chosen = {
             peer
             for peers in by_place.values()
             for peer in sorted(peers, key=self._rank)[:LINKS_PER_DATA_CENTRE]
         }
+        return chosen | self._list_watchers()
+
+    def _list_watchers(self) -> set[Peer]:
+        """Returns the watchers of this data centre, unless this is one."""
+        here = {
+            peer.name: peer
+            for peer in self._list_peers()
+            if peer.data_centre == self._data_centre
+        }
+        names = (self._own, *here)
+        chosen = choose_watchers((name, self._data_centre) for name in names)
+        if self._own in chosen:
+            return set()
+        return {here[name] for name in chosen}
 
     def _rank(self, peer: Peer) -> int:
         return zlib.crc32(f'{self._own} {peer.name}'.encode())
--- a/packages/gateway/almonddock_gateway/relays/__init__.py
+++ b/packages/gateway/almonddock_gateway/relays/__init__.py
@@ -22,6 +22,7 @@
     StoreQuery,
     StoreReply,
 )
+from almonddock_gateway.relays._news import StoreNews
 from almonddock_gateway.relays._relay import Relay
 from almonddock_gateway.relays._server import RelayServer, RelaySettings
 from almonddock_gateway.relays._shared_store import SharedStore, StoreServer
@@ -42,6 +43,7 @@
     'RelayServer',
     'RelaySettings',
     'SharedStore',
+    'StoreNews',
     'StoreOutcome',
     'StoreQuery',
     'StoreReply',
--- a/packages/gateway/almonddock_gateway/relays/_board.py
+++ b/packages/gateway/almonddock_gateway/relays/_board.py
@@ -29,6 +29,13 @@
         """Returns a link to any host that answers, None without one."""
         ...
 
+    def find_watcher(self) -> MessageLink | None:
+        """Returns a link to a host that follows the store for this one.
+
+        Returns None if this host is to follow it, or no such host answers.
+        """
+        ...
+
     def draw_number(self) -> int:
         """Returns the number of a new query."""
         ...
--- a/packages/gateway/almonddock_gateway/relays/_shared_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_shared_store.py
@@ -1,14 +1,15 @@
-"""Reads the store through another host while this one is turned away.
+"""Reads the store through other hosts.
 
-The store may refuse some hosts and serve the others. A host without news
-would send its callers' requests to targets that have left, so it asks its
-peers, which read the store themselves: what comes is as fresh as their own.
+Most hosts of a large data centre need not follow the store: they ask a host
+that does, and read the store themselves when it does not answer. And the
+store may refuse some hosts and serve the others: a host without news would
+send its callers' requests to targets that have left, so it asks its peers.
 """
 
 import asyncio
 from datetime import timedelta
 
-from almonddock_gateway.relays._board import RelayBoard
+from almonddock_gateway.relays._board import LinkBook, RelayBoard
 from almonddock_gateway.relays._messages import (
     LinkMessage,
     MessageLink,
@@ -16,6 +17,7 @@
     StoreQuery,
     StoreReply,
 )
+from almonddock_gateway.relays._news import StoreNews
 from almonddock_gateway.store import (
     HistoryLostError,
     Store,
@@ -27,6 +29,13 @@
 #: How long a peer may take beyond the wait that it was asked for, seconds.
 PEER_TIMEOUT_S = 1.0
 
+#: How long a watcher is asked to wait for changes, and how long it may take
+#: beyond that, in seconds. Together with the watcher's own pause they leave
+#: time to read the store directly when the watcher stands still.
+WATCHER_WAIT_S = 0.5
+WATCHER_WAIT = timedelta(seconds=WATCHER_WAIT_S)
+WATCHER_TIMEOUT_S = 0.5
+
 #: The pause between tries to reach the store directly again, in seconds.
 PROBE_PAUSE_S = 1.0
 
@@ -49,15 +58,22 @@
         self._probe_prefix = probe_prefix
         self._telemetry = telemetry
         self._probing: asyncio.Task[None] | None = None
+        #: Whether the last answer came from a watcher.
+        self.asks_peer = False
+        #: Whether the last answer came from the store itself.
+        self.is_direct = False
 
     async def read_prefix(self, prefix: str) -> StoreView:
         """Returns all items under a prefix."""
+        view = await self._ask_watcher(prefix, None)
+        if view is not None:
+            return view
         if self._probing is None:
             try:
-                return await self._store.read_prefix(prefix)
+                return self._note_direct(await self._store.read_prefix(prefix))
             except StoreLostError as lost:
                 self._start_probing(lost)
-        return await self._ask_peer(prefix, None, timedelta())
+        return await self._ask_any(prefix, None, timedelta())
 
     async def read_prefix_stale(self, prefix: str) -> StoreView:
         """Returns all items under a prefix; they may be seconds old."""
@@ -70,12 +86,17 @@
         wait: timedelta,
     ) -> StoreView:
         """Returns the changes after a revision."""
+        view = await self._ask_watcher(prefix, after)
+        if view is not None:
+            return view
         if self._probing is None:
             try:
-                return await self._store.watch(prefix, after, wait)
+                return self._note_direct(
+                    await self._store.watch(prefix, after, wait),
+                )
             except StoreLostError as lost:
                 self._start_probing(lost)
-        return await self._ask_peer(prefix, after, wait)
+        return await self._ask_any(prefix, after, wait)
 
     async def grant_lease(self, time_to_live: timedelta) -> int:
         """Returns a new lease."""
@@ -93,7 +114,12 @@
         """Writes a key that lives as long as the lease."""
         await self._store.put(key, content, lease)
 
+    def _note_direct(self, view: StoreView) -> StoreView:
+        self.is_direct = True
+        return view
+
     def _start_probing(self, lost: StoreLostError) -> None:
+        self.is_direct = False
         if self._board.links is None:
             raise lost
         if self._probing is None:
@@ -113,7 +139,33 @@
             self._probing = None
             return
 
-    async def _ask_peer(
+    async def _ask_watcher(
+        self,
+        prefix: str,
+        after: int | None,
+    ) -> StoreView | None:
+        """Returns what a watcher says; None if this host is to read itself."""
+        links = self._board.links
+        link = links.find_watcher() if links is not None else None
+        view = None
+        reason = 'no watcher to ask'
+        if links is not None and link is not None:
+            self.is_direct = False
+            query = StoreQuery(links.draw_number(), prefix, after, WATCHER_WAIT)
+            try:
+                view = await _ask(links, link, query, WATCHER_TIMEOUT_S)
+            except StoreLostError as lost:
+                reason = lost.message
+        asks_peer = view is not None
+        if asks_peer is not self.asks_peer:
+            self.asks_peer = asks_peer
+            if asks_peer:
+                self._telemetry.note('store_followed_by_watcher')
+            else:
+                self._telemetry.note('store_followed_directly', reason=reason)
+        return view
+
+    async def _ask_any(
         self,
         prefix: str,
         after: int | None,
@@ -123,31 +175,43 @@
         link = links.find_any_link() if links is not None else None
         if links is None or link is None:
             raise StoreLostError('no other host can be asked')
-        number = links.draw_number()
-        answered: asyncio.Future[LinkMessage | None] = (
-            asyncio.get_running_loop().create_future()
-        )
-
-        def take(message: LinkMessage | None) -> None:
-            if not answered.done():
-                answered.set_result(message)
-
-        links.ask(link, StoreQuery(number, prefix, after, wait), take)
-        try:
-            async with asyncio.timeout(wait.total_seconds() + PEER_TIMEOUT_S):
-                reply = await answered
-        except TimeoutError as late:
-            raise StoreLostError('another host did not answer') from late
-        finally:
-            links.forget(link, number)
-        return _read_view(reply)
+        query = StoreQuery(links.draw_number(), prefix, after, wait)
+        return await _ask(links, link, query, PEER_TIMEOUT_S)
+
+
+async def _ask(
+    links: LinkBook,
+    link: MessageLink,
+    query: StoreQuery,
+    timeout_s: float,
+) -> StoreView:
+    """Asks another host; it may take so long beyond the wait."""
+    answered: asyncio.Future[LinkMessage | None] = (
+        asyncio.get_running_loop().create_future()
+    )
+
+    def take(message: LinkMessage | None) -> None:
+        if not answered.done():
+            answered.set_result(message)
+
+    links.ask(link, query, take)
+    try:
+        async with asyncio.timeout(query.wait.total_seconds() + timeout_s):
+            reply = await answered
+    except TimeoutError as late:
+        raise StoreLostError('another host did not answer') from late
+    finally:
+        links.forget(link, query.number)
+    return _read_view(reply)
 
 
 class StoreServer:
     """Reads the store for other hosts."""
 
-    def __init__(self, store: Store) -> None:
+    def __init__(self, store: Store, news: StoreNews) -> None:
+        """Takes the store, and what this host has read of it."""
         self._store = store
+        self._news = news
         self._tasks: set[asyncio.Task[None]] = set()
 
     def receive(self, link: MessageLink, message: LinkMessage) -> None:
@@ -170,6 +234,8 @@
         link.send(StoreReply(query.number, outcome, view))
 
     async def _read(self, query: StoreQuery) -> StoreView:
+        if self._news.is_fresh() and query.prefix == self._news.prefix:
+            return await self._news.read(query.after, query.wait)
         if query.after is None:
             return await self._store.read_prefix(query.prefix)
         return await self._store.watch(query.prefix, query.after, query.wait)
--- a/packages/gateway/almonddock_gateway/tests/test_links.py
+++ b/packages/gateway/almonddock_gateway/tests/test_links.py
@@ -7,6 +7,7 @@
 
 from almonddock_core.framing import FrameReader
 from almonddock_core.model import ManualClock
+from almonddock_core.news import choose_watchers
 from almonddock_gateway.controllers import Peer
 from almonddock_gateway.links import Link, PeerLinks, decode
 from almonddock_gateway.relays import (
@@ -134,6 +135,21 @@
         self.peers._close_unwanted({other})
         self.assertTrue(transport.closed)
 
+    async def test_few_hosts_here_are_watchers_themselves(self) -> None:
+        self.listed = [Peer('kyu-2', 'a', '10.0.0.1', 1)]
+        self.assertEqual(self.peers._choose_peers(), set())
+
+    async def test_other_hosts_link_to_the_watchers_of_their_place(
+        self,
+    ) -> None:
+        others = [f'here-{number}' for number in range(20)]
+        self.listed = [Peer(name, 'a', '10.0.0.1', 1) for name in others]
+        names = choose_watchers((name, 'a') for name in ('kyu-1', *others))
+        self.assertNotIn('kyu-1', names)
+        chosen = self.peers._choose_peers()
+        self.assertEqual({peer.name for peer in chosen}, names)
+        self.assertIsNone(self.peers.find_watcher())
+
     async def test_link_in_use_is_not_closed(self) -> None:
         _, link, transport = self.add_link('kyu-2')
         query = StoreQuery(1, '', None, timedelta())
--- a/packages/gateway/almonddock_gateway/tests/test_relays.py
+++ b/packages/gateway/almonddock_gateway/tests/test_relays.py
@@ -204,6 +204,8 @@
 
     def __init__(self) -> None:
         self.link = FakeLink()
+        #: Whether another host follows the store for this one.
+        self.watched = False
         self.handle: HandleReply | None = None
 
     def find_link(self, data_centre: str) -> MessageLink | None:
@@ -214,6 +216,10 @@
         """Returns the link."""
         return self.link
 
+    def find_watcher(self) -> MessageLink | None:
+        """Returns the link if the host has a watcher."""
+        return self.link if self.watched else None
+
     def draw_number(self) -> int:
         """Returns always the same number."""
         return 7
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,8 +24,8 @@
     runs: int = typer.Option(1, help='Runs, with seeds that follow.'),
     seconds: float = typer.Option(20, help='For how long faults come.'),
     hosts: int = typer.Option(4, help='Hosts of the system.'),
-    shards: int = typer.Option(8, help='Shards of a query.'),
     rate: float = typer.Option(1, help='Faults a second.'),
+    only: str = typer.Option('', help='Kinds of faults, by commas.'),
 ) -> None:
     """Plays runs one after the other; exits with 1 after a finding."""
     first = seed or random.SystemRandom().randrange(1, LARGEST_SEED)
@@ -35,8 +35,8 @@
             seed=number,
             fault_time=timedelta(seconds=seconds),
             hosts=hosts,
-            shards=shards,
             fault_rate=rate,
+            kinds=tuple(only.split(',')) if only else (),
         )
         report = asyncio.run(_play_until_stopped(settings))
         print_report(report)
--- a/soak/promises/_hosts.py
+++ b/soak/promises/_hosts.py
@@ -14,10 +14,12 @@
 
 def check_stops(evidence: Evidence, promises: Promises) -> Iterator[Finding]:
     """A host that is asked to stop cuts no request."""
+    begun = {arrival.attempt_id for arrival in evidence.arrivals}
     for call in evidence.calls:
         if call.answer is not None or call.left:
             continue
-        if call.ended - call.sent <= promises.loss_slack:
+        waited = call.ended - call.sent > promises.loss_slack
+        if not waited and call.attempt_id not in begun:
             continue
         stopping = any(
             host == call.host and at <= call.ended <= at + promises.grace
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -3,7 +3,7 @@
 import enum
 import random
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from types import MappingProxyType
 
@@ -82,6 +82,9 @@
 #: The shortest, in seconds.
 SHORTEST_S = 0.3
 
+#: A data centre is out for longer than its work may take to end.
+OUT_AT_LEAST = timedelta(seconds=6)
+
 #: The share of faults that come as a pair on the same subject.
 SERIES_SHARE = 0.25
 
@@ -110,7 +113,8 @@
             'DATA': len(DATA_CENTRES),
         },
     )
-    kinds = tuple(FaultKind)
+    named = [FaultKind[name] for name in settings.kinds]
+    kinds = named or tuple(FaultKind)
     weights = [WEIGHTS.get(kind, 1) for kind in kinds]
     total = settings.fault_time.total_seconds()
     faults: list[Fault] = []
@@ -126,6 +130,8 @@
             subject,
             timedelta(seconds=max(lasts, 0)),
         )
+        if kind is FaultKind.DATA_CENTRE_OUT:
+            fault = replace(fault, lasts=fault.lasts + OUT_AT_LEAST)
         faults.append(fault)
         if chance.random() < SERIES_SHARE:
             faults.append(_repeat(fault, chance.random))
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -56,6 +56,8 @@
     callers: int = 12
     #: Faults a second.
     fault_rate: float = 1.0
+    #: The names of the kinds of faults that come; empty for all.
+    kinds: tuple[str, ...] = ()
     promises: Promises = Promises()
 
 
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -94,6 +94,7 @@
         self.proxy: Proxy | None = None
         self._entry: TargetEntry | None = None
         self._host = ''
+        self._cold_until = timedelta()
 
     @property
     def working(self) -> WorkingTarget | None:
@@ -146,12 +147,11 @@
         if entry is None or self._store.trouble in NO_WRITES:
             return
         self._sequence += 1
+        left = max(timedelta(), self._cold_until - self._now())
         self._store.put(
             f'{KEYS.target_prefix}{entry.target_id}',
-            describe_target(entry, self._sequence),
+            describe_target(replace(entry, cold_for=left), self._sequence),
         )
-        # A target says how long it stays cold from now on.
-        self._entry = replace(entry, cold_for=timedelta())
 
     def lapse(self) -> None:
         """Removes the entry, which the next heartbeat brings back."""
@@ -163,9 +163,9 @@
         entry = self._entry
         if entry is None:
             return
-        self._entry = replace(entry, cold_for=cold)
         now = self._now()
-        span = ColdSpan(entry.target_id, now, now + cold, COLD_RATE)
+        self._cold_until = now + cold
+        span = ColdSpan(entry.target_id, now, self._cold_until, COLD_RATE)
         self._records.cold.append(span)
 
     async def crash(self, down: timedelta) -> None:
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -204,6 +204,12 @@
         stopped = replace(cut, stops=stops)
         self.assertEqual(list_broken(stopped), {'graceful stops'})
         self.assertEqual(list_broken(cut), set())
+        at_once = add_call('n', 30, answer=None, ended=seconds(30.1))
+        stopped = replace(at_once, stops=stops)
+        self.assertEqual(list_broken(stopped), set())
+        begun = [*cut.arrivals, build_arrival('n', 'ledger', 30.01)]
+        stopped = replace(stopped, arrivals=begun)
+        self.assertEqual(list_broken(stopped), {'graceful stops'})
 
     def test_trouble_of_processes_is_found(self) -> None:
         end = ProcessEnd(0, 1, seconds(12), 1, asked=False)
