Send between data centres only the records that the answer needs

Change: what leaves a data centre goes to one other (in turn) as far as its targets are good; hedges travel in groups too; a relayed query names the record above which the asking host needs more, and a relaying host leaves out what its earlier replies beat. A shard is in one group at most, since merged records cannot be told apart.

--- a/packages/core/almonddock_core/dispatch/__init__.py
+++ b/packages/core/almonddock_core/dispatch/__init__.py
@@ -44,6 +44,7 @@
 from almonddock_core.dispatch._outcome import count_needed
 from almonddock_core.dispatch._records import (
     RECORD_BYTES,
+    find_floor,
     merge_records,
     merge_replies,
 )
@@ -91,6 +92,7 @@
     'TryRecord',
     'Withdraw',
     'count_needed',
+    'find_floor',
     'merge_records',
     'merge_replies',
     'plan_timing',
--- a/packages/core/almonddock_core/dispatch/_attempts.py
+++ b/packages/core/almonddock_core/dispatch/_attempts.py
@@ -5,6 +5,7 @@
 from almonddock_core.dispatch._actions import Send
 from almonddock_core.dispatch._branch import Attempt, Branch
 from almonddock_core.dispatch._journal import Journal, TryOutcome, TryReason
+from almonddock_core.dispatch._requests import TargetReply
 from almonddock_core.routing import KnownTarget
 
 
@@ -53,6 +54,15 @@
         """Returns the branch of an attempt, open or not."""
         return self._branches[number]
 
+    def list_replies(self) -> list[TargetReply]:
+        """Returns the successes that are in, one for each branch."""
+        branches = {id(branch): branch for branch in self._branches}
+        return [
+            branch.reply
+            for branch in branches.values()
+            if branch.succeeded and branch.reply is not None
+        ]
+
     def list_open(self) -> tuple[Attempt, ...]:
         """Returns the open attempts, oldest first."""
         return tuple(self._open.values())
--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -4,7 +4,11 @@
 from datetime import timedelta
 
 from almonddock_core.dispatch._budget import RetryBudget
-from almonddock_core.placement import ColdGuard, TypicalLatency
+from almonddock_core.placement import (
+    ColdGuard,
+    TogetherChoice,
+    TypicalLatency,
+)
 from almonddock_core.routing import (
     KnownTarget,
     Route,
@@ -25,6 +29,12 @@
     #: The configuration in force, for the routes that lead to a service.
     table: RoutingTable | None = None
     _latencies: dict[str, TypicalLatency] = field(default_factory=dict)
+    #: Chooses the targets of all shards of a query.
+    together: TogetherChoice = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Makes what depends on the data centre."""
+        self.together = TogetherChoice(self.data_centre)
 
     def get_latency(self, route: Route) -> TypicalLatency:
         """Returns the typical latency of a route's requests to targets."""
@@ -79,6 +89,11 @@
             was_warm=target.was_warm,
         )
 
+    def note_sent(self, target: KnownTarget, now: timedelta) -> None:
+        """Counts a try if the target may be cold."""
+        if target.cold_until > now:
+            self.cold.note_sent(target.entry.target_id)
+
     def _get_cold_rate(self, service: str) -> float:
         known = self.table.services.get(service) if self.table else None
         return 0 if known is None else known.cold_requests_per_second
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -56,6 +56,8 @@
         self._attempts = AttemptBook()
         #: What was decided, for the log.
         self.journal = self._attempts.journal
+        #: Returns the successes that are in so far.
+        self.list_replies = self._attempts.list_replies
         self._now = request.arrived
 
     @property
@@ -78,19 +80,22 @@
         """Sends the first try of every branch."""
         self._now = now
         self._context.budget.count_request(self.request.route.name, now)
+        together = self._context.together.choose(
+            [self._list_candidates(branch) for branch in self._branches],
+            now,
+        )
         chosen = [
             (branch, target)
-            for branch in self._branches
-            if (target := self._choose(branch)) is not None
+            for branch, target in zip(self._branches, together, strict=True)
+            if target is not None
         ]
         if len(chosen) < count_needed(self.request.route):
             return self._finish(refuse_unreachable())
-        return self._conclude(
-            [
-                self._attempts.send(branch, target, now)
-                for branch, target in chosen
-            ],
-        )
+        actions: list[Action] = []
+        for branch, target in chosen:
+            self._context.note_sent(target, now)
+            actions.append(self._attempts.send(branch, target, now))
+        return self._conclude(actions)
 
     def receive(
         self,
@@ -229,35 +234,34 @@
             return []
         if branch.may_have_run and not route.idempotent:
             return []
-        target = self._choose(branch)
+        context = self._context
+        candidates = self._list_candidates(branch)
+        target = choose_target(candidates, context.data_centre, self._now)
         if target is None:
             return []
         if branch.sent:
-            routes = self._context.list_routes_to(branch.service)
-            budget = self._context.budget
-            if not budget.spend(branch.service, routes, self._now):
+            routes = context.list_routes_to(branch.service)
+            if not context.budget.spend(branch.service, routes, self._now):
                 self.journal.over_budget.append(branch.service)
                 return []
             self.extra_tries += 1
+        context.note_sent(target, self._now)
         return [self._attempts.send(branch, target, self._now, reason)]
 
-    def _choose(self, branch: Branch) -> KnownTarget | None:
+    def _list_candidates(self, branch: Branch) -> list[KnownTarget]:
+        """Returns the targets that may get a try of this branch now."""
         context = self._context
         now = self._now
         reachable, unreachable = context.list_reachable(branch.service, now)
         if not reachable:
             dark = DarkService(branch.service, unreachable)
             self.journal.dark.append(dark)
-        candidates = [
+        return [
             target
             for target in reachable
             if target.entry.target_id not in branch.tried
             and context.bears_more(target, now)
         ]
-        chosen = choose_target(candidates, context.data_centre, now)
-        if chosen is not None and chosen.cold_until > now:
-            context.cold.note_sent(chosen.entry.target_id)
-        return chosen
 
     def _cancel(self, attempt: Attempt) -> Cancel:
         self._attempts.take(attempt.number, TryOutcome.CANCELLED, self._now)
--- a/packages/core/almonddock_core/dispatch/_records.py
+++ b/packages/core/almonddock_core/dispatch/_records.py
@@ -8,11 +8,16 @@
 RECORD_BYTES = 16
 
 
-def merge_records(bodies: Iterable[bytes], top: int) -> bytes:
+def merge_records(
+    bodies: Iterable[bytes],
+    top: int,
+    floor: bytes = b'',
+) -> bytes:
     """Returns the greatest ``top`` records, greatest first.
 
     Records are compared byte by byte and equal ones all count. A rest of a
-    body that is shorter than a record is ignored.
+    body that is shorter than a record is ignored. Records that are not above
+    ``floor`` are left out: whoever gives it has enough of those already.
     """
     records: list[bytes] = []
     for body in bodies:
@@ -21,10 +26,21 @@
             body[start : start + RECORD_BYTES]
             for start in range(0, whole, RECORD_BYTES)
         )
+    if floor:
+        records = [record for record in records if record > floor]
     records.sort(reverse=True)
     return b''.join(records[:top])
 
 
+def find_floor(merged: bytes, top: int) -> bytes:
+    """Returns the last of ``top`` merged records; empty if they are fewer.
+
+    A record that is not above it cannot be among the greatest ``top``.
+    """
+    whole = len(merged) >= top * RECORD_BYTES
+    return merged[-RECORD_BYTES:] if whole else b''
+
+
 def merge_replies(replies: Iterable[TargetReply], top: int) -> bytes:
     """Returns the greatest records of replies; each group counts once."""
     bodies = []
--- a/packages/core/almonddock_core/news/__init__.py
+++ b/packages/core/almonddock_core/news/__init__.py
@@ -9,7 +9,11 @@
 """
 
 from almonddock_core.news._log import LoggedItem, NewsLog
-from almonddock_core.news._pauses import FollowState, choose_pause
+from almonddock_core.news._pauses import (
+    FollowState,
+    NewsSource,
+    choose_pause,
+)
 from almonddock_core.news._watchers import (
     WATCHERS_PER_DATA_CENTRE,
     choose_watchers,
@@ -20,6 +24,7 @@
     'FollowState',
     'LoggedItem',
     'NewsLog',
+    'NewsSource',
     'choose_pause',
     'choose_watchers',
 ]
--- a/packages/core/almonddock_core/placement/_choice.py
+++ b/packages/core/almonddock_core/placement/_choice.py
@@ -10,6 +10,10 @@
 #: bytes between data centres are paid for, and the way is longer.
 REMOTE_COST = 0.8
 
+#: What a target costs more outside the data centre that a query favours: the
+#: replies of one data centre travel merged, so two cost twice the bytes.
+SPREAD_COST = 1.2
+
 #: What a cold target costs more, in typical latencies.
 COLD_COST = 1
 
@@ -42,9 +46,13 @@
     candidates: Sequence[TargetT],
     data_centre: str,
     now: timedelta,
+    favoured: str | None = None,
 ) -> TargetT | None:
     """Returns the candidate with the least cost, None without candidates.
 
+    ``favoured`` is the other data centre that the query's sub-queries go to
+    if one has to leave this one, None while it does not matter.
+
     Targets that broke off a moment ago come last: they are tried when no
     other is left, because a refused connection costs little.
     """
@@ -53,8 +61,11 @@
     for target in candidates:
         health = target.health
         cost = health.estimate_cost(now)
-        if target.entry.data_centre != data_centre:
+        place = target.entry.data_centre
+        if place != data_centre:
             cost += REMOTE_COST
+            if favoured not in {None, place}:
+                cost += SPREAD_COST
         if target.cold_until > now:
             cost += COLD_COST
         ranked = (health.ejected_until > now, cost)
--- a/packages/core/almonddock_core/tests/test_dispatch.py
+++ b/packages/core/almonddock_core/tests/test_dispatch.py
@@ -21,6 +21,7 @@
     MS,
     SECOND,
     DispatchCase,
+    make_entry,
     make_reply,
     make_route,
 )
@@ -185,6 +186,38 @@
         self.assertEqual(answer.missing, ('desk-3',))
         self.assertEqual(case.list_cancelled(), [3])
 
+    def make_away_case(self, shards: int) -> DispatchCase:
+        """Returns a query whose shards all have to be asked elsewhere."""
+        case = DispatchCase(make_route(shards=shards), replicas=0)
+        for service in case.route.list_services():
+            for place in ('kyushu-b', 'kyushu-c'):
+                entry = make_entry(f'{service}-{place}', service, place)
+                case.targets.put(entry, case.now)
+        return case
+
+    def test_what_leaves_the_data_centre_goes_to_one_other(self) -> None:
+        """Load: bytes between data centres are dear, replies merged there."""
+        case = self.make_away_case(9)
+        asked: list[str] = []
+        for _ in range(2):
+            case.actions = []
+            sent = case.start().list_sent()
+            places = {target_id[-1] for target_id in sent}
+            self.assertEqual((len(sent), len(places)), (9, 1))
+            asked.extend(places)
+            case.dispatch.abandon(case.now)
+        self.assertEqual(sorted(asked), ['b', 'c'])
+
+    def test_slow_targets_of_the_favoured_place_are_left(self) -> None:
+        case = self.make_away_case(4)
+        for target in case.targets.list_usable('desk-1', case.now)[1:]:
+            target.health.observe_reply(12, case.now)
+        for _ in range(2):
+            case.actions = []
+            sent = case.start().list_sent()
+            self.assertIn('desk-1-kyushu-b', sent)
+            case.dispatch.abandon(case.now)
+
     def test_too_few_shards_wait_for_more(self) -> None:
         case = self.make_case(max_attempts=1).start()
         case.reply(0)
--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_floors.py
@@ -0,0 +1,78 @@
+"""Records that are left out on the way never belong in the answer.
+
+Load it answers: replies between data centres are dear, and most records of a
+late shard are below those that the asking host has already.
+"""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almonddock_core.dispatch import find_floor, merge_records
+
+TOP = 3
+
+
+def draw_body(chance: random.Random) -> bytes:
+    """Returns a few records out of few, so that some are equal."""
+    count = chance.randrange(6)
+    return b''.join(bytes([chance.randrange(8)]) * 16 for _ in range(count))
+
+
+class _Group:
+    """A host that merges, sends in pieces, and leaves out the needless."""
+
+    def __init__(self, floor: bytes) -> None:
+        self.floor = floor
+        self.sent = b''
+
+    def send(self, bodies: list[bytes]) -> bytes:
+        floor = max(self.floor, find_floor(self.sent, TOP))
+        merged = merge_records(bodies, TOP, floor)
+        self.sent = merge_records((self.sent, merged), TOP)
+        return merged
+
+
+class FloorTest(unittest.TestCase):
+    def test_floor_needs_enough_records(self) -> None:
+        self.assertEqual(find_floor(b'b' * 16 + b'a' * 16, 2), b'a' * 16)
+        self.assertEqual(find_floor(b'b' * 16, 2), b'')
+        self.assertEqual(find_floor(b'', 2), b'')
+
+    def test_records_that_equal_the_floor_are_not_needed(self) -> None:
+        body = b'a' * 16 + b'b' * 16 + b'c' * 16
+        self.assertEqual(merge_records([body], 5, b'b' * 16), b'c' * 16)
+
+    @settings(derandomize=True, max_examples=500, deadline=None)
+    @given(seed=st.integers(0, 1_000_000))
+    def test_answer_is_the_same_with_and_without_floors(
+        self,
+        seed: int,
+    ) -> None:
+        """Shards come direct, in a first group, or in a hedged one."""
+        chance = random.Random(seed)
+        bodies = [draw_body(chance) for _ in range(9)]
+        first = _Group(b'')
+        hedged: _Group | None = None
+        got: list[bytes] = []
+        waiting = list(range(len(bodies)))
+        chance.shuffle(waiting)
+        while waiting:
+            shards = [waiting.pop() for _ in range(min(2, len(waiting)))]
+            arrived = [bodies[shard] for shard in shards]
+            way = chance.choice(('direct', 'first', 'hedged'))
+            if way == 'direct':
+                got.extend(arrived)
+                continue
+            if way == 'hedged' and hedged is None:
+                hedged = _Group(find_floor(merge_records(got, TOP), TOP))
+            group = first if way == 'first' or hedged is None else hedged
+            got.append(group.send(arrived))
+        whole = merge_records(bodies, TOP)
+        self.assertEqual(merge_records(got, TOP), whole)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/packages/core/almonddock_core/tests/test_news.py
+++ b/packages/core/almonddock_core/tests/test_news.py
@@ -13,6 +13,7 @@
     WATCHERS_PER_DATA_CENTRE,
     FollowState,
     NewsLog,
+    NewsSource,
     choose_pause,
     choose_watchers,
 )
@@ -62,15 +63,23 @@
         state = FollowState(
             bound=timedelta(seconds=5),
             hosts=4,
+            has_followers=False,
             has_cold_rates=False,
             is_returning=False,
-            asks_peer=False,
+            source=NewsSource.STORE,
         )
         return choose_pause(replace(state, **changes)).total_seconds()
 
     def test_news_is_in_force_in_time_with_one_call_lost(self) -> None:
         self.assertLess(2 * self.choose(), 5)
 
+    def test_news_that_goes_by_another_host_is_no_later(self) -> None:
+        """Load: the store turns away hosts, watchers among them."""
+        reading = self.choose(has_followers=True)
+        for source in (NewsSource.WATCHER, NewsSource.PEER):
+            asking = self.choose(source=source)
+            self.assertLessEqual(reading + asking, self.choose())
+
     def test_hosts_together_make_no_more_calls_when_entries_return(
         self,
     ) -> None:
@@ -83,7 +92,7 @@
         self.assertLessEqual(self.choose(has_cold_rates=True), 0.25)
 
     def test_asking_a_host_costs_the_store_nothing(self) -> None:
-        self.assertLess(self.choose(asks_peer=True), 0.1)
+        self.assertLess(self.choose(source=NewsSource.WATCHER), 0.1)
 
 
 class LogTest(unittest.TestCase):
--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -14,6 +14,7 @@
 import orjson
 
 from almonddock_core.model import Clock
+from almonddock_core.news import WATCHERS_PER_DATA_CENTRE
 from almonddock_gateway.settings import GatewaySettings
 from almonddock_gateway.store import (
     LeaseEndedError,
@@ -74,6 +75,13 @@
         #: The other hosts, as of the last read.
         self.peers: frozenset[Peer] = frozenset()
 
+    @property
+    def has_followers(self) -> bool:
+        """Whether some host of this data centre need not follow the store."""
+        here = self._settings.data_centre
+        others = sum(peer.data_centre == here for peer in self.peers)
+        return others >= WATCHERS_PER_DATA_CENTRE
+
     async def run(self) -> None:
         """Keeps the registration and the count until cancelled."""
         while True:
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -1,7 +1,7 @@
 """Carries out what the dispatch of one request asks for."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -15,11 +15,18 @@
     Send,
     TargetReply,
     Withdraw,
+    find_floor,
+    merge_replies,
 )
 from almonddock_core.model import Clock
 from almonddock_core.routing import KnownTarget
 from almonddock_gateway.http import CallerRequest, HttpReply, Reply
-from almonddock_gateway.relays import Relay, RelayBoard, RelayQuery
+from almonddock_gateway.relays import (
+    MessageLink,
+    Relay,
+    RelayBoard,
+    RelayQuery,
+)
 from almonddock_gateway.settings import HeaderNames
 from almonddock_gateway.targets import (
     TargetAttempt,
@@ -33,6 +40,9 @@
 #: which hedges are sent, so that they go only to shards that are late.
 FLUSH_SHARE = 0.8
 
+#: The same for hedges, whose replies are awaited.
+HEDGE_FLUSH_SHARE = 0.4
+
 
 @dataclass(frozen=True, slots=True)
 class ExchangeSettings:
@@ -71,15 +81,15 @@
         self._finish = finish
         self._attempts: dict[int, tuple[TargetPool, TargetAttempt]] = {}
         self._relays: list[Relay] = []
+        #: Services with a try that travels in a group.
+        self._merged: set[str] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = timedelta()
 
     def start(self) -> None:
         """Sends the first attempts."""
         actions = self.dispatch.start(self._settings.clock.now())
-        if self.dispatch.request.route.shards:
-            actions = self._relay(actions)
-        self._run(actions)
+        self._run(self._relay(actions, FLUSH_SHARE))
 
     def abandon(self) -> None:
         """Ends the work, because the caller has left."""
@@ -111,35 +121,24 @@
         else:
             self._withdraw(action.attempt)
 
-    def _relay(self, actions: list[Action]) -> list[Action]:
-        """Sends what goes to other data centres over hosts there."""
+    def _relay(
+        self,
+        actions: list[Action],
+        flush_share: float,
+    ) -> list[Action]:
+        """Sends what goes to other data centres over hosts there.
+
+        Returns the actions that are left.
+        """
         settings = self._settings
         dispatch = self.dispatch
-        groups = settings.relays.group(actions)
+        if not dispatch.request.route.shards:
+            return actions
+        groups = settings.relays.group(actions, self._merged)
+        floor = _find_floor(dispatch) if groups else b''
+        flush_after = dispatch.timing.hedge_after * flush_share
         for link, sends in groups:
-            now = settings.clock.now()
-            relay = Relay(
-                settings.relays,
-                link,
-                tuple(send.attempt for send in sends),
-                self._receive_group,
-            )
-            self._relays.append(relay)
-            relay.ask(
-                RelayQuery(
-                    number=relay.number,
-                    head=self._outgoing.head,
-                    body=self._outgoing.body,
-                    attempt_id=self._outgoing.attempt_id,
-                    remaining=dispatch.timing.give_up - now,
-                    flush_after=dispatch.timing.hedge_after * FLUSH_SHARE,
-                    top=dispatch.request.route.top_records,
-                    priority=dispatch.request.route.priority,
-                    targets=tuple(
-                        send.target.entry.target_id for send in sends
-                    ),
-                ),
-            )
+            self._ask_over(link, sends, floor, flush_after)
         relayed = {send.attempt for _, sends in groups for send in sends}
         return [
             action
@@ -147,6 +146,39 @@
             if not (isinstance(action, Send) and action.attempt in relayed)
         ]
 
+    def _ask_over(
+        self,
+        link: MessageLink,
+        sends: Sequence[Send],
+        floor: bytes,
+        flush_after: timedelta,
+    ) -> None:
+        """Sends a group of sub-queries over a link."""
+        settings = self._settings
+        dispatch = self.dispatch
+        relay = Relay(
+            settings.relays,
+            link,
+            tuple(send.attempt for send in sends),
+            self._receive_group,
+        )
+        self._relays.append(relay)
+        self._merged.update(send.target.entry.service for send in sends)
+        relay.ask(
+            RelayQuery(
+                number=relay.number,
+                head=self._outgoing.head,
+                body=self._outgoing.body,
+                attempt_id=self._outgoing.attempt_id,
+                remaining=dispatch.timing.give_up - settings.clock.now(),
+                flush_after=flush_after,
+                top=dispatch.request.route.top_records,
+                floor=floor,
+                priority=dispatch.request.route.priority,
+                targets=tuple(send.target.entry.target_id for send in sends),
+            ),
+        )
+
     def _receive_group(
         self,
         outcomes: list[tuple[int, TargetReply | Failure]],
@@ -228,7 +260,8 @@
 
     def _tick(self) -> None:
         self._timer = None
-        self._run(self.dispatch.tick(self._settings.clock.now()))
+        actions = self.dispatch.tick(self._settings.clock.now())
+        self._run(self._relay(actions, HEDGE_FLUSH_SHARE))
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
@@ -236,6 +269,12 @@
             self._timer = None
 
 
+def _find_floor(dispatch: Dispatch) -> bytes:
+    """Returns the record above which the answer may need more."""
+    top = dispatch.request.route.top_records
+    return find_floor(merge_replies(dispatch.list_replies(), top), top)
+
+
 def build_outgoing(
     request: CallerRequest,
     head: bytes,
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from almonddock_core.model import Clock
-from almonddock_core.news import FollowState, choose_pause
+from almonddock_core.news import FollowState, NewsSource, choose_pause
 from almonddock_gateway.controllers import (
     ConfigurationController,
     Follower,
@@ -94,7 +94,8 @@
 
     def _is_watching(self) -> bool:
         """Whether what this host knows of the store is its own and fresh."""
-        return self._shared.is_direct and self._follower.is_fresh
+        is_direct = self._shared.source is NewsSource.STORE
+        return is_direct and self._follower.is_fresh
 
     def _choose_pause(self, is_returning: bool) -> timedelta:
         """Returns the pause between two reads of changes."""
@@ -104,10 +105,11 @@
             FollowState(
                 bound=self._parts.settings.news_bound,
                 hosts=self._parts.hosts.count,
+                has_followers=self._parts.hosts.has_followers,
                 has_cold_rates=any(
                     service.cold_requests_per_second for service in services
                 ),
                 is_returning=is_returning,
-                asks_peer=self._shared.asks_peer,
+                source=self._shared.source,
             ),
         )
--- a/packages/gateway/almonddock_gateway/links/messages.capnp
+++ b/packages/gateway/almonddock_gateway/links/messages.capnp
@@ -27,6 +27,8 @@
   top @6 :UInt32;
   priority @7 :UInt32;
   targets @8 :List(Text);
+  # Only records above this one are wanted; empty if all are.
+  floor @9 :Data;
 }
 
 struct RelayCancel {
--- a/packages/gateway/almonddock_gateway/relays/_board.py
+++ b/packages/gateway/almonddock_gateway/relays/_board.py
@@ -1,7 +1,7 @@
 """Decides which sub-queries travel by another host."""
 
 from collections import defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Protocol
 
 from almonddock_core.dispatch import Action, Send
@@ -12,9 +12,6 @@
     StoreQuery,
 )
 
-#: Fewer sub-queries than this gain nothing from a merge on the way.
-MIN_GROUP = 2
-
 HandleReply = Callable[[LinkMessage | None], None]
 
 
@@ -74,18 +71,25 @@
     def group(
         self,
         actions: Sequence[Action],
+        merged: Collection[str] = (),
     ) -> list[tuple[MessageLink, list[Send]]]:
-        """Returns the sends that go over each link; the others go direct."""
+        """Returns the sends that go over each link; the others go direct.
+
+        A service in ``merged`` has a try in a group already: merged replies
+        cannot be told apart, so a second one would count it twice.
+        """
         if self.links is None:
             return []
         by_place: dict[str, list[Send]] = defaultdict(list)
         for action in actions:
-            if isinstance(action, Send):
+            if not isinstance(action, Send):
+                continue
+            if action.target.entry.service not in merged:
                 by_place[action.target.entry.data_centre].append(action)
         by_place.pop(self._data_centre, None)
         groups = []
         for place, sends in by_place.items():
             link = self.links.find_link(place)
-            if link is not None and len(sends) >= MIN_GROUP:
+            if link is not None:
                 groups.append((link, sends))
         return groups
--- a/packages/gateway/almonddock_gateway/relays/_messages.py
+++ b/packages/gateway/almonddock_gateway/relays/_messages.py
@@ -62,6 +62,8 @@
     flush_after: timedelta
     #: Records in the merged answer.
     top: int
+    #: Only records above this one are wanted; empty if all are.
+    floor: bytes
     #: The rank among requests that wait for a connection.
     priority: int
     #: The ids of the targets to ask.
@@ -85,7 +87,8 @@
     stamps: tuple[bytes, ...]
     #: From the send to each target until its reply.
     elapsed: tuple[timedelta, ...]
-    #: The greatest records of these parts together.
+    #: The greatest records of these parts together, without those that the
+    #: query's floor and earlier replies to it make needless.
     records: bytes
     failures: tuple[tuple[int, PartFailure], ...]
 
--- a/packages/gateway/almonddock_gateway/relays/_server.py
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -8,6 +8,7 @@
     Failure,
     ReplyKind,
     TargetReply,
+    find_floor,
     merge_records,
 )
 from almonddock_core.model import Clock
@@ -59,6 +60,17 @@
     failures: list[tuple[int, PartFailure]] = field(default_factory=list)
     #: Whether every outcome is sent at once from now on.
     flushed: bool = False
+    #: The greatest records that were sent.
+    sent: bytes = b''
+
+    def merge(self) -> bytes:
+        """Returns the records that the other host needs of what is in."""
+        top = self.query.top
+        floor = max(self.query.floor, find_floor(self.sent, top))
+        bodies = (reply.body for reply, _ in self.replies.values())
+        merged = merge_records(bodies, top, floor)
+        self.sent = merge_records((self.sent, merged), top)
+        return merged
 
 
 class RelayServer:
@@ -201,7 +213,6 @@
         if not (relayed.replies or relayed.failures):
             return
         replies = relayed.replies
-        bodies = (reply.body for reply, _ in replies.values())
         relayed.link.send(
             RelayReply(
                 number=relayed.query.number,
@@ -210,7 +221,7 @@
                     reply.stamp or b'' for reply, _ in replies.values()
                 ),
                 elapsed=tuple(elapsed for _, elapsed in replies.values()),
-                records=merge_records(bodies, relayed.query.top),
+                records=relayed.merge(),
                 failures=tuple(relayed.failures),
             ),
         )
--- a/packages/gateway/almonddock_gateway/relays/_shared_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_shared_store.py
@@ -9,6 +9,7 @@
 import asyncio
 from datetime import timedelta
 
+from almonddock_core.news import NewsSource
 from almonddock_gateway.relays._board import LinkBook, RelayBoard
 from almonddock_gateway.relays._messages import (
     LinkMessage,
@@ -58,10 +59,8 @@
         self._probe_prefix = probe_prefix
         self._telemetry = telemetry
         self._probing: asyncio.Task[None] | None = None
-        #: Whether the last answer came from a watcher.
-        self.asks_peer = False
-        #: Whether the last answer came from the store itself.
-        self.is_direct = False
+        #: Where the last answer came from.
+        self.source = NewsSource.NONE
 
     async def read_prefix(self, prefix: str) -> StoreView:
         """Returns all items under a prefix."""
@@ -70,10 +69,10 @@
             return view
         if self._probing is None:
             try:
-                return self._note_direct(await self._store.read_prefix(prefix))
+                view = await self._store.read_prefix(prefix)
             except StoreLostError as lost:
                 self._start_probing(lost)
-        return await self._ask_any(prefix, None, timedelta())
+        return await self._note_direct(view, prefix, None, timedelta())
 
     async def read_prefix_stale(self, prefix: str) -> StoreView:
         """Returns all items under a prefix; they may be seconds old."""
@@ -91,12 +90,10 @@
             return view
         if self._probing is None:
             try:
-                return self._note_direct(
-                    await self._store.watch(prefix, after, wait),
-                )
+                view = await self._store.watch(prefix, after, wait)
             except StoreLostError as lost:
                 self._start_probing(lost)
-        return await self._ask_any(prefix, after, wait)
+        return await self._note_direct(view, prefix, after, wait)
 
     async def grant_lease(self, time_to_live: timedelta) -> int:
         """Returns a new lease."""
@@ -114,12 +111,23 @@
         """Writes a key that lives as long as the lease."""
         await self._store.put(key, content, lease)
 
-    def _note_direct(self, view: StoreView) -> StoreView:
-        self.is_direct = True
+    async def _note_direct(
+        self,
+        view: StoreView | None,
+        prefix: str,
+        after: int | None,
+        wait: timedelta,
+    ) -> StoreView:
+        """Returns what the store said, or what some host says instead."""
+        if view is not None:
+            self.source = NewsSource.STORE
+            return view
+        view = await self._ask_any(prefix, after, wait)
+        self.source = NewsSource.PEER
         return view
 
     def _start_probing(self, lost: StoreLostError) -> None:
-        self.is_direct = False
+        self.source = NewsSource.NONE
         if self._board.links is None:
             raise lost
         if self._probing is None:
@@ -147,24 +155,25 @@
         """Returns what a watcher says; None if this host is to read itself."""
         links = self._board.links
         link = links.find_watcher() if links is not None else None
-        view = None
-        reason = 'no watcher to ask'
-        if links is not None and link is not None:
-            self.is_direct = False
-            query = StoreQuery(links.draw_number(), prefix, after, WATCHER_WAIT)
-            try:
-                view = await _ask(links, link, query, WATCHER_TIMEOUT_S)
-            except StoreLostError as lost:
-                reason = lost.message
-        asks_peer = view is not None
-        if asks_peer is not self.asks_peer:
-            self.asks_peer = asks_peer
-            if asks_peer:
-                self._telemetry.note('store_followed_by_watcher')
-            else:
-                self._telemetry.note('store_followed_directly', reason=reason)
+        if links is None or link is None:
+            self._note_watcher_left('no watcher to ask')
+            return None
+        query = StoreQuery(links.draw_number(), prefix, after, WATCHER_WAIT)
+        try:
+            view = await _ask(links, link, query, WATCHER_TIMEOUT_S)
+        except StoreLostError as lost:
+            self._note_watcher_left(lost.message)
+            return None
+        if self.source is not NewsSource.WATCHER:
+            self.source = NewsSource.WATCHER
+            self._telemetry.note('store_followed_by_watcher')
         return view
 
+    def _note_watcher_left(self, reason: str) -> None:
+        if self.source is NewsSource.WATCHER:
+            self.source = NewsSource.NONE
+            self._telemetry.note('store_followed_directly', reason=reason)
+
     async def _ask_any(
         self,
         prefix: str,
--- a/packages/gateway/almonddock_gateway/tests/test_relays.py
+++ b/packages/gateway/almonddock_gateway/tests/test_relays.py
@@ -41,7 +41,7 @@
 MS = timedelta(milliseconds=1)
 
 
-def make_query(*targets: str) -> RelayQuery:
+def make_query(*targets: str, floor: bytes = b'') -> RelayQuery:
     return RelayQuery(
         number=7,
         head=b'GET / HTTP/1.1\r\n',
@@ -50,6 +50,7 @@
         remaining=500 * MS,
         flush_after=50 * MS,
         top=2,
+        floor=floor,
         priority=1,
         targets=targets,
     )
@@ -93,7 +94,7 @@
             Ping(3),
             Pong(4),
             Leaving(),
-            make_query('t1', 't2'),
+            make_query('t1', 't2', floor=b'x' * 16),
             RelayCancel(7, (1, 2)),
             RelayReply(
                 7,
@@ -153,6 +154,21 @@
         self.assertEqual(reply.stamps, (b's0', b's1', b's2'))
         self.assertEqual(reply.records, b'c' * 16 + b'b' * 16)
 
+    async def test_records_that_are_not_needed_are_left_out(self) -> None:
+        """Load: a late shard whose records are mostly beaten already."""
+        self.server.receive(
+            self.link,
+            make_query('t0', 't1', 't2', floor=b'b' * 16),
+        )
+        self.server._flush(next(iter(self.server._running.values())))
+        for number, body in enumerate((b'ad', b'ce', b'de')):
+            records = b''.join(bytes([letter]) * 16 for letter in body)
+            self.pool.reply(number, records)
+        sent = [reply.records for reply in self.get_replies()]
+        self.assertEqual(sent, [b'd' * 16, b'e' * 16 + b'c' * 16, b'e' * 16])
+        stamps = [reply.stamps for reply in self.get_replies()]
+        self.assertEqual(stamps, [(b's0',), (b's1',), (b's2',)])
+
     async def test_failures_are_told_at_once(self) -> None:
         self.start('t0', 't1')
         self.pool.reply(0, b'', status=500)
@@ -321,7 +337,26 @@
         links = FakeLinks()
         board.links = links  # type: ignore[assignment]
         self.assertEqual(board.group(sends), [(links.link, sends[1:3])])
-        self.assertEqual(board.group(sends[:2]), [])
+        self.assertEqual(board.group(sends[:2]), [(links.link, sends[1:2])])
+        self.assertEqual(board.group(sends[:1]), [])
+
+    def test_shard_is_in_one_group_at_most(self) -> None:
+        """Merged replies of two groups would count it twice."""
+        table = TargetTable()
+        for number in range(3):
+            entry = make_entry(f't{number}', f'desk-{number}', THERE)
+            table.put(entry, timedelta())
+        sends = [
+            Send(number, target)
+            for number, target in enumerate(table.list_all())
+        ]
+        board = RelayBoard('here')
+        links = FakeLinks()
+        board.links = links  # type: ignore[assignment]
+        grouped = board.group(sends, {'desk-1'})
+        self.assertEqual(grouped, [(links.link, [sends[0], sends[2]])])
+        everything = {'desk-0', 'desk-1', 'desk-2'}
+        self.assertEqual(board.group(sends, everything), [])
 
 
 if __name__ == '__main__':
--- a/packages/gateway/almonddock_gateway/tests/test_store_following.py
+++ b/packages/gateway/almonddock_gateway/tests/test_store_following.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 
 from almonddock_core.model import ManualClock
+from almonddock_core.news import NewsSource
 from almonddock_gateway.controllers import Follower, FollowSettings
 from almonddock_gateway.relays import (
     LinkMessage,
@@ -228,6 +229,7 @@
             query,
             StoreQuery(7, 'p/', 5, timedelta(seconds=1)),
         )
+        self.assertIs(shared.source, NewsSource.PEER)
 
     async def test_what_the_peer_meets_is_passed_on(self) -> None:
         nothing = StoreView((), 0)
@@ -263,8 +265,7 @@
         reply = StoreReply(7, StoreOutcome.ANSWERED, TWO)
         self.assertEqual(await self.ask_through_peer(shared, reply), TWO)
         self.assertEqual(self.store.calls, [])
-        self.assertTrue(shared.asks_peer)
-        self.assertFalse(shared.is_direct)
+        self.assertIs(shared.source, NewsSource.WATCHER)
 
     async def test_store_is_read_directly_when_the_watcher_fails(self) -> None:
         nothing = StoreView((), 0)
@@ -272,8 +273,7 @@
             shared = self.watched(ONE)
             self.assertEqual(await self.ask_through_peer(shared, answer), ONE)
             self.assertEqual(self.store.calls, ['watch 5'])
-            self.assertTrue(shared.is_direct)
-            self.assertFalse(shared.asks_peer)
+            self.assertIs(shared.source, NewsSource.STORE)
 
     async def test_watcher_that_stands_still_is_left_in_time(self) -> None:
         shared = self.watched(ONE)
