--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 	$(BIN)/python -m bench $(EXPERIMENT)
 
 soak: setup
-	$(BIN)/python -m soak --seed $(or $(SEED),0) --runs $(or $(RUNS),1)
+	$(BIN)/python -m soak run --seed $(or $(SEED),0) --runs $(or $(RUNS),1)
 
 report: setup
 	$(BIN)/python -m almonddock_cli report bench/results
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,10 +3,12 @@
 import asyncio
 import random
 import signal
+from collections.abc import Iterator
 from datetime import timedelta
 
 import typer
 
+from soak.regressions import load_cases
 from soak.runs import RunReport, play
 from soak.settings import SoakSettings
 
@@ -16,10 +18,14 @@
 #: Findings that a row names.
 NAMED = 5
 
-HELP = 'Plays runs with faults and checks the promises.'
+#: The exit code after a request to stop, as shells have it.
+STOPPED = 143
 
+app = typer.Typer(help='Plays runs with faults and checks the promises.')
 
-def soak(
+
+@app.command('run')
+def run(
     seed: int = typer.Option(0, help='The first seed; 0 draws one.'),
     runs: int = typer.Option(1, help='Runs, with seeds that follow.'),
     seconds: float = typer.Option(20, help='For how long faults come.'),
@@ -29,19 +35,25 @@
 ) -> None:
     """Plays runs one after the other; exits with 1 after a finding."""
     first = seed or random.SystemRandom().randrange(1, LARGEST_SEED)
-    found = False
-    for number in range(first, first + runs):
-        settings = SoakSettings(
+    _play_all(
+        SoakSettings(
             seed=number,
             fault_time=timedelta(seconds=seconds),
             hosts=hosts,
             fault_rate=rate,
             kinds=tuple(only.split(',')) if only else (),
         )
-        report = asyncio.run(_play_until_stopped(settings))
-        print_report(report)
-        found = found or bool(report.findings)
-    raise typer.Exit(int(found))
+        for number in range(first, first + runs)
+    )
+
+
+@app.command('regressions')
+def play_regressions() -> None:
+    """Plays every seed that found something once."""
+    _play_all(
+        SoakSettings(seed=case.seed, fault_rate=case.rate)
+        for case in load_cases()
+    )
 
 
 def print_report(report: RunReport) -> None:
@@ -62,6 +74,19 @@
         )
 
 
+def _play_all(all_settings: Iterator[SoakSettings]) -> None:
+    found = False
+    for settings in all_settings:
+        try:
+            report = asyncio.run(_play_until_stopped(settings))
+        except asyncio.CancelledError:
+            typer.echo(f'seed {settings.seed}: stopped', err=True)
+            raise typer.Exit(STOPPED) from None
+        print_report(report)
+        found = found or bool(report.findings)
+    raise typer.Exit(int(found))
+
+
 async def _play_until_stopped(settings: SoakSettings) -> RunReport:
     """Plays one run; a request to stop ends what it started."""
     task = asyncio.create_task(play(settings))
@@ -70,4 +95,4 @@
 
 
 if __name__ == '__main__':
-    typer.run(soak)
+    app()
--- a/soak/tests/test_schedule.py
+++ b/soak/tests/test_schedule.py
@@ -3,6 +3,7 @@
 import unittest
 from datetime import timedelta
 
+from soak.regressions import load_cases
 from soak.schedule import FaultKind, draw_schedule
 from soak.settings import SoakSettings
 
@@ -27,6 +28,20 @@
                 if fault.kind.name.startswith(('HOST_', 'LINK_')):
                     self.assertLess(fault.subject, settings.hosts)
 
+    def test_kinds_can_be_chosen(self) -> None:
+        settings = SoakSettings(seed=3, kinds=('HOST_KILL', 'STORE_DOWN'))
+        faults = draw_schedule(settings, TARGETS, START)
+        kinds = {fault.kind for fault in faults}
+        self.assertEqual(kinds, {FaultKind.HOST_KILL, FaultKind.STORE_DOWN})
+
+    def test_regressions_name_their_causes(self) -> None:
+        cases = load_cases()
+        self.assertTrue(cases)
+        for case in cases:
+            settings = SoakSettings(seed=case.seed, fault_rate=case.rate)
+            self.assertTrue(draw_schedule(settings, TARGETS, START))
+            self.assertGreater(len(case.cause), 10)
+
     def test_every_kind_comes(self) -> None:
         kinds = {
             fault.kind
