--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -89,6 +89,18 @@
             was_warm=target.was_warm,
         )
 
+    def suspect_cold(self, target: KnownTarget, now: timedelta) -> bool:
+        """Takes a target that can be reached again as cold, if that counts.
+
+        It may have started anew, which its entry tells later, or not at all
+        while the store is away. Returns whether it is taken so.
+        """
+        if not self._get_cold_rate(target.entry.service) or self.table is None:
+            return False
+        service = self.table.services[target.entry.service]
+        target.cold_until = max(target.cold_until, now + service.cold_time)
+        return True
+
     def note_sent(self, target: KnownTarget, now: timedelta) -> None:
         """Counts a try if the target may be cold."""
         if target.cold_until > now:
--- a/packages/core/almonddock_core/tests/dispatch_cases.py
+++ b/packages/core/almonddock_core/tests/dispatch_cases.py
@@ -123,7 +123,7 @@
             1,
             LIMITS,
             [
-                Service(name, 10, self.cold_rate, timedelta())
+                Service(name, 10, self.cold_rate, 3 * SECOND)
                 for name in self.route.list_services()
             ],
             [self.route],
--- a/packages/core/almonddock_core/tests/test_dispatch.py
+++ b/packages/core/almonddock_core/tests/test_dispatch.py
@@ -392,6 +392,25 @@
         case.now = SECOND
         self.assertIsNone(case.start().dispatch.answer)
 
+    def test_target_that_is_back_while_the_store_is_away_is_spared(
+        self,
+    ) -> None:
+        """Load: a restarted target, whose entry says nothing of it yet."""
+        for rate, bound in ((2, 2), (0, 100)):
+            case = DispatchCase(make_route(), replicas=1, cold_rate=rate)
+            target = case.targets.list_usable('desk', case.now)[0]
+            case.now = 10 * SECOND
+            case.context.suspect_cold(target, case.now)
+            served = 0
+            for _ in range(100):
+                case.now += 5 * MS
+                case.start()
+                served += case.dispatch.answer is None
+            self.assertLessEqual(served, bound)
+            self.assertGreaterEqual(served, bound // 2)
+            case.now += 3 * SECOND
+            self.assertIsNone(case.start().dispatch.answer)
+
     def test_warm_replica_takes_what_a_cold_one_does_not_bear(self) -> None:
         case = DispatchCase(make_route(), cold_rate=2)
         target = case.targets.list_usable('desk', case.now)[0]
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -257,12 +257,17 @@
         """Writes that a target can be reached again, or no longer."""
         entry = target.entry
         health = target.health
+        suspected = not health.unreachable and self._context.suspect_cold(
+            target,
+            self._clock.now(),
+        )
         self.telemetry.note(
             'target_unreachable' if health.unreachable else 'target_reachable',
             target=entry.target_id,
             service=entry.service,
             address=f'{entry.host}:{entry.port}',
             reached=health.reached,
+            taken_as_cold=suspected,
         )
 
     def _count_state(self) -> dict[str, float]:
