--- /dev/null
+++ b/packages/gateway/almonddock_gateway/tests/test_watchers.py
@@ -0,0 +1,106 @@
+"""Hosts that have the store's news from others."""
+
+import asyncio
+import unittest
+from datetime import timedelta
+
+from almonddock_core.news import NewsSource
+from almonddock_gateway.relays import (
+    SharedStore,
+    StoreNews,
+    StoreOutcome,
+    StoreQuery,
+    StoreReply,
+    StoreServer,
+)
+from almonddock_gateway.store import (
+    HistoryLostError,
+    StoreView,
+)
+from almonddock_gateway.tests.fakes import FakeLink
+from almonddock_gateway.tests.store_cases import (
+    ONE,
+    TWO,
+    ScriptedStore,
+    SharedStoreCase,
+    Step,
+    StoreCase,
+)
+
+
+class WatcherTest(SharedStoreCase):
+    """Load: many hosts of one data centre, each of which needs the news."""
+
+    def watched(self, *steps: Step) -> SharedStore:
+        shared = self.make(*steps)
+        self.connect()
+        self.links.watched = True
+        return shared
+
+    async def test_watcher_is_asked_and_the_store_is_not(self) -> None:
+        shared = self.watched(ONE)
+        reply = StoreReply(7, StoreOutcome.ANSWERED, TWO)
+        self.assertEqual(await self.ask_through_peer(shared, reply), TWO)
+        self.assertEqual(self.store.calls, [])
+        self.assertIs(shared.source, NewsSource.WATCHER)
+
+    async def test_store_is_read_directly_when_the_watcher_fails(self) -> None:
+        nothing = StoreView((), 0)
+        for answer in (None, StoreReply(7, StoreOutcome.LOST, nothing)):
+            shared = self.watched(ONE)
+            self.assertEqual(await self.ask_through_peer(shared, answer), ONE)
+            self.assertEqual(self.store.calls, ['watch 5'])
+            self.assertIs(shared.source, NewsSource.STORE)
+
+    async def test_watcher_that_stands_still_is_left_in_time(self) -> None:
+        shared = self.watched(ONE)
+        view = await shared.watch('p/', 5, timedelta(seconds=1))
+        self.assertEqual(view, ONE)
+        self.assertEqual(len(self.links.link.sent), 1)
+
+    async def test_lost_history_is_passed_on(self) -> None:
+        shared = self.watched(ONE)
+        reply = StoreReply(7, StoreOutcome.HISTORY_LOST, StoreView((), 0))
+        with self.assertRaises(HistoryLostError):
+            await self.ask_through_peer(shared, reply)
+
+
+class StoreNewsTest(StoreCase):
+    def setUp(self) -> None:
+        self.fresh = True
+        self.news = StoreNews('', lambda: self.fresh)
+        self.news.take_all(ONE)
+        self.store = ScriptedStore(TWO, TWO)
+
+    async def ask(self, after: int | None, wait_s: float = 10) -> StoreView:
+        link = FakeLink()
+        server = StoreServer(self.store, self.news)
+        wait = timedelta(seconds=wait_s)
+        server.receive(link, StoreQuery(3, '', after, wait))
+        await self.settle(lambda: bool(link.sent))
+        reply = link.sent[0]
+        assert isinstance(reply, StoreReply)
+        return reply.view
+
+    async def test_watcher_answers_from_what_it_knows(self) -> None:
+        self.assertEqual(await self.ask(None), ONE)
+        self.assertEqual(await self.ask(5, 0), StoreView([], 5))
+        self.assertEqual(self.store.calls, [])
+
+    async def test_question_waits_for_news(self) -> None:
+        asked = asyncio.create_task(self.ask(5))
+        await asyncio.sleep(0)
+        self.news.take_changes(StoreView(ONE.items, 6), ('p/a',))
+        await asyncio.sleep(0)
+        self.news.take_changes(StoreView(TWO.items, 7), ())
+        self.assertEqual(await asked, StoreView(TWO.items, 7))
+
+    async def test_what_is_not_fresh_is_not_handed_on(self) -> None:
+        """Two hosts without the store must not keep each other content."""
+        self.fresh = False
+        self.assertEqual(await self.ask(5), TWO)
+        self.assertEqual(self.store.calls, ['watch 5'])
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,7 +9,7 @@
 import httptools
 
 from almonddock_gateway.settings import Address
-from almonddock_platform.standins import (
+from almonddock_platform.tests.standins import (
     READINESS_PATH,
     CallerAnswer,
     RequestDraft,
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 from types import MappingProxyType
 
-from almonddock_platform.standins import StoreTrouble
+from almonddock_platform.tests.standins import StoreTrouble
 from soak.installation import Installation
 from soak.observations import FaultSpan
 from soak.proxy import SILENT, SOUND, PathTrouble, Proxy
--- a/soak/installation.py
+++ b/soak/installation.py
@@ -12,7 +12,7 @@
 from almonddock_core.dispatch import BudgetLimits
 from almonddock_core.routing import Route, Service, WeightedService
 from almonddock_gateway.settings import Address
-from almonddock_platform.standins import (
+from almonddock_platform.tests.standins import (
     KEYS,
     HttpServer,
     StandinBounds,
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from almonddock_core.routing import Route
-from almonddock_platform.standins import Arrival, CallerAnswer
+from almonddock_platform.tests.standins import Arrival, CallerAnswer
 from soak.processes import ProcessEnd
 from soak.schedule import FaultKind
 
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 from typing import Any
 
-from almonddock_platform.standins import SETTINGS_VARIABLE
+from almonddock_platform.tests.standins import SETTINGS_VARIABLE
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PROGRAM = ROOT / 'platform' / 'start.py'
--- a/soak/promises/_findings.py
+++ b/soak/promises/_findings.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from almonddock_platform.standins import Arrival
+from almonddock_platform.tests.standins import Arrival
 from soak.observations import Call, Evidence
 from soak.settings import Promises
 
--- a/soak/promises/_truth.py
+++ b/soak/promises/_truth.py
@@ -5,7 +5,7 @@
 
 from almonddock_core.dispatch import count_needed
 from almonddock_core.routing import Route
-from almonddock_platform.standins import list_records, read_stamp
+from almonddock_platform.tests.standins import list_records, read_stamp
 from soak.observations import Call, Evidence
 from soak.promises._findings import Finding, blame, point
 from soak.promises._routes import is_idempotent, list_routes
--- a/soak/promises/_versions.py
+++ b/soak/promises/_versions.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Sequence
 from datetime import timedelta
 
-from almonddock_platform.standins import Arrival
+from almonddock_platform.tests.standins import Arrival
 from soak.observations import Call, Evidence, Version
 from soak.promises._calm import is_informed
 from soak.promises._findings import Finding, blame
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 from almonddock_core.routing import TargetEntry, TargetState
-from almonddock_platform.standins import (
+from almonddock_platform.tests.standins import (
     KEYS,
     Arrival,
     HttpServer,
--- a/soak/tests/cases.py
+++ b/soak/tests/cases.py
@@ -5,7 +5,11 @@
 from typing import Any
 
 from almonddock_core.routing import Route, WeightedService
-from almonddock_platform.standins import Arrival, CallerAnswer, list_records
+from almonddock_platform.tests.standins import (
+    Arrival,
+    CallerAnswer,
+    list_records,
+)
 from soak.observations import Call, Evidence, Version
 from soak.settings import SoakSettings
 
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -4,7 +4,7 @@
 import unittest
 
 from almonddock_gateway.settings import Address
-from almonddock_platform.standins import LOOPBACK
+from almonddock_platform.tests.standins import LOOPBACK
 from soak.proxy import SILENT, SOUND, PathTrouble, Proxy
 
 #: Long enough for a busy machine.
