Drop a connection that its caller has reset when it is to end

Test first: test_last_answer_to_a_caller_that_has_reset_is_no_fault (failed with OSError 107, passes).

--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -264,6 +264,10 @@
         transport = self._transport
         if transport is None:
             return
-        if transport.can_write_eof():
+        try:
             transport.write_eof()
+        except OSError:
+            # The caller has reset the connection, so nothing is left to end.
+            transport.abort()
+            return
         asyncio.get_running_loop().call_later(LINGER_S, transport.close)
--- a/packages/gateway/almonddock_gateway/tests/fakes.py
+++ b/packages/gateway/almonddock_gateway/tests/fakes.py
@@ -1,6 +1,7 @@
 """Transports and links that only note what is done with them."""
 
 import asyncio
+import errno
 from datetime import timedelta
 
 from almonddock_core.routing import CallerLimits
@@ -33,6 +34,8 @@
         self.written = b''
         self.closed = False
         self.ended = False
+        #: Whether the peer has reset the connection, unnoticed so far.
+        self.reset = False
 
     def write(self, data: object) -> None:
         """Keeps bytes."""
@@ -45,6 +48,8 @@
 
     def write_eof(self) -> None:
         """Closes the direction of writing."""
+        if self.reset:
+            raise OSError(errno.ENOTCONN, 'not connected')
         self.ended = True
 
     def is_closing(self) -> bool:
--- a/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
@@ -83,6 +83,16 @@
                     self.assertEqual(request.method, method)
                     self.assertEqual(request.body, body)
 
+    async def test_last_answer_to_a_caller_that_has_reset_is_no_fault(
+        self,
+    ) -> None:
+        """Seen by soak seed 527: the kernel knows of a reset before we do."""
+        self.connection.data_received(GET)
+        self.stopping = True
+        self.transport.reset = True
+        self.connection.send(200, (), b'')
+        self.assertTrue(self.transport.closed)
+
     async def test_bad_requests_get_one_clear_status(self) -> None:
         long_header = b'x' * 400
         for encoded, status in (
