Use plain names in the soak, and read the shared store in one place

Read as a newcomer: 'door', 'errand', 'deaf' and 'mute' were metaphors (HostEndpoint, RequestKind, drops_upstream, drops_downstream); the choice of a query's targets is QueryPlacement; the two reads of SharedStore shared their steps by hand.

--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -6,7 +6,7 @@
 from almonddock_core.dispatch._budget import RetryBudget
 from almonddock_core.placement import (
     ColdGuard,
-    TogetherChoice,
+    QueryPlacement,
     TypicalLatency,
 )
 from almonddock_core.routing import (
@@ -30,11 +30,11 @@
     table: RoutingTable | None = None
     _latencies: dict[str, TypicalLatency] = field(default_factory=dict)
     #: Chooses the targets of all shards of a query.
-    together: TogetherChoice = field(init=False)
+    placement: QueryPlacement = field(init=False)
 
     def __post_init__(self) -> None:
         """Makes what depends on the data centre."""
-        self.together = TogetherChoice(self.data_centre)
+        self.placement = QueryPlacement(self.data_centre)
 
     def get_latency(self, route: Route) -> TypicalLatency:
         """Returns the typical latency of a route's requests to targets."""
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -80,13 +80,13 @@
         """Sends the first try of every branch."""
         self._now = now
         self._context.budget.count_request(self.request.route.name, now)
-        together = self._context.together.choose(
+        targets = self._context.placement.choose(
             [self._list_candidates(branch) for branch in self._branches],
             now,
         )
         chosen = [
             (branch, target)
-            for branch, target in zip(self._branches, together, strict=True)
+            for branch, target in zip(self._branches, targets, strict=True)
             if target is not None
         ]
         if len(chosen) < count_needed(self.request.route):
--- a/packages/core/almonddock_core/placement/__init__.py
+++ b/packages/core/almonddock_core/placement/__init__.py
@@ -12,14 +12,14 @@
 from almonddock_core.placement._health import TargetHealth
 from almonddock_core.placement._isolation import Reach, is_isolated
 from almonddock_core.placement._latency import TypicalLatency
-from almonddock_core.placement._together import TogetherChoice
+from almonddock_core.placement._query import QueryPlacement
 
 __all__ = [
     'Candidate',
     'ColdGuard',
+    'QueryPlacement',
     'Reach',
     'TargetHealth',
-    'TogetherChoice',
     'TypicalLatency',
     'choose_target',
     'is_isolated',
--- a/packages/core/almonddock_core/placement/_together.py
+++ b/packages/core/almonddock_core/placement/_query.py
@@ -11,7 +11,7 @@
 from almonddock_core.placement._choice import TargetT, choose_target
 
 
-class TogetherChoice:
+class QueryPlacement:
     """Favours each of the other data centres in turn."""
 
     def __init__(self, data_centre: str) -> None:
--- a/packages/gateway/almonddock_gateway/relays/_shared_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_shared_store.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from datetime import timedelta
 
 from almonddock_core.news import NewsSource
@@ -64,15 +66,10 @@
 
     async def read_prefix(self, prefix: str) -> StoreView:
         """Returns all items under a prefix."""
-        view = await self._ask_watcher(prefix, None)
-        if view is not None:
-            return view
-        if self._probing is None:
-            try:
-                view = await self._store.read_prefix(prefix)
-            except StoreLostError as lost:
-                self._start_probing(lost)
-        return await self._note_direct(view, prefix, None, timedelta())
+        return await self._read(
+            lambda: self._store.read_prefix(prefix),
+            StoreQuery(0, prefix, None, timedelta()),
+        )
 
     async def read_prefix_stale(self, prefix: str) -> StoreView:
         """Returns all items under a prefix; they may be seconds old."""
@@ -85,15 +82,10 @@
         wait: timedelta,
     ) -> StoreView:
         """Returns the changes after a revision."""
-        view = await self._ask_watcher(prefix, after)
-        if view is not None:
-            return view
-        if self._probing is None:
-            try:
-                view = await self._store.watch(prefix, after, wait)
-            except StoreLostError as lost:
-                self._start_probing(lost)
-        return await self._note_direct(view, prefix, after, wait)
+        return await self._read(
+            lambda: self._store.watch(prefix, after, wait),
+            StoreQuery(0, prefix, after, wait),
+        )
 
     async def grant_lease(self, time_to_live: timedelta) -> int:
         """Returns a new lease."""
@@ -111,18 +103,27 @@
         """Writes a key that lives as long as the lease."""
         await self._store.put(key, content, lease)
 
-    async def _note_direct(
+    async def _read(
         self,
-        view: StoreView | None,
-        prefix: str,
-        after: int | None,
-        wait: timedelta,
+        read_directly: Callable[[], Awaitable[StoreView]],
+        query: StoreQuery,
     ) -> StoreView:
-        """Returns what the store said, or what some host says instead."""
+        """Asks a watcher, then the store, then any host that can be asked.
+
+        ``query`` has no number yet.
+        """
+        view = await self._ask_watcher(query)
         if view is not None:
-            self.source = NewsSource.STORE
             return view
-        view = await self._ask_any(prefix, after, wait)
+        if self._probing is None:
+            try:
+                view = await read_directly()
+            except StoreLostError as lost:
+                self._start_probing(lost)
+            else:
+                self.source = NewsSource.STORE
+                return view
+        view = await self._ask_any(query)
         self.source = NewsSource.PEER
         return view
 
@@ -147,20 +148,16 @@
             self._probing = None
             return
 
-    async def _ask_watcher(
-        self,
-        prefix: str,
-        after: int | None,
-    ) -> StoreView | None:
+    async def _ask_watcher(self, query: StoreQuery) -> StoreView | None:
         """Returns what a watcher says; None if this host is to read itself."""
         links = self._board.links
         link = links.find_watcher() if links is not None else None
         if links is None or link is None:
             self._note_watcher_left('no watcher to ask')
             return None
-        query = StoreQuery(links.draw_number(), prefix, after, WATCHER_WAIT)
+        asked = replace(query, wait=WATCHER_WAIT)
         try:
-            view = await _ask(links, link, query, WATCHER_TIMEOUT_S)
+            view = await _ask(links, link, asked, WATCHER_TIMEOUT_S)
         except StoreLostError as lost:
             self._note_watcher_left(lost.message)
             return None
@@ -174,17 +171,11 @@
             self.source = NewsSource.NONE
             self._telemetry.note('store_followed_directly', reason=reason)
 
-    async def _ask_any(
-        self,
-        prefix: str,
-        after: int | None,
-        wait: timedelta,
-    ) -> StoreView:
+    async def _ask_any(self, query: StoreQuery) -> StoreView:
         links = self._board.links
         link = links.find_any_link() if links is not None else None
         if links is None or link is None:
             raise StoreLostError('no other host can be asked')
-        query = StoreQuery(links.draw_number(), prefix, after, wait)
         return await _ask(links, link, query, PEER_TIMEOUT_S)
 
 
@@ -195,6 +186,7 @@
     timeout_s: float,
 ) -> StoreView:
     """Asks another host; it may take so long beyond the wait."""
+    numbered = replace(query, number=links.draw_number())
     answered: asyncio.Future[LinkMessage | None] = (
         asyncio.get_running_loop().create_future()
     )
@@ -203,14 +195,14 @@
         if not answered.done():
             answered.set_result(message)
 
-    links.ask(link, query, take)
+    links.ask(link, numbered, take)
     try:
         async with asyncio.timeout(query.wait.total_seconds() + timeout_s):
             reply = await answered
     except TimeoutError as late:
         raise StoreLostError('another host did not answer') from late
     finally:
-        links.forget(link, query.number)
+        links.forget(link, numbered.number)
     return _read_view(reply)
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -45,7 +45,7 @@
 
 #: The paths that callers ask for, with their share, deadline and method.
 @dataclass(frozen=True, slots=True)
-class Errand:
+class RequestKind:
     """One kind of request."""
 
     path: str
@@ -55,12 +55,14 @@
     body: bytes = b''
 
 
-ERRANDS = (
-    Errand('/all/search', share=5, deadline_ms=2000),
-    Errand('/few/check', share=2, deadline_ms=800),
-    Errand('/one/fetch', share=2, deadline_ms=4000),
-    Errand('/split/fetch', share=1, deadline_ms=4000),
-    Errand('/order/new', share=2, deadline_ms=4000, method='POST', body=b'ab'),
+REQUEST_KINDS = (
+    RequestKind('/all/search', share=5, deadline_ms=2000),
+    RequestKind('/few/check', share=2, deadline_ms=800),
+    RequestKind('/one/fetch', share=2, deadline_ms=4000),
+    RequestKind('/split/fetch', share=1, deadline_ms=4000),
+    RequestKind(
+        '/order/new', share=2, deadline_ms=4000, method='POST', body=b'ab'
+    ),
 )
 
 #: The wait before a request is sent again after a failure, in seconds.
@@ -147,7 +149,7 @@
 
 
 @dataclass(slots=True)
-class Door:
+class HostEndpoint:
     """A host as callers reach it."""
 
     number: int
@@ -163,32 +165,38 @@
 class Balancer:
     """Sends callers to hosts that say that they are ready."""
 
-    def __init__(self, doors: Sequence[Door]) -> None:
-        self._doors = doors
+    def __init__(self, endpoints: Sequence[HostEndpoint]) -> None:
+        self._endpoints = endpoints
 
     @property
     def ready(self) -> int:
         """The number of hosts in the rotation."""
-        return sum(door.misses < READINESS_MISSES for door in self._doors)
+        return sum(
+            endpoint.misses < READINESS_MISSES for endpoint in self._endpoints
+        )
 
-    def choose(self, chance: random.Random) -> Door:
+    def choose(self, chance: random.Random) -> HostEndpoint:
         """Draws a host, one in the rotation if there is any."""
-        ready = [one for one in self._doors if one.misses < READINESS_MISSES]
-        return chance.choice(ready or list(self._doors))
+        ready = [
+            one for one in self._endpoints if one.misses < READINESS_MISSES
+        ]
+        return chance.choice(ready or list(self._endpoints))
 
     async def run(self) -> None:
         """Looks at all hosts until cancelled."""
         while True:
-            await asyncio.gather(*(self._look(door) for door in self._doors))
+            await asyncio.gather(
+                *(self._look(endpoint) for endpoint in self._endpoints)
+            )
             await asyncio.sleep(READINESS_PAUSE_S)
 
-    async def _look(self, door: Door) -> None:
+    async def _look(self, endpoint: HostEndpoint) -> None:
         draft = RequestDraft(READINESS_PATH, 'ready', 1)
         link: CallerLink | None = None
         answer = None
         try:
             async with asyncio.timeout(READINESS_TIMEOUT_S):
-                link = await _open(door.readiness)
+                link = await _open(endpoint.readiness)
                 answer = await link.ask(encode_request(draft))
         except (OSError, TimeoutError):
             # A miss like any other.
@@ -196,7 +204,7 @@
         if link is not None:
             link.close()
         good = answer is not None and answer.status == 200
-        door.misses = 0 if good else door.misses + 1
+        endpoint.misses = 0 if good else endpoint.misses + 1
 
 
 class Caller:
@@ -217,47 +225,47 @@
         self._note = note
         self._sent = 0
         self._link: CallerLink | None = None
-        self._door: Door | None = None
+        self._endpoint: HostEndpoint | None = None
 
     async def run(self) -> None:
         """Sends requests until cancelled."""
-        shares = [errand.share for errand in ERRANDS]
+        shares = [kind.share for kind in REQUEST_KINDS]
         while True:
             await asyncio.sleep(self._chance.expovariate(1 / THINK_S))
-            errand = self._chance.choices(ERRANDS, shares)[0]
-            call = await self._send(errand, errand.deadline_ms)
+            kind = self._chance.choices(REQUEST_KINDS, shares)[0]
+            call = await self._send(kind, kind.deadline_ms)
             if call is not None and _may_repeat(call):
-                await self._come_back(errand, call)
+                await self._come_back(kind, call)
 
-    async def _come_back(self, errand: Errand, call: Call) -> None:
+    async def _come_back(self, kind: RequestKind, call: Call) -> None:
         """Sends a failed request once more, when the host said to."""
         spent = (call.ended - call.sent) / timedelta(milliseconds=1)
-        left = errand.deadline_ms - spent
+        left = kind.deadline_ms - spent
         wait = RETRY_S
         if call.answer is not None and call.answer.retry_after is not None:
             wait = min(call.answer.retry_after, left / 3000)
         if left > wait * 1000:
             await asyncio.sleep(max(0, wait))
-            await self._send(errand, round(left - wait * 1000), fresh=True)
+            await self._send(kind, round(left - wait * 1000), fresh=True)
 
     async def _send(
         self,
-        errand: Errand,
+        kind: RequestKind,
         deadline_ms: int,
         *,
         fresh: bool = False,
     ) -> Call | None:
         link = await self._connect(fresh=fresh)
-        door = self._door
-        if link is None or door is None:
+        endpoint = self._endpoint
+        if link is None or endpoint is None:
             return None
         self._sent += 1
         draft = RequestDraft(
-            errand.path,
+            kind.path,
             f'c{self._number}-{self._sent}',
             deadline_ms,
-            errand.method,
-            errand.body,
+            kind.method,
+            kind.body,
         )
         unanswered = Call(
             attempt_id=draft.attempt_id,
@@ -267,8 +275,8 @@
                 draft.path.encode(),
                 draft.body,
             ),
-            host=door.number,
-            lifetime=door.get_lifetime(),
+            host=endpoint.number,
+            lifetime=endpoint.get_lifetime(),
             sent=self._now(),
             deadline_ms=deadline_ms,
             ended=self._now(),
@@ -312,10 +320,10 @@
                 return link
             link.close()
         self._link = None
-        self._door = self._balancer.choose(self._chance)
+        self._endpoint = self._balancer.choose(self._chance)
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
-                self._link = await _open(self._door.callers)
+                self._link = await _open(self._endpoint.callers)
         except (OSError, TimeoutError):
             # Nothing was sent, so nothing is noted; another host is next.
             return None
--- a/soak/installation.py
+++ b/soak/installation.py
@@ -21,8 +21,8 @@
     describe_configuration,
     describe_settings,
 )
-from soak.callers import Door
-from soak.observations import Closure, Version
+from soak.callers import HostEndpoint
+from soak.observations import OutOfService, Version
 from soak.processes import HostProcess
 from soak.proxy import Proxy
 from soak.settings import DATA_CENTRES, Promises, SoakSettings
@@ -57,7 +57,7 @@
 
     process: HostProcess
     machine: StandinHost
-    door: Door
+    endpoint: HostEndpoint
     #: From callers to the host.
     callers: Proxy
     #: From other hosts to the host.
@@ -77,7 +77,7 @@
         self.targets: list[SoakTarget] = []
         self.hosts: list[SoakHost] = []
         self.versions: list[Version] = []
-        self.drained: list[Closure] = []
+        self.drained: list[OutOfService] = []
         #: Whether single requests go to the archive instead of the ledger.
         self.archived = False
         #: Whether queries go to the second index.
@@ -165,14 +165,14 @@
         if self.store.trouble in NO_WRITES:
             return False
         self.store.put(f'{KEYS.drained_prefix}{name}', {})
-        self.drained.append(Closure(name, self.now()))
+        self.drained.append(OutOfService(name, self.now()))
         return True
 
     def take_back(self, name: str) -> None:
         """Takes a data centre back in."""
         self.store.remove(f'{KEYS.drained_prefix}{name}')
         self.drained = [
-            Closure(one.name, one.since, self.now())
+            OutOfService(one.name, one.since, self.now())
             if one.name == name and one.until is None
             else one
             for one in self.drained
@@ -206,13 +206,13 @@
             self._folder,
             self.now,
         )
-        door = Door(
+        endpoint = HostEndpoint(
             number,
             await callers.start(self.address),
             Address(place, READINESS_PORT),
             lambda: process.lifetime,
         )
-        return SoakHost(process, machine, door, callers, links, to_store)
+        return SoakHost(process, machine, endpoint, callers, links, to_store)
 
     def _rewrite(self, key: str, content: bytes) -> bytes:
         """Leads links to a host over its proxy."""
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -58,7 +58,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Closure:
+class OutOfService:
     """A time in which something was to get no new work."""
 
     #: The target or the data centre.
@@ -87,9 +87,9 @@
     spans: Sequence[FaultSpan]
     versions: Sequence[Version]
     #: Targets that said that they leave, or whose entry went.
-    leaving: Sequence[Closure]
+    leaving: Sequence[OutOfService]
     #: Data centres that were taken out.
-    drained: Sequence[Closure]
+    drained: Sequence[OutOfService]
     cold: Sequence[ColdSpan]
     #: Hosts that were asked to stop, by number, with the time.
     stops: Sequence[tuple[int, timedelta]]
--- a/soak/promises/_bounds.py
+++ b/soak/promises/_bounds.py
@@ -39,17 +39,17 @@
 
 def check_leaving(evidence: Evidence, promises: Promises) -> Iterator[Finding]:
     """A target that leaves gets no new work after a while."""
-    closures = defaultdict(list)
-    for closure in evidence.leaving:
-        closures[closure.name].append(closure)
+    spans = defaultdict(list)
+    for span in evidence.leaving:
+        spans[span.name].append(span)
     calls = {call.attempt_id: call for call in evidence.calls}
     for arrival in evidence.arrivals:
-        for closure in closures[arrival.target]:
-            limit = closure.since + promises.drain
+        for span in spans[arrival.target]:
+            limit = span.since + promises.drain
             call = calls.get(arrival.attempt_id)
             if call is None or arrival.at <= limit:
                 continue
-            since = closure.since
+            since = span.since
             if is_informed(evidence, promises, call.host, since, arrival.at):
                 yield point('leaving targets', arrival, f'left at {since}')
 
@@ -60,11 +60,11 @@
     for arrival in evidence.arrivals:
         call = calls.get(arrival.attempt_id)
         place = evidence.places[arrival.target]
-        for closure in evidence.drained:
-            since = closure.since
-            until = closure.until or evidence.calm_since
+        for span in evidence.drained:
+            since = span.since
+            until = span.until or evidence.calm_since
             late = since + promises.drain_data_centre < arrival.at < until
-            if call is None or closure.name != place or not late:
+            if call is None or span.name != place or not late:
                 continue
             if is_informed(evidence, promises, call.host, since, arrival.at):
                 yield point('drained data centres', arrival, f'since {since}')
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -21,9 +21,9 @@
     #: New connections are reset.
     refused: bool = False
     #: Bytes towards the server are lost.
-    deaf: bool = False
+    drops_upstream: bool = False
     #: Bytes from the server are lost.
-    mute: bool = False
+    drops_downstream: bool = False
     #: What the server sends arrives twice.
     doubled: bool = False
     #: Half of what the server sends arrives, and the connection is reset.
@@ -31,7 +31,7 @@
 
 
 SOUND = PathTrouble()
-SILENT = PathTrouble(deaf=True, mute=True)
+SILENT = PathTrouble(drops_upstream=True, drops_downstream=True)
 
 Alter = Callable[[bytes], bytes]
 
@@ -98,7 +98,11 @@
     def _pass_on(self, received: bytes) -> None:
         trouble = self._proxy.trouble
         assert self.other is not None
-        lost = trouble.mute if self._is_server else trouble.deaf
+        lost = (
+            trouble.drops_downstream
+            if self._is_server
+            else trouble.drops_upstream
+        )
         if lost:
             return
         if self._is_server and trouble.cut:
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -89,7 +89,7 @@
         settings = self._settings
         installation = self._installation
         await installation.start()
-        balancer = Balancer([host.door for host in installation.hosts])
+        balancer = Balancer([host.endpoint for host in installation.hosts])
         self._start_task(balancer.run())
         self._start_task(self._watch_memory())
         await _wait_for_hosts(balancer, settings.hosts)
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -16,7 +16,7 @@
     WorkingTarget,
     describe_target,
 )
-from soak.observations import Closure, ColdSpan
+from soak.observations import ColdSpan, OutOfService
 from soak.proxy import Proxy
 
 #: The pause between two heartbeats of a target, in seconds (users' pages).
@@ -55,7 +55,7 @@
     """What the targets of a run have seen and done."""
 
     arrivals: list[Arrival] = field(default_factory=list)
-    leaving: list[Closure] = field(default_factory=list)
+    leaving: list[OutOfService] = field(default_factory=list)
     cold: list[ColdSpan] = field(default_factory=list)
     places: dict[str, str] = field(default_factory=dict)
 
@@ -190,8 +190,8 @@
             self._store.remove(f'{KEYS.target_prefix}{entry.target_id}')
         else:
             self.beat()
-        closure = Closure(entry.target_id, self._now())
-        self._records.leaving.append(closure)
+        span = OutOfService(entry.target_id, self._now())
+        self._records.leaving.append(span)
         await asyncio.sleep(drain.total_seconds() + LINGER_S)
         self._end_serving()
         self._store.remove(f'{KEYS.target_prefix}{entry.target_id}')
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 from typing import Any
 
-from soak.observations import Closure, ColdSpan, Evidence, FaultSpan
+from soak.observations import ColdSpan, Evidence, FaultSpan, OutOfService
 from soak.processes import ProcessEnd
 from soak.promises import check_all
 from soak.schedule import FaultKind
@@ -138,8 +138,14 @@
 
     def test_work_for_closed_parts_is_found(self) -> None:
         for promise, changes in (
-            ('leaving targets', {'leaving': [Closure('t0-1', seconds(5))]}),
-            ('drained data centres', {'drained': [Closure('a', seconds(4))]}),
+            (
+                'leaving targets',
+                {'leaving': [OutOfService('t0-1', seconds(5))]},
+            ),
+            (
+                'drained data centres',
+                {'drained': [OutOfService('a', seconds(4))]},
+            ),
         ):
             evidence = build_evidence(**changes)
             self.assertEqual(list_broken(evidence), {promise})
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -64,7 +64,11 @@
             await self.ask(PathTrouble(cut=True))
 
     async def test_silent_paths_pass_nothing_on(self) -> None:
-        for trouble in (SILENT, PathTrouble(deaf=True), PathTrouble(mute=True)):
+        for trouble in (
+            SILENT,
+            PathTrouble(drops_upstream=True),
+            PathTrouble(drops_downstream=True),
+        ):
             with self.assertRaises(TimeoutError):
                 await asyncio.wait_for(self.ask(trouble), SILENCE_S)
 
