Read on at once when the store has cut its answer to a watch

Cause: the store sends about 500 changes in one answer and does not say that more wait.

Ruled out: stale chains of hosts, going back; the watcher's extra pause alone.

--- a/packages/gateway/almonddock_gateway/controllers/_follower.py
+++ b/packages/gateway/almonddock_gateway/controllers/_follower.py
@@ -108,7 +108,8 @@
             self._note_answer()
             settings.take_changes(view)
         self._revision = max(view.revision, self._revision or 0)
-        await asyncio.sleep(self._choose_pause().total_seconds())
+        if not view.has_more:
+            await asyncio.sleep(self._choose_pause().total_seconds())
 
     def _choose_pause(self) -> timedelta:
         since = self._clock.now() - self._back_at
--- a/packages/gateway/almonddock_gateway/links/_store_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_store_codec.py
@@ -36,6 +36,7 @@
     reply.number = message.number
     reply.outcome = int(message.outcome)
     reply.revision = view.revision
+    reply.hasMore = view.has_more
     reply.keys = [item.key for item in view.items]
     reply.contents = [item.content or b'' for item in view.items]
     reply.removed = [item.content is None for item in view.items]
@@ -58,5 +59,5 @@
     return StoreReply(
         number=reply.number,
         outcome=StoreOutcome(reply.outcome),
-        view=StoreView(items, reply.revision),
+        view=StoreView(items, reply.revision, reply.hasMore),
     )
--- a/packages/gateway/almonddock_gateway/links/messages.capnp
+++ b/packages/gateway/almonddock_gateway/links/messages.capnp
@@ -66,4 +66,6 @@
   contents @4 :List(Data);
   removed @5 :List(Bool);
   revisions @6 :List(UInt64);
+  # Whether there may be more changes than fitted into the answer.
+  hasMore @7 :Bool;
 }
--- a/packages/gateway/almonddock_gateway/store.py
+++ b/packages/gateway/almonddock_gateway/store.py
@@ -41,6 +41,8 @@
 
     items: Sequence[StoreItem]
     revision: int
+    #: Whether the store may hold more changes than fitted into the answer.
+    has_more: bool = False
 
 
 class Store(Protocol):
--- a/packages/gateway/almonddock_gateway/tests/test_link_codec.py
+++ b/packages/gateway/almonddock_gateway/tests/test_link_codec.py
@@ -47,6 +47,7 @@
                 StoreView(
                     [StoreItem('a', b'x', 1), StoreItem('b', None, 2)],
                     9,
+                    has_more=True,
                 ),
             ),
         ):
--- a/packages/gateway/almonddock_gateway/tests/test_store_following.py
+++ b/packages/gateway/almonddock_gateway/tests/test_store_following.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 
 from almonddock_core.model import ManualClock
@@ -76,6 +77,32 @@
         )
         self.assertEqual(self.backs, 1)
 
+    async def test_what_did_not_fit_into_an_answer_is_read_at_once(
+        self,
+    ) -> None:
+        """Load: more changes in a pause than one answer of the store holds."""
+        changes: list[StoreView] = []
+        more = replace(TWO, has_more=True)
+        store = ScriptedStore(ONE, more, more, TWO)
+        follower = Follower(
+            FollowSettings(
+                prefix='p/',
+                wait=timedelta(seconds=1),
+                choose_pause=lambda is_returning: (
+                    timedelta(hours=len(changes)) if changes else timedelta()
+                ),
+                take_all=lambda view: None,
+                take_changes=changes.append,
+                store_back=lambda: None,
+            ),
+            store,
+            ManualClock(),
+            self.make_telemetry(),
+        )
+        task = asyncio.create_task(follower.run())
+        await self.settle(lambda: len(changes) == 3)
+        task.cancel()
+
     async def test_revision_never_goes_back(self) -> None:
         old = StoreView([], 3)
         store = await self.follow(3, TWO, old)
