--- a/soak/callers.py
+++ b/soak/callers.py
@@ -43,18 +43,19 @@
 LEAVE_S = 0.03
 
 
-#: The paths that callers ask for, with their share, deadline and method.
 @dataclass(frozen=True, slots=True)
 class RequestKind:
     """One kind of request."""
 
     path: str
+    #: How often it comes, relative to the others.
     share: float
     deadline_ms: int
     method: str = 'GET'
     body: bytes = b''
 
 
+#: What callers ask for; the paths are those of the installation's routes.
 REQUEST_KINDS = (
     RequestKind('/all/search', share=5, deadline_ms=2000),
     RequestKind('/few/check', share=2, deadline_ms=800),
@@ -68,6 +69,20 @@
 #: The wait before a request is sent again after a failure, in seconds.
 RETRY_S = 0.05
 
+#: The longest wait that a caller accepts, as a share of its time left (users'
+#: pages).
+PATIENCE_SHARE = 1 / 3
+
+MS_PER_S = 1000
+
+#: Requests to this path must not run twice.
+ORDERS = '/order/'
+
+OK = 200
+TOO_MANY = 429
+UNAVAILABLE = 503
+FIRST_SERVER_ERROR = 500
+
 
 class CallerLink(asyncio.Protocol):
     """One connection of a caller, independent of the code under test."""
@@ -203,7 +218,7 @@
             answer = None
         if link is not None:
             link.close()
-        good = answer is not None and answer.status == 200
+        good = answer is not None and answer.status == OK
         endpoint.misses = 0 if good else endpoint.misses + 1
 
 
@@ -243,10 +258,12 @@
         left = kind.deadline_ms - spent
         wait = RETRY_S
         if call.answer is not None and call.answer.retry_after is not None:
-            wait = min(call.answer.retry_after, left / 3000)
-        if left > wait * 1000:
+            longest = left / MS_PER_S * PATIENCE_SHARE
+            wait = min(call.answer.retry_after, longest)
+        left -= wait * MS_PER_S
+        if left > 0:
             await asyncio.sleep(max(0, wait))
-            await self._send(kind, round(left - wait * 1000), fresh=True)
+            await self._send(kind, round(left), fresh=True)
 
     async def _send(
         self,
@@ -296,7 +313,7 @@
         draft: RequestDraft,
         unanswered: Call,
     ) -> Call:
-        patience = draft.deadline_ms / 1000
+        patience = draft.deadline_ms / MS_PER_S
         leaves = self._chance.random() < LEAVE_SHARE
         if leaves:
             patience = min(patience, self._chance.uniform(0, LEAVE_S))
@@ -334,12 +351,13 @@
     """Whether a caller sends the request again, as the users' pages say."""
     if call.left:
         return False
+    idempotent = not call.path.startswith(ORDERS)
     if call.answer is None:
-        return not call.path.startswith('/order/')
+        return idempotent
     status = call.answer.status
-    if status in {429, 503}:
+    if status in {TOO_MANY, UNAVAILABLE}:
         return True
-    return status >= 500 and not call.path.startswith('/order/')
+    return idempotent and status >= FIRST_SERVER_ERROR
 
 
 async def _open(address: Address) -> CallerLink:
