Count a request for the services of the versions of its time

The check was wrong: the users' rule takes the requests sent on a route to the service. It now takes every version that may be in force for the request, which is as strict (test_requests_count_for_the_services_of_their_time shows it both ways).

--- a/soak/promises/_bounds.py
+++ b/soak/promises/_bounds.py
@@ -7,7 +7,7 @@
 from soak.observations import Evidence
 from soak.promises._calm import is_calm, is_informed
 from soak.promises._findings import Finding, blame, point
-from soak.promises._routes import list_routes
+from soak.promises._routes import list_possible, list_routes
 from soak.settings import Promises
 
 SECOND = timedelta(seconds=1)
@@ -92,9 +92,14 @@
     """Extra arrivals at a service stay within the budget of all hosts."""
     asked: dict[str, list[timedelta]] = defaultdict(list)
     for call in evidence.calls:
-        for route in list_routes(evidence.versions, call.path)[:1]:
-            for service in route.list_services():
-                asked[service].append(call.sent)
+        versions = list_possible(evidence.versions, call, promises)
+        services = {
+            service
+            for route in list_routes(versions, call.path)
+            for service in route.list_services()
+        }
+        for service in services:
+            asked[service].append(call.sent)
     extras: dict[str, list[timedelta]] = defaultdict(list)
     seen = set()
     for arrival in sorted(evidence.arrivals, key=lambda one: one.at):
--- a/soak/promises/_routes.py
+++ b/soak/promises/_routes.py
@@ -1,9 +1,11 @@
 """Which routes the versions of a run give a path."""
 
+import itertools
 from collections.abc import Sequence
 
 from almonddock_core.routing import Route
-from soak.observations import Evidence, Version
+from soak.observations import Call, Evidence, Version
+from soak.settings import Promises
 
 
 def list_routes(versions: Sequence[Version], path: str) -> list[Route]:
@@ -12,6 +14,21 @@
     return [route for route in routes if route is not None]
 
 
+def list_possible(
+    versions: Sequence[Version],
+    call: Call,
+    promises: Promises,
+) -> list[Version]:
+    """Returns the versions that may be in force for a request."""
+    ends = [version.written for version in versions[1:]]
+    return [
+        version
+        for version, end in itertools.zip_longest(versions, ends)
+        if version.written <= call.ended
+        and (end is None or call.sent <= end + promises.in_force)
+    ]
+
+
 def is_idempotent(evidence: Evidence, path: str) -> bool:
     """Whether every version lets the request run more than once."""
     routes = list_routes(evidence.versions, path)
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -175,6 +175,43 @@
                 broken,
             )
 
+    def test_requests_count_for_the_services_of_their_time(self) -> None:
+        """Sixty extra arrivals are in order once ninety ask for them."""
+        versions = (build_version(1, 0), build_version(2, 20, 'archive'))
+        for number, broken in ((90, set()), (30, {'retry budget'})):
+            calls = [
+                build_call(
+                    f'm{index}',
+                    '/one/x',
+                    30 + index / 100,
+                    answer=answer_single(f'm{index}', 'archive'),
+                )
+                for index in range(number)
+            ]
+            arrivals = [
+                build_arrival(call.attempt_id, 'archive', 31) for call in calls
+            ]
+            extra = [build_arrival('m0', 'archive', 32) for _ in range(60)]
+            evidence = build_evidence(versions=versions)
+            last = build_call(
+                'z',
+                '/one/x',
+                60,
+                answer=answer_single('z', 'archive'),
+            )
+            changed = replace(
+                evidence,
+                calls=[*evidence.calls[:-1], *calls, last],
+                arrivals=[
+                    *evidence.arrivals[:-1],
+                    *arrivals,
+                    *extra,
+                    build_arrival('z', 'archive', 60.01),
+                ],
+            )
+            with self.subTest(number):
+                self.assertEqual(list_broken(changed), broken)
+
     def test_old_versions_are_found(self) -> None:
         versions = (build_version(1, 0), build_version(2, 26, 'archive'))
         moved = answer_single('m', 'archive')
