Tell followers of a change that a heartbeat confirms in the same batch

A target that says that it leaves and repeats it before the watcher's next read was left out altogether, so followers went on sending to it.

Change: heartbeats are named by their revision. Test first: test_change_that_is_confirmed_in_the_same_batch_is_news (failed).

--- a/packages/core/almonddock_core/news/_log.py
+++ b/packages/core/almonddock_core/news/_log.py
@@ -51,14 +51,17 @@
         self,
         items: Iterable[ItemT],
         revision: int,
-        unchanged: Collection[str] = (),
+        unchanged: Collection[int] = (),
     ) -> None:
-        """Takes changes; those to keys in ``unchanged`` are no news."""
+        """Takes changes; those at revisions in ``unchanged`` are no news.
+
+        A key may change and be confirmed in one batch, so keys do not tell.
+        """
         for item in items:
             if item.content is None:
                 self._items.pop(item.key, None)
                 self._removals[item.key] = item
-            elif item.key not in unchanged or item.key not in self._items:
+            elif item.revision not in unchanged or item.key not in self._items:
                 self._removals.pop(item.key, None)
                 self._items[item.key] = item
         self._forget_removals()
--- a/packages/core/almonddock_core/tests/test_news.py
+++ b/packages/core/almonddock_core/tests/test_news.py
@@ -101,13 +101,19 @@
         self.log.take_all([Item('a', b'1', 3), Item('b', b'1', 5)], 6)
 
     def test_what_confirms_a_key_is_no_news(self) -> None:
-        self.log.take_changes([Item('a', b'1!', 7)], 7, unchanged=('a',))
+        self.log.take_changes([Item('a', b'1!', 7)], 7, unchanged=(7,))
         self.assertEqual(self.log.list_changes(6), [])
         self.assertEqual(self.log.revision, 7)
 
+    def test_change_that_is_confirmed_in_the_same_batch_is_news(self) -> None:
+        """A leaving target says so, and its heartbeat says it again."""
+        batch = [Item('a', b'leaving', 7), Item('a', b'leaving!', 8)]
+        self.log.take_changes(batch, 8, unchanged=(8,))
+        self.assertEqual(self.log.list_changes(6), batch[:1])
+
     def test_removed_key_that_returns_is_news(self) -> None:
         self.log.take_changes([Item('a', None, 7)], 7)
-        self.log.take_changes([Item('a', b'1', 8)], 8, unchanged=('a',))
+        self.log.take_changes([Item('a', b'1', 8)], 8, unchanged=(8,))
         self.assertEqual(self.log.list_changes(6), [Item('a', b'1', 8)])
 
     def test_host_from_before_the_first_read_has_to_read_all(self) -> None:
@@ -144,6 +150,8 @@
         store: dict[str, bytes] = {}
         follower: dict[str, bytes] = {}
         seen = 0
+        batch: list[Item] = []
+        unchanged: set[int] = set()
         for revision, (key, removed, same) in enumerate(changes, 1):
             repeated = same and key in store and not removed
             content = store[key] if repeated else b'%d' % revision
@@ -152,9 +160,14 @@
                 store.pop(key, None)
             else:
                 store[key] = content
-            log.take_changes([item], revision, (key,) if repeated else ())
+            batch.append(item)
+            if repeated:
+                unchanged.add(revision)
             if revision % lag == 0:
+                log.take_changes(batch, revision, unchanged)
+                batch = []
                 seen = self.follow(follower, log, seen)
+        log.take_changes(batch, len(changes), unchanged)
         self.follow(follower, log, seen)
         self.assertEqual(follower, store)
 
--- a/packages/gateway/almonddock_gateway/controllers/_targets.py
+++ b/packages/gateway/almonddock_gateway/controllers/_targets.py
@@ -25,8 +25,9 @@
     ) -> None:
         #: Whether the store has listed its targets once.
         self.listed = False
-        #: Keys of the last changes that only confirmed what was known.
-        self.confirmed: set[str] = set()
+        #: The revisions of the last changes that only confirmed what was
+        #: known.
+        self.confirmed: set[int] = set()
         self._prefix = keys.target_prefix
         self._decode = decode
         self._table = table
@@ -65,7 +66,7 @@
             change = self._table.remove(target_id, now)
         else:
             if self._table.knows(entry):
-                self.confirmed.add(item.key)
+                self.confirmed.add(item.revision)
             change = self._table.put(entry, now)
         if change is not None:
             self._telemetry.note_targets((change,), item.revision)
--- a/packages/gateway/almonddock_gateway/relays/_news.py
+++ b/packages/gateway/almonddock_gateway/relays/_news.py
@@ -30,9 +30,9 @@
     def take_changes(
         self,
         view: StoreView,
-        unchanged: Collection[str],
+        unchanged: Collection[int],
     ) -> None:
-        """Takes changes; those to keys in ``unchanged`` are no news."""
+        """Takes changes; those at revisions in ``unchanged`` are no news."""
         self._log.take_changes(view.items, view.revision, unchanged)
         self._wake()
 
--- a/packages/gateway/almonddock_gateway/tests/test_watchers.py
+++ b/packages/gateway/almonddock_gateway/tests/test_watchers.py
@@ -90,7 +90,7 @@
     async def test_question_waits_for_news(self) -> None:
         asked = asyncio.create_task(self.ask(5))
         await asyncio.sleep(0)
-        self.news.take_changes(StoreView(ONE.items, 6), ('p/a',))
+        self.news.take_changes(StoreView(ONE.items, 6), (5,))
         await asyncio.sleep(0)
         self.news.take_changes(StoreView(TWO.items, 7), ())
         self.assertEqual(await asked, StoreView(TWO.items, 7))
