Release a connection only when its reply ends what was received; bound endless bytes

Cause: a connection was released inside the parser's callback, so the next request went out while the rest of the segment was still to be parsed: a second copy of a reply without an attempt id was taken for the answer to it. Interim replies and replies to other requests reset the byte count, and a head could grow to 16 MiB on each connection, without a bound over all targets.

Change: the release waits for the end of the received bytes. Errors of reply handlers are reported, not taken for malformed replies in silence.

--- a/packages/gateway/almonddock_gateway/http/__init__.py
+++ b/packages/gateway/almonddock_gateway/http/__init__.py
@@ -17,6 +17,7 @@
     format_headers,
     format_response,
 )
+from almonddock_gateway.http._reply_memory import ReplyMemory
 
 __all__ = [
     'CallerConnection',
@@ -27,6 +28,7 @@
     'Headers',
     'HttpReply',
     'ReplyMatch',
+    'ReplyMemory',
     'drop_hop_by_hop_headers',
     'format_headers',
     'format_response',
--- a/packages/gateway/almonddock_gateway/http/_client_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_client_connection.py
@@ -7,12 +7,24 @@
 
 import httptools
 
+from almonddock_gateway.http._errors import report_error
 from almonddock_gateway.http._messages import Headers
+from almonddock_gateway.http._reply_memory import ReplyMemory
 from almonddock_gateway.http._sockets import set_user_timeout
 
-#: The size limit of one reply, which is kept in memory; a longer one fails.
+#: The size limit of all that a server sends for one request; a reply is kept
+#: in memory until it is complete, and a longer one fails.
 MAX_REPLY_BYTES = 0x1000000
 
+#: The size limit of what is not body: heads, interim replies, replies to other
+#: requests, chunk sizes and trailers. A server in trouble may send them without
+#: end, and a complete reply needs a fraction of this.
+MAX_OVERHEAD_BYTES = 0x10000
+
+#: Further overhead allowed for each byte of the body: a chunk of one byte takes
+#: five bytes of framing.
+CHUNK_OVERHEAD = 6
+
 #: How long written bytes may stay unacknowledged before the kernel closes the
 #: connection, in milliseconds; ends connections to unreachable peers.
 USER_TIMEOUT_MS = 2000
@@ -54,13 +66,15 @@
     """Sends requests and reads their replies.
 
     ``released`` is called after each reply that leaves the connection usable,
-    ``closed`` once when the connection has ended.
+    ``closed`` once when the connection has ended. ``memory`` bounds what all
+    connections together hold of incomplete replies.
     """
 
     def __init__(
         self,
         released: 'Callable[[ClientConnection], None]',
         closed: 'Callable[[ClientConnection], None]',
+        memory: ReplyMemory | None = None,
     ) -> None:
         #: When the connection became idle; set by its pool.
         self.idle_since: float = 0
@@ -68,9 +82,16 @@
         self.keep_alive: float | None = None
         self._released = released
         self._closed = closed
+        self._memory = ReplyMemory() if memory is None else memory
         self._transport: asyncio.Transport | None = None
         self._handle: HandleReply | None = None
         self._without_body = False
+        #: Whether a reply has left the connection usable; it is released once
+        #: the bytes that came with the reply are known to end with it.
+        self._to_release = False
+        # Bytes received since the request was sent, and those of bodies.
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
         self._reset()
 
@@ -95,11 +116,17 @@
         assert self._transport is not None
         self._handle = handle
         self._without_body = without_body
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._transport.write(encoded)
 
     def close(self) -> None:
         """Closes immediately; the current request is not notified."""
         self._handle = None
+        self.abort()
+
+    def abort(self) -> None:
+        """Closes immediately; the current request fails."""
         if self._transport is not None:
             self._transport.abort()
 
@@ -112,16 +139,23 @@
     def data_received(self, received: bytes) -> None:
         """Feeds the parser; unsolicited bytes end the connection."""
         if self._handle is None:
-            self._abort()
-            return
-        self._size += len(received)
-        if self._size > MAX_REPLY_BYTES:
-            self._abort()
+            self.abort()
             return
+        self._received_bytes += len(received)
         try:
             self._parser.feed_data(received)
+        except httptools.HttpParserCallbackError as fault:
+            report_error('the handling of a reply failed', fault)
+            self.abort()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._abort()
+            self.abort()
+        if self._handle is None:
+            self._memory.release(self)
+        elif self._is_too_long():
+            self.abort()
+        else:
+            self._memory.hold(self, self._received_bytes)
+        self._release_if_usable()
 
     def eof_received(self) -> bool:
         """Completes a reply that is delimited by the connection's end."""
@@ -134,6 +168,7 @@
         self._transport = None
         handle = self._handle
         self._handle = None
+        self._memory.release(self)
         self._closed(self)
         if handle is not None:
             handle(None)
@@ -141,7 +176,7 @@
     def on_message_begin(self) -> None:
         """Starts a reply; called by the parser."""
         if self._handle is None:
-            self._abort()
+            self.abort()
         self._reset()
 
     def on_header(self, name: bytes, content: bytes) -> None:
@@ -161,10 +196,11 @@
             self._has_length = True
         elif self._without_body:
             self.on_message_complete()
-            self._abort()
+            self.abort()
 
     def on_body(self, part: bytes) -> None:
         """Stores a part of the body; called by the parser."""
+        self._body_bytes += len(part)
         self._body.append(part)
 
     def on_message_complete(self) -> None:
@@ -181,14 +217,31 @@
         self._reset()
         if handle(reply) is ReplyMatch.FOREIGN:
             if not keep:
-                self._abort()
+                self.abort()
             return
         self._handle = None
         self._read_keep_alive(reply)
-        if not keep:
-            self._abort()
-        elif self.usable:
-            self._released(self)
+        if keep:
+            self._to_release = True
+        else:
+            self.abort()
+
+    def _release_if_usable(self) -> None:
+        """Releases the connection, unless bytes follow the reply on it.
+
+        A request that is sent while the rest of the bytes is still to be
+        parsed would take them for its reply.
+        """
+        if self._to_release:
+            self._to_release = False
+            if self.usable:
+                self._released(self)
+
+    def _is_too_long(self) -> bool:
+        """Whether the server sends more than any reply takes."""
+        overhead = self._received_bytes - self._body_bytes
+        allowed = MAX_OVERHEAD_BYTES + CHUNK_OVERHEAD * self._body_bytes
+        return overhead > allowed or self._received_bytes > MAX_REPLY_BYTES
 
     def _read_keep_alive(self, reply: HttpReply) -> None:
         stated = reply.find(b'keep-alive')
@@ -202,8 +255,3 @@
         self._body: list[bytes] = []
         self._head_complete = False
         self._has_length = False
-        self._size = 0
-
-    def _abort(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
--- a/packages/gateway/almonddock_gateway/targets/_pool.py
+++ b/packages/gateway/almonddock_gateway/targets/_pool.py
@@ -4,12 +4,17 @@
 import heapq
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from almonddock_core.dispatch import Failure
 from almonddock_core.routing import KnownTarget
-from almonddock_gateway.http import ClientConnection, HttpReply, ReplyMatch
+from almonddock_gateway.http import (
+    ClientConnection,
+    HttpReply,
+    ReplyMatch,
+    ReplyMemory,
+)
 from almonddock_gateway.targets._attempts import TargetAttempt
 
 #: The timeout for opening a connection, in seconds. Targets accept within a
@@ -42,6 +47,8 @@
     get_limit: Callable[[], int]
     #: Called when the target becomes reachable or unreachable.
     report_reachability: Callable[[KnownTarget], None]
+    #: Bounds the incomplete replies of all targets.
+    memory: ReplyMemory = field(default_factory=ReplyMemory)
 
 
 class TargetPool:
@@ -178,7 +185,9 @@
         try:
             async with asyncio.timeout(DIAL_TIMEOUT_S):
                 _, connection = await self._loop.create_connection(
-                    lambda: ClientConnection(self._release, self._forget),
+                    lambda: ClientConnection(
+                        self._release, self._forget, self._settings.memory
+                    ),
                     entry.host,
                     entry.port,
                 )
--- a/packages/gateway/almonddock_gateway/targets/_pools.py
+++ b/packages/gateway/almonddock_gateway/targets/_pools.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from almonddock_core.routing import KnownTarget
+from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.targets._pool import PoolSettings, TargetPool
 
 
@@ -22,6 +23,7 @@
         """
         self._get_limit = get_limit
         self._report_reachability = report_reachability
+        self._memory = ReplyMemory()
         self._pools: dict[int, TargetPool] = {}
 
     def get(self, target: KnownTarget) -> TargetPool:
@@ -34,6 +36,7 @@
                     target,
                     lambda: self._get_limit(service),
                     self._report_reachability,
+                    self._memory,
                 ),
             )
             self._pools[id(target)] = pool
--- a/packages/gateway/almonddock_gateway/tests/test_client_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_client_connection.py
@@ -1,8 +1,14 @@
 """Tests of connections to targets."""
 
+import itertools
 import unittest
 
-from almonddock_gateway.http import ClientConnection, HttpReply, ReplyMatch
+from almonddock_gateway.http import (
+    ClientConnection,
+    HttpReply,
+    ReplyMatch,
+    ReplyMemory,
+)
 from almonddock_gateway.targets import read_reply
 from almonddock_gateway.tests.fakes import NAMES, FakeTransport
 
@@ -13,6 +19,7 @@
     b'content-length: 3\r\n\r\nold'
 )
 UNFRAMED = b'%b\r\nbody' % OK
+INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
 CHUNKED = b'%btransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n' % OK
 
 
@@ -86,6 +93,33 @@
                     self.end(clean=clean)
                     self.assertEqual(self.list_bodies(), [None])
 
+    def test_reply_cut_anywhere_is_reported_as_none(self) -> None:
+        """A target that stops within its head has given no answer.
+
+        Cut replies were seen to reach callers as complete, empty answers.
+        """
+        trailer = b'%b0\r\nx-last: 1\r\n\r\n' % CHUNKED[: -len(b'0\r\n\r\n')]
+        for whole in (WHOLE, CHUNKED, trailer, INTERIM + WHOLE):
+            parts = [whole[:end] for end in range(1, len(whole))]
+            for case in itertools.product(parts, (True, False), (True, False)):
+                with self.subTest(case=case):
+                    part, clean, used = case
+                    self.setUp()
+                    if used:
+                        self.request(WHOLE)
+                        self.replies = []
+                    self.request(part)
+                    self.end(clean=clean)
+                    self.assertEqual(self.list_bodies(), [None])
+
+    def test_reply_without_a_length_cut_in_its_head_is_none(self) -> None:
+        for length in range(1, len(UNFRAMED) - len(b'body')):
+            with self.subTest(part=UNFRAMED[:length]):
+                self.setUp()
+                self.request(UNFRAMED[:length])
+                self.end(clean=True)
+                self.assertEqual(self.list_bodies(), [None])
+
     def test_malformed_reply_ends_the_connection(self) -> None:
         self.request(b'rubbish\r\n\r\n')
         self.assertTrue(self.transport.closed)
@@ -100,6 +134,83 @@
                 self.assertEqual(self.list_bodies(), [b'body'])
                 self.assertTrue(self.transport.closed)
 
+    def test_next_request_waits_for_the_end_of_the_received_bytes(
+        self,
+    ) -> None:
+        """A second copy of a reply is no reply to the next request.
+
+        A request that is sent as soon as a reply is complete would take what
+        follows in the same segment for its own.
+        """
+        unnamed = b'HTTP/1.1 200 OK\r\nx-stamp: s\r\ncontent-length: 0\r\n\r\n'
+        for extra in (WHOLE, unnamed, WHOLE[:30], b'more'):
+            with self.subTest(extra=extra):
+                self.setUp()
+                self.connection = ClientConnection(self.send_next, self.close)
+                self.connection.connection_made(self.transport)
+                self.request(WHOLE + extra)
+                self.assertTrue(self.transport.closed)
+                self.end(clean=False)
+                self.assertEqual(self.list_bodies(), [b'body'])
+
+    def test_bytes_without_end_end_the_connection(self) -> None:
+        """A target in trouble may send bytes until the connection is closed."""
+        head = b'HTTP/1.1 200 OK\r\n'
+        chunked = b'%btransfer-encoding: chunked\r\n\r\n' % head
+        piece = b'a' * 1000
+        for name, start, repeated in (
+            ('status line', b'HTTP/1.1 200 ', piece),
+            ('header', b'%bx-long: ' % head, piece),
+            ('headers', head, b'x-more: %b\r\n' % piece),
+            ('interim replies', b'', INTERIM * 50),
+            ('replies to other requests', b'', FOREIGN * 20),
+            ('trailers', b'%b0\r\n' % chunked, b'x-more: %b\r\n' % piece),
+            ('chunk extension', b'%b1;' % chunked, piece),
+        ):
+            with self.subTest(name=name):
+                self.setUp()
+                self.request(start)
+                received = self.feed_until_closed(repeated)
+                self.assertLess(received, 0x20000)
+                self.end(clean=False)
+                self.assertEqual(self.list_bodies(), [None])
+
+    def test_body_without_end_ends_the_connection(self) -> None:
+        for start, repeated in (
+            (b'%b\r\n' % OK, b'a' * 0x10000),
+            (b'%bcontent-length: 999999999\r\n\r\n' % OK, b'a' * 0x10000),
+            (
+                b'%btransfer-encoding: chunked\r\n\r\n' % OK,
+                b'1\r\na\r\n' * 0x3000,
+            ),
+        ):
+            with self.subTest(start=start):
+                self.setUp()
+                self.request(start)
+                received = self.feed_until_closed(repeated)
+                self.assertLess(received, 0x1100000)
+                self.end(clean=False)
+                self.assertEqual(self.list_bodies(), [None])
+
+    def test_body_in_small_chunks_is_no_excess(self) -> None:
+        body = b'1\r\na\r\n' * 50_000
+        self.request(
+            b'%btransfer-encoding: chunked\r\n\r\n' % OK,
+            body,
+            b'0\r\n\r\n',
+        )
+        self.assertEqual(self.list_bodies(), [b'a' * 50_000])
+
+    def send_next(self, connection: ClientConnection) -> None:
+        connection.request(b'', self.receive)
+
+    def feed_until_closed(self, repeated: bytes) -> int:
+        received = 0
+        while not self.transport.closed and received < 0x2000000:
+            self.connection.data_received(repeated)
+            received += len(repeated)
+        return received
+
     def test_unsolicited_bytes_end_the_connection(self) -> None:
         self.request(WHOLE)
         self.connection.data_received(FOREIGN)
@@ -127,5 +238,47 @@
         self.assertEqual(self.replies, [])
 
 
+class ReplyMemoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.memory = ReplyMemory(max_bytes=10_000)
+
+    def connect(self) -> tuple[ClientConnection, FakeTransport]:
+        transport = FakeTransport()
+        connection = ClientConnection(
+            lambda _: None, lambda _: None, self.memory
+        )
+        connection.connection_made(transport)
+        connection.request(b'GET', lambda _: ReplyMatch.ACCEPTED)
+        return connection, transport
+
+    def test_largest_incomplete_replies_are_given_up(self) -> None:
+        """Targets that send without end leave honest replies their room."""
+        honest, honest_transport = self.connect()
+        honest.data_received(WHOLE[:-1])
+        others = [self.connect() for _ in range(20)]
+        for turn in range(10):
+            for connection, transport in others:
+                if not transport.closed:
+                    start = b'' if turn else UNFRAMED
+                    connection.data_received(start + b'a' * 1000)
+                self.assertLessEqual(self.memory.held, 10_000)
+        self.assertFalse(honest_transport.closed)
+        self.assertTrue(any(transport.closed for _, transport in others))
+        honest.data_received(WHOLE[-1:])
+        self.assertTrue(honest.usable)
+
+    def test_ended_replies_are_not_held(self) -> None:
+        for ended in ('complete', 'lost'):
+            with self.subTest(ended=ended):
+                connection, _ = self.connect()
+                connection.data_received(WHOLE[:-1])
+                self.assertEqual(self.memory.held, len(WHOLE) - 1)
+                if ended == 'complete':
+                    connection.data_received(WHOLE[-1:])
+                else:
+                    connection.connection_lost(None)
+                self.assertEqual(self.memory.held, 0)
+
+
 if __name__ == '__main__':
     unittest.main()
