Refuse requests for a while before a planned stop ends

Cause: a stopping host left as soon as no request ran, so connections that it had just accepted and requests that were being read ended without an answer.

Change: it refuses new requests for a tenth of the shutdown time at least, and then waits until no connection reads a request or sends an answer.

test_planned_stop_cuts_no_request_that_is_being_read failed before: the host was gone while the second half of a request was on its way.

--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -59,6 +59,11 @@
 DEREGISTRATION_TIMEOUT_MS = 200
 DEREGISTRATION_TIMEOUT = timedelta(milliseconds=DEREGISTRATION_TIMEOUT_MS)
 
+#: A host that refuses new requests does so for this share of the shutdown time
+#: at least: requests are on their way on connections that are open, and on
+#: those that the kernel has accepted.
+REFUSE_SHARE = 0.1
+
 #: The host stops waiting for requests at this share of the shutdown time.
 END_SHARE = 0.95
 
@@ -222,6 +227,11 @@
         await self._stop()
         await self._shut_down(tasks)
 
+    @property
+    def _is_busy(self) -> bool:
+        """Whether requests run, or are read or answered on a connection."""
+        return self._entry.running > 0 or self._servers.busy
+
     async def _shut_down(self, tasks: list[asyncio.Task[None]]) -> None:
         for task in tasks:
             task.cancel()
@@ -342,8 +352,9 @@
         self._servers.close_idle()
         await self._sleep_until(asked + total * SERVE_SHARE)
         self._state.closing = True
+        await self._sleep_until(asked + total * (SERVE_SHARE + REFUSE_SHARE))
         end = asked + total * END_SHARE
-        while self._entry.running and self._clock.now() < end:
+        while self._is_busy and self._clock.now() < end:
             await asyncio.sleep(LOG_FLUSH.total_seconds())
         with contextlib.suppress(TimeoutError):
             # The registration expires by itself if the store does not answer.
--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -96,8 +96,8 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no request is being read or handled."""
-        busy = self._current is not None or self._waiting
+        """Whether no request is being read or handled, and no answer sent."""
+        busy = self._current is not None or self._waiting or self._ended
         return not (busy or self._reading_head or self._reading_body)
 
     def send(self, status: int, headers: Headers, body: bytes) -> None:
--- a/packages/gateway/almonddock_gateway/serving.py
+++ b/packages/gateway/almonddock_gateway/serving.py
@@ -47,6 +47,11 @@
         self._servers: list[asyncio.Server] = []
         self._connections: set[CallerConnection] = set()
 
+    @property
+    def busy(self) -> bool:
+        """Whether a connection has an unfinished request or answer."""
+        return any(not connection.idle for connection in self._connections)
+
     async def listen(self, address: Address, handle: Handle) -> None:
         """Accepts connections at an address; ``handle`` gets requests."""
         shared = ConnectionSettings(
