Refuse relayed queries that waited while this host stood still

Cause: a host that was paused reads a query and its cancellation together when it runs again.

Change: a host that has not run for 0.3 s reports such queries as not sent.

test_queries_that_waited_for_a_paused_host_are_not_sent failed before.

--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -339,6 +339,7 @@
     async def _flush_logs(self) -> None:
         while True:
             await asyncio.sleep(LOG_FLUSH.total_seconds())
+            self._links.record_alive()
             self.telemetry.flush()
 
     async def _stop(self) -> None:
--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -66,6 +66,10 @@
         )
         return peers
 
+    def record_alive(self) -> None:
+        """Records that this host runs, for queries that waited meanwhile."""
+        self._relay_server.record_alive()
+
     def announce_stop(self) -> None:
         """Tells other hosts to send no new queries."""
         for link in self._accepted:
--- a/packages/gateway/almonddock_gateway/relays/_server.py
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -31,6 +31,12 @@
     read_reply,
 )
 
+#: A host that has not run for this long was paused, or had no processor time.
+#: Queries that it then reads may have waited as long, and their callers may
+#: have left: the deadlines that targets would get are too late.
+STALL_MS = 300
+STALL = timedelta(milliseconds=STALL_MS)
+
 
 @dataclass(frozen=True, slots=True)
 class RelaySettings:
@@ -81,11 +87,19 @@
     def __init__(self, settings: RelaySettings) -> None:
         self._settings = settings
         self._running: dict[tuple[MessageLink, int], _RelayedQuery] = {}
+        self._alive_at = settings.clock.now()
+
+    def record_alive(self) -> None:
+        """Records that this host runs; called a few times within a stall."""
+        self._alive_at = self._settings.clock.now()
 
     def receive(self, link: MessageLink, message: LinkMessage) -> None:
         """Starts a query, or cancels some parts of one."""
         if isinstance(message, RelayQuery):
-            self._start(link, message)
+            if self._settings.clock.now() - self._alive_at > STALL:
+                _refuse(link, message)
+            else:
+                self._start(link, message)
         elif isinstance(message, RelayCancel):
             relayed = self._running.get((link, message.number))
             if relayed is not None:
@@ -233,3 +247,11 @@
         )
         relayed.replies = {}
         relayed.failures = []
+
+
+def _refuse(link: MessageLink, query: RelayQuery) -> None:
+    """Reports that no part of a query was sent to its target."""
+    unsent = tuple(
+        (part, PartFailure.UNSENT) for part in range(len(query.targets))
+    )
+    link.send(RelayReply(query.number, (), (), (), b'', unsent))
--- a/packages/gateway/almonddock_gateway/tests/test_relays.py
+++ b/packages/gateway/almonddock_gateway/tests/test_relays.py
@@ -59,6 +59,25 @@
         self.assertEqual(reply.stamps, (b's0', b's1', b's2'))
         self.assertEqual(reply.records, b'c' * 16 + b'b' * 16)
 
+    async def test_queries_that_waited_for_a_paused_host_are_not_sent(
+        self,
+    ) -> None:
+        """Their callers may have left while the host stood still.
+
+        The query and its cancellation then arrive together, and the target
+        has started to work before the second one is read.
+        """
+        self.clock.advance(1000 * MS)
+        self.start('t0', 't1')
+        self.assertEqual(self.pool.attempts, [])
+        failures = self.get_replies()[0].failures
+        self.assertEqual(
+            failures, ((0, PartFailure.UNSENT), (1, PartFailure.UNSENT))
+        )
+        self.server.record_alive()
+        self.start('t0')
+        self.assertEqual(len(self.pool.attempts), 1)
+
     async def test_records_that_are_not_needed_are_left_out(self) -> None:
         """A late shard sends only records that can still enter the answer."""
         self.server.receive(
