--- a/packages/gateway/almonddock_gateway/controllers/_follower.py
+++ b/packages/gateway/almonddock_gateway/controllers/_follower.py
@@ -76,7 +76,12 @@
         return self.fresh_at is not None and self._lost_since is None
 
     async def run(self) -> None:
-        """Follows the prefix until cancelled."""
+        """Follows the prefix until cancelled.
+
+        Reads all items first, also when it is run again after an error, which
+        may have left changes out.
+        """
+        self._revision = None
         while True:
             try:
                 await self._step()
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -30,6 +30,10 @@
 from almonddock_gateway.serving import START_LIMITS, CallerServers
 from almonddock_gateway.settings import GatewaySettings
 from almonddock_gateway.store import Store
+from almonddock_gateway.supervision import (
+    keep_running,
+    log_unexpected_errors,
+)
 from almonddock_gateway.targets import TargetPools
 from almonddock_gateway.telemetry import (
     GatewayMetrics,
@@ -209,6 +213,7 @@
         """Serves until SIGTERM, then shuts down gracefully."""
         gc.set_threshold(GC_THRESHOLD)
         loop = asyncio.get_running_loop()
+        log_unexpected_errors(loop, self.telemetry)
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         settings = self.settings
@@ -243,14 +248,17 @@
 
     def _start_tasks(self) -> list[asyncio.Task[None]]:
         loop = asyncio.get_running_loop()
-        coroutines = (
-            self._following.run(),
-            self._hosts.run(),
-            self._open_links(),
-            self._sweep(),
-            self._flush_logs(),
-        )
-        return [loop.create_task(coroutine) for coroutine in coroutines]
+        loops = {
+            'following': self._following.run,
+            'registration': self._hosts.run,
+            'links': self._run_links,
+            'sweep': self._sweep,
+            'log': self._flush_logs,
+        }
+        return [
+            loop.create_task(keep_running(name, run, self.telemetry))
+            for name, run in loops.items()
+        ]
 
     def _get_limits(self) -> CallerLimits:
         table = self._state.table
@@ -307,13 +315,13 @@
         self._budget.update_limits(settings.budget)
         self.telemetry.log_event('settings_reloaded', budget=settings.budget)
 
-    async def _open_links(self) -> None:
+    async def _run_links(self) -> None:
         """Opens links to other hosts once this host serves callers."""
         while not self.is_ready:
             await asyncio.sleep(SWEEP.total_seconds())
         await asyncio.sleep(LINK_DELAY.total_seconds())
         self._relays.links = await self._links.open()
-        await self._relays.links.run()
+        await self._links.run()
 
     async def _sweep(self) -> None:
         while True:
--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -10,6 +10,7 @@
 
 from almonddock_core.model import Clock
 from almonddock_core.routing import CallerLimits
+from almonddock_gateway.http._errors import report_error
 from almonddock_gateway.http._messages import Headers, format_response
 from almonddock_gateway.http._sockets import set_user_timeout
 
@@ -27,6 +28,7 @@
 REQUEST_TIMEOUT = 408
 BODY_TOO_LARGE = 413
 HEADERS_TOO_LARGE = 431
+BAD_GATEWAY = 502
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -173,6 +175,10 @@
             self._head_bytes += len(received)
         try:
             self._parser.feed_data(received)
+        except httptools.HttpParserCallbackError as fault:
+            report_error('a request of a caller failed', fault)
+            self._reject(BAD_GATEWAY)
+            return
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(BAD_REQUEST)
             return
@@ -257,8 +263,11 @@
             self._linger()
             return
         # The answer to the current request is the last on this connection.
-        self._ended = True
         self._current.keep_alive = False
+        if self._exchange is None:
+            # The handling of the request failed, so no other answer comes.
+            self.send(status, (), b'')
+        self._ended = True
 
     def _linger(self) -> None:
         """Closes the connection after the caller has had time to read."""
--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -41,9 +41,15 @@
         self._store_server = store_server
         self._accepted: set[MessageLink] = set()
         self._server: asyncio.Server | None = None
+        self._peers: PeerLinks | None = None
 
     async def open(self) -> 'PeerLinks':
-        """Listens for links; returns this host's own, which the caller runs."""
+        """Listens for links; returns this host's own, which :meth:`run` keeps.
+
+        Further calls return the same.
+        """
+        if self._peers is not None:
+            return self._peers
         links = importlib.import_module(LINKS_MODULE)
 
         def accept() -> asyncio.BaseProtocol:
@@ -64,8 +70,14 @@
             lambda: self._hosts.peers,
             self._telemetry,
         )
+        self._peers = peers
         return peers
 
+    async def run(self) -> None:
+        """Keeps this host's links open until cancelled."""
+        if self._peers is not None:
+            await self._peers.run()
+
     def record_alive(self) -> None:
         """Records that this host runs, for queries that waited meanwhile."""
         self._relay_server.record_alive()
--- a/packages/gateway/almonddock_gateway/links/_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_codec.py
@@ -49,13 +49,16 @@
     """Returns a message; raises :class:`BadFrameError` if malformed."""
     try:
         return _read(_SCHEMA.Frame.from_bytes_packed(encoded))
-    except (capnp.KjException, ValueError) as fault:
+    except (capnp.KjException, ValueError, ArithmeticError) as fault:
         raise BadFrameError(f'a frame cannot be decoded: {fault}') from fault
 
 
 def _read(frame: Any) -> LinkMessage:
     which = str(frame.which())
-    return _READERS[which](getattr(frame, which))
+    reader = _READERS.get(which)
+    if reader is None:
+        raise BadFrameError(f'a frame of an unknown kind: {which}')
+    return reader(getattr(frame, which))
 
 
 def _write_ping(frame: Any, message: Ping) -> None:
--- a/packages/gateway/almonddock_gateway/relays/_relay.py
+++ b/packages/gateway/almonddock_gateway/relays/_relay.py
@@ -70,7 +70,7 @@
         self._links.forget(self._link, self.number)
 
     def _handle_message(self, reply: LinkMessage | None) -> None:
-        if not isinstance(reply, RelayReply):
+        if not isinstance(reply, RelayReply) or not self._has_parts(reply):
             lost = tuple(self._pending.values())
             self._pending = {}
             self._receive([(attempt, Failure.LOST) for attempt in lost])
@@ -81,6 +81,13 @@
             self._pending.pop(part, None)
         self._receive(outcomes)
 
+    def _has_parts(self, reply: RelayReply) -> bool:
+        """Whether the lists of the reply fit each other and the query."""
+        if not len(reply.parts) == len(reply.stamps) == len(reply.elapsed):
+            return False
+        named = (*reply.parts, *(part for part, _ in reply.failures))
+        return all(0 <= part < len(self._attempts) for part in named)
+
     def _read_parts(self, reply: RelayReply) -> list[Outcome]:
         group = ReplyGroup(reply.records)
         outcomes: list[Outcome] = []
--- a/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
@@ -1,5 +1,6 @@
 """Tests of the connections of callers."""
 
+import asyncio
 import unittest
 from datetime import timedelta
 
@@ -37,6 +38,8 @@
         self.requests: list[CallerRequest] = []
         self.exchanges: list[FakeExchange] = []
         self.stopping = False
+        #: Raised by the handling of a request; None handles it.
+        self.fault: Exception | None = None
         self.transport = FakeTransport()
         self.connection = CallerConnection(
             ConnectionSettings(
@@ -55,6 +58,8 @@
         request: CallerRequest,
         connection: CallerConnection,
     ) -> Exchange:
+        if self.fault is not None:
+            raise self.fault
         self.requests.append(request)
         self.exchanges.append(FakeExchange())
         return self.exchanges[-1]
@@ -93,6 +98,18 @@
         self.connection.send(200, (), b'')
         self.assertTrue(self.transport.closed)
 
+    async def test_error_of_the_host_is_no_bad_request(self) -> None:
+        """The caller is told that the outcome is unknown, and can retry."""
+        errors: list[object] = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda _, context: errors.append(context['exception'])
+        )
+        self.fault = KeyError('unexpected')
+        self.connection.data_received(GET)
+        self.assertEqual(self.read_statuses(), [502])
+        self.assertTrue(self.transport.ended)
+        self.assertEqual(errors, [self.fault])
+
     async def test_bad_requests_get_one_error_status(self) -> None:
         long_header = b'x' * 400
         for encoded, status in (
--- a/packages/gateway/almonddock_gateway/tests/test_relays.py
+++ b/packages/gateway/almonddock_gateway/tests/test_relays.py
@@ -153,6 +153,24 @@
         )
         self.relay.send_query(make_query('t0', 't1', 't2'))
 
+    def test_reply_that_does_not_fit_the_query_counts_as_lost(self) -> None:
+        for parts, stamps, failures in (
+            ((0, 3), (b's0', b's3'), ()),
+            ((0, 1), (b's0',), ()),
+            ((0,), (b's0',), ((9, PartFailure.LOST),)),
+        ):
+            with self.subTest(parts=parts, failures=failures):
+                self.setUp()
+                self.links.deliver(
+                    RelayReply(
+                        7, parts, stamps, (MS,) * len(parts), b'', failures
+                    ),
+                )
+                self.assertEqual(
+                    self.outcomes,
+                    [(number, Failure.LOST) for number in (10, 11, 12)],
+                )
+
     def test_parts_become_outcomes_of_attempts(self) -> None:
         self.links.deliver(
             RelayReply(
