Ask targets in use whether they are cold while the store is away

Change: while the news is older than 0.3 s, hosts send a health check to each target that they use and whose service limits cold targets, at most one in 50 ms; its reply says how long the target stays cold.

Ruled out: taking all targets as cold during an outage (it would refuse most requests); asking all targets (checks are priced, and grow with hosts x targets).

test_target_that_turns_cold_during_an_outage_is_spared fails without the checks: 40 in a second. The soak's stand-in answers health checks like other requests: not without a free slot.

--- a/packages/core/almonddock_core/routing/_routes.py
+++ b/packages/core/almonddock_core/routing/_routes.py
@@ -31,6 +31,8 @@
     cold_requests_per_second: float
     #: How long a target stays cold after its start.
     cold_time: timedelta
+    #: The path of a target's health check; empty if it has none.
+    health_path: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -68,6 +68,12 @@
             return False
         return self.lapse_ends is None or now < self.lapse_ends
 
+    def extend_cold(self, cold_for: timedelta, now: timedelta) -> None:
+        """Records that the target stays cold for this long at least."""
+        if self.cold_until <= now < now + cold_for:
+            self.was_warm = True
+        self.cold_until = max(self.cold_until, now + cold_for)
+
 
 @dataclass(frozen=True, slots=True)
 class TargetChange:
@@ -141,9 +147,7 @@
         if before.service != entry.service or _is_moved(before, entry):
             return self._add(entry, now)
         known.entry = entry
-        if known.cold_until <= now < now + entry.cold_for:
-            known.was_warm = True
-        known.cold_until = max(known.cold_until, now + entry.cold_for)
+        known.extend_cold(entry.cold_for, now)
         if before.state is entry.state:
             return None
         return _describe(entry, entry.state.value)
--- a/packages/gateway/almonddock_gateway/controllers/__init__.py
+++ b/packages/gateway/almonddock_gateway/controllers/__init__.py
@@ -1,4 +1,4 @@
-"""Controllers of the configuration, targets, hosts and isolation state."""
+"""Controllers of the state that a host keeps up to date."""
 
 from almonddock_gateway.controllers._configuration import (
     ConfigurationController,
@@ -11,6 +11,10 @@
     DecodeTarget,
     TargetController,
 )
+from almonddock_gateway.controllers._warmth import (
+    WarmthController,
+    WarmthDependencies,
+)
 
 __all__ = [
     'ConfigurationController',
@@ -22,4 +26,6 @@
     'Peer',
     'IsolationController',
     'TargetController',
+    'WarmthController',
+    'WarmthDependencies',
 ]
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -79,6 +79,11 @@
         #: Answers the store queries of other hosts.
         self.server = StoreServer(deps.store, self._cache)
 
+    @property
+    def news_time(self) -> timedelta | None:
+        """When the store's entries were last read; None before."""
+        return self._follower.fresh_at
+
     async def run(self) -> None:
         """Follows the store until cancelled."""
         await self._follower.run()
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -21,6 +21,8 @@
     HostController,
     IsolationController,
     TargetController,
+    WarmthController,
+    WarmthDependencies,
 )
 from almonddock_gateway.entry import Entry, EntryState
 from almonddock_gateway.entry._exchange import ExchangeSettings
@@ -175,6 +177,16 @@
                 telemetry=self.telemetry,
             ),
         )
+        self._warmth = WarmthController(
+            WarmthDependencies(
+                context=self._context,
+                pools=self._pools,
+                names=settings.headers,
+                clock=self._clock,
+                telemetry=self.telemetry,
+                get_news_time=lambda: self._following.news_time,
+            ),
+        )
         self._stopping = asyncio.Event()
         self._servers = CallerServers(
             self._get_limits,
@@ -252,6 +264,7 @@
             'following': self._following.run,
             'registration': self._hosts.run,
             'links': self._run_links,
+            'warmth': self._warmth.run,
             'sweep': self._sweep,
             'log': self._flush_logs,
         }
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -35,6 +35,10 @@
     part_stamps: bytes
     #: The number of shards missing from a merged answer.
     missing_parts: bytes
+    #: In the reply to a health check: the id of the target.
+    health_target: bytes
+    #: In the reply to a health check: the milliseconds that it stays cold.
+    cold_for: bytes
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/almonddock_gateway/tests/fakes.py
+++ b/packages/gateway/almonddock_gateway/tests/fakes.py
@@ -16,6 +16,8 @@
     not_executed=b'x-not-executed',
     part_stamps=b'x-parts',
     missing_parts=b'x-missing',
+    health_target=b'x-target',
+    cold_for=b'x-cold',
 )
 
 LIMITS = CallerLimits(
--- a/soak/installation.py
+++ b/soak/installation.py
@@ -13,6 +13,7 @@
 from almonddock_core.routing import Route, Service, WeightedService
 from almonddock_gateway.settings import Address
 from almonddock_platform.tests.standins import (
+    HEALTH_PATH,
     KEYS,
     HttpServer,
     StandinBounds,
@@ -156,7 +157,11 @@
                 routes,
                 [
                     Service(
-                        one, MAX_CONNECTIONS, COLD_RATE, timedelta(seconds=3)
+                        one,
+                        MAX_CONNECTIONS,
+                        COLD_RATE,
+                        timedelta(seconds=3),
+                        HEALTH_PATH,
                     )
                     for one in services
                 ],
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -119,6 +119,7 @@
             sample_service_time=self._sample_service_time,
             on_start=self._records.arrivals.append,
             now=self._now,
+            get_cold_time=self._get_cold_time,
         )
         self._server = HttpServer(self._working.handle)
         self.proxy = Proxy(await self._server.start(host))
@@ -152,7 +153,7 @@
         if entry is None or self._store.fault in NO_WRITES:
             return
         self._sequence += 1
-        left = max(timedelta(), self._cold_until - self._now())
+        left = self._get_cold_time()
         self._store.put(
             f'{KEYS.target_prefix}{entry.target_id}',
             describe_target(replace(entry, cold_for=left), self._sequence),
@@ -213,6 +214,9 @@
         """Samples whether a request of a faulty target fails."""
         return self._rng.random() < FAULTY_SHARE
 
+    def _get_cold_time(self) -> timedelta:
+        return max(timedelta(), self._cold_until - self._now())
+
     def _sample_service_time(self) -> float:
         if self._rng.random() < PAUSE_SHARE:
             return PAUSE_S
