--- a/packages/gateway/almonddock_gateway/controllers/_follower.py
+++ b/packages/gateway/almonddock_gateway/controllers/_follower.py
@@ -14,8 +14,8 @@
 )
 from almonddock_gateway.telemetry import Telemetry
 
-#: The pause between reads before the first answer; it doesn't grow, because no
-#: caller is served until then.
+#: The pause between reads before the first answer, which doesn't grow because no
+#: caller is served until then, and after an outdated snapshot.
 START_RETRY_PAUSE = timedelta(milliseconds=100)
 
 #: How long after the first answer, or after an outage, the store may be watched
@@ -64,7 +64,10 @@
         self._store = store
         self._clock = clock
         self._telemetry = telemetry
+        # The revision to watch from; None if everything is to be read.
         self._revision: int | None = None
+        # The newest revision that was applied.
+        self._newest = 0
         # When the store answered first, or again after a failure.
         self._recovered_at = timedelta()
         self._lost_since: timedelta | None = None
@@ -103,6 +106,9 @@
         if self._revision is None:
             view = await self._store.read_prefix(settings.prefix)
             self._note_answer()
+            if view.revision < self._newest:
+                await self._skip_outdated(view.revision)
+                return
             settings.apply_snapshot(view)
         else:
             view = await self._store.watch(
@@ -112,10 +118,24 @@
             )
             self._note_answer()
             settings.apply_changes(view)
-        self._revision = max(view.revision, self._revision or 0)
+        self._newest = max(view.revision, self._newest)
+        self._revision = self._newest
         if not view.has_more:
             await asyncio.sleep(self._choose_pause().total_seconds())
 
+    async def _skip_outdated(self, revision: int) -> None:
+        """Ignores a snapshot of a watcher that is behind this host.
+
+        Applied, it would bring back targets that have left.
+        """
+        self._telemetry.log_event(
+            'store_snapshot_outdated',
+            prefix=self._settings.prefix,
+            revision=revision,
+            newest=self._newest,
+        )
+        await asyncio.sleep(START_RETRY_PAUSE.total_seconds())
+
     def _choose_pause(self) -> timedelta:
         since = self._clock.now() - self._recovered_at
         return self._settings.choose_pause(since < RECOVERY_PERIOD)
--- a/packages/gateway/almonddock_gateway/tests/test_store_following.py
+++ b/packages/gateway/almonddock_gateway/tests/test_store_following.py
@@ -108,6 +108,22 @@
         store = await self.follow(3, TWO, old)
         self.assertEqual(store.calls, ['read', 'watch 6', 'watch 6'])
 
+    async def test_older_snapshot_is_read_again(self) -> None:
+        """A target that has left must not come back.
+
+        After the restart of the watcher that it followed, a host reads
+        everything again, and may ask a watcher that is behind the first one.
+        """
+        older = StoreView([], 3)
+        store = await self.follow(
+            6, ONE, TWO, HistoryLostError('x'), older, TWO
+        )
+        self.assertEqual(
+            store.calls,
+            ['read', 'watch 5', 'watch 6', 'read', 'read', 'watch 6'],
+        )
+        self.assertEqual(self.snapshots, [ONE, TWO])
+
     async def test_store_back_is_called_before_the_snapshot(self) -> None:
         order: list[str] = []
         store = ScriptedStore(StoreLostError('x'), ONE)
