--- a/packages/core/almonddock_core/framing/__init__.py
+++ b/packages/core/almonddock_core/framing/__init__.py
@@ -1,4 +1,4 @@
-"""Length-prefixed frames on a byte stream between two hosts."""
+"""Messages on a byte stream: frames between hosts, sizes of replies."""
 
 from almonddock_core.framing._errors import BadFrameError, OversizedFrameError
 from almonddock_core.framing._framing import (
@@ -6,6 +6,7 @@
     FrameReader,
     add_length_prefix,
 )
+from almonddock_core.framing._replies import is_oversized
 
 __all__ = [
     'BadFrameError',
@@ -13,4 +14,5 @@
     'MAX_FRAME_BYTES',
     'OversizedFrameError',
     'add_length_prefix',
+    'is_oversized',
 ]
--- a/packages/gateway/almonddock_gateway/http/_client_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_client_connection.py
@@ -7,24 +7,12 @@
 
 import httptools
 
+from almonddock_core.framing import is_oversized
 from almonddock_gateway.http._errors import report_error
 from almonddock_gateway.http._messages import Headers
 from almonddock_gateway.http._reply_memory import ReplyMemory
 from almonddock_gateway.http._sockets import set_user_timeout
 
-#: The size limit of all that a server sends for one request; a reply is kept
-#: in memory until it is complete, and a longer one fails.
-MAX_REPLY_BYTES = 0x1000000
-
-#: The size limit of what is not body: heads, interim replies, replies to other
-#: requests, chunk sizes and trailers. A server in trouble may send them without
-#: end, and a complete reply needs a fraction of this.
-MAX_OVERHEAD_BYTES = 0x10000
-
-#: Further overhead allowed for each byte of the body: a chunk of one byte takes
-#: five bytes of framing.
-CHUNK_OVERHEAD = 6
-
 #: How long written bytes may stay unacknowledged before the kernel closes the
 #: connection, in milliseconds; ends connections to unreachable peers.
 USER_TIMEOUT_MS = 2000
@@ -151,7 +139,7 @@
             self.abort()
         if self._handle is None:
             self._memory.release(self)
-        elif self._is_too_long():
+        elif is_oversized(self._received_bytes, self._body_bytes):
             self.abort()
         else:
             self._memory.hold(self, self._received_bytes)
@@ -237,12 +225,6 @@
             if self.usable:
                 self._released(self)
 
-    def _is_too_long(self) -> bool:
-        """Whether the server sends more than any reply takes."""
-        overhead = self._received_bytes - self._body_bytes
-        allowed = MAX_OVERHEAD_BYTES + CHUNK_OVERHEAD * self._body_bytes
-        return overhead > allowed or self._received_bytes > MAX_REPLY_BYTES
-
     def _read_keep_alive(self, reply: HttpReply) -> None:
         stated = reply.find(b'keep-alive')
         if stated is not None and stated.startswith(b'timeout='):
