Let hosts tell each other which targets are slow or fail

Cause: with 78 hosts one host asks a target about every six seconds, the time in which what it learns decays: slow targets are found by each host for itself, late or never.

Change: hosts report the cost of targets that they have observed: followers to their watcher and back with each read of the store, and relaying hosts with merged replies. Relaying hosts also learn from the sub-queries they run, and count them as in flight. What was told is not told on as observed.

--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -51,7 +51,8 @@
         #: Attempts beyond one for each service.
         self.extra_tries = 0
         self._context = context
-        self._latency = context.get_latency(request.route)
+        #: The typical latency of the route's requests to targets.
+        self.latency = context.get_latency(request.route)
         self._branches = [Branch(service) for service in request.services]
         self._attempts = AttemptTracker()
         #: The decisions of this request, for the log.
@@ -219,7 +220,7 @@
         branch.reply = reply
         branch.succeeded = True
         elapsed = reply.elapsed or self._now - attempt.started
-        slowness = self._latency.observe(elapsed.total_seconds())
+        slowness = self.latency.observe(elapsed.total_seconds())
         attempt.target.health.observe_reply(slowness, self._now)
         return [self._cancel(other) for other in tuple(branch.open)]
 
@@ -276,7 +277,7 @@
             attempt.number, AttemptOutcome.CANCELLED, self._now
         )
         elapsed = (self._now - attempt.started).total_seconds()
-        slowness = elapsed / self._latency.seconds
+        slowness = elapsed / self.latency.seconds
         attempt.target.health.observe_cancellation(slowness, self._now)
         return Cancel(attempt.number)
 
--- a/packages/core/almonddock_core/placement/__init__.py
+++ b/packages/core/almonddock_core/placement/__init__.py
@@ -2,7 +2,8 @@
 
 Targets may pause, turn slow, fail part of their requests or stop answering,
 and a query waits for the slowest of all its shards. What a host knows of a
-target's health comes from the replies to its own requests::
+target's health comes from the replies to its own requests, and from what
+other hosts report::
 
     target = choose_target(candidates, 'kyushu-a', now)
 """
--- a/packages/core/almonddock_core/placement/_health.py
+++ b/packages/core/almonddock_core/placement/_health.py
@@ -1,4 +1,4 @@
-"""The health of one target, from the replies to a host's own requests."""
+"""The health of one target, from replies and from what other hosts report."""
 
 import math
 from dataclasses import dataclass
@@ -30,10 +30,18 @@
 #: The cost of a target that fails every request, in typical latencies.
 FAILURE_COST = 6
 
+#: Time constant with which another host's report decays, in seconds: reports
+#: come with replies, and a host of a large deployment gets one in a second.
+REPORT_DECAY_SECONDS = 3
+
+#: Upper limit of a reported cost, in typical latencies: above the cost of a
+#: sound target, below that of one that this host has found failing.
+MAX_REPORTED_COST = 6
+
 
 @dataclass(slots=True)
 class TargetHealth:
-    """Running averages over the requests of this host to one target."""
+    """Running averages over requests to one target, and the last report."""
 
     #: Requests that the target works on at once.
     slots: int
@@ -55,6 +63,11 @@
     reached: timedelta | None = None
     #: When the averages last changed.
     updated: timedelta = timedelta()
+    #: The cost of the target without its queue, in typical latencies, as other
+    #: hosts last reported it.
+    reported_cost: float = 1
+    #: When it was reported.
+    reported: timedelta = timedelta()
 
     def observe_reply(self, slowness: float, now: timedelta) -> None:
         """Records a success and its time relative to the typical one."""
@@ -89,13 +102,54 @@
         self.connection_failures += 1
         self.ejected_until = now + ejection
 
+    def observe_report(self, cost: float, now: timedelta) -> None:
+        """Records the cost that another host has observed.
+
+        A lower one does not replace what is left of a higher one: it may come
+        from a host that asks the target less often.
+        """
+        bounded = min(cost, MAX_REPORTED_COST)
+        self.reported_cost = max(self.decay_report(now), bounded)
+        self.reported = now
+
     def estimate_cost(self, now: timedelta) -> float:
         """Returns the expected wait in typical latencies."""
         decay = self._compute_decay(now)
         slowness = 1 + (self.slowness - 1) * decay
+        slowness = max(slowness, self.decay_report(now))
         queue = 1 + self.in_flight / self.slots
         return slowness * queue + FAILURE_COST * self.failure_share * decay
 
+    def may_cost(self, limit: float, now: timedelta) -> bool:
+        """Whether the cost without the queue may reach a limit.
+
+        Leaves the decay out, so it is cheap and errs towards True.
+        """
+        if self.unreachable or self.ejected_until > now:
+            return True
+        observed = self.slowness + FAILURE_COST * self.failure_share
+        return max(observed, self.reported_cost) >= limit
+
+    def measure_cost(self, now: timedelta) -> float:
+        """Returns the cost by this host's own requests, without the queue."""
+        if self.unreachable or self.ejected_until > now:
+            return MAX_SLOWNESS
+        decay = self._compute_decay(now)
+        cost = (self.slowness - 1) + FAILURE_COST * self.failure_share
+        return 1 + cost * decay
+
+    def estimate_shared_cost(self, now: timedelta) -> float:
+        """Returns the cost by this host's requests and by reports."""
+        return max(self.measure_cost(now), self.decay_report(now))
+
+    def decay_report(self, now: timedelta) -> float:
+        """Returns what is left of the cost that other hosts reported."""
+        if self.reported_cost <= 1:
+            return 1
+        age = (now - self.reported).total_seconds()
+        excess = self.reported_cost - 1
+        return 1 + excess * math.exp(-age / REPORT_DECAY_SECONDS)
+
     def _add_failure(self, now: timedelta) -> None:
         self._apply_decay(now)
         self.failure_share += OBSERVATION_WEIGHT * (1 - self.failure_share)
--- a/packages/core/almonddock_core/routing/__init__.py
+++ b/packages/core/almonddock_core/routing/__init__.py
@@ -8,6 +8,7 @@
     usable = targets.list_usable('parts-desk-01', now)
 """
 
+from almonddock_core.routing._reports import CostReports, Costs
 from almonddock_core.routing._routes import (
     CallerLimits,
     Route,
@@ -27,6 +28,8 @@
 
 __all__ = [
     'CallerLimits',
+    'CostReports',
+    'Costs',
     'KnownTarget',
     'Route',
     'RoutingTable',
--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -110,6 +110,10 @@
             return False
         return known.entry == entry
 
+    def find(self, target_id: str) -> KnownTarget | None:
+        """Returns a target by its id, usable or not."""
+        return self._targets.get(target_id)
+
     def find_usable(
         self,
         target_id: str,
--- a/packages/gateway/almonddock_gateway/controllers/_follower.py
+++ b/packages/gateway/almonddock_gateway/controllers/_follower.py
@@ -14,8 +14,8 @@
 )
 from almonddock_gateway.telemetry import Telemetry
 
-#: The pause between reads before the first answer, which doesn't grow because no
-#: caller is served until then, and after an outdated snapshot.
+#: The pause between reads after an outdated snapshot, and before the first
+#: answer: it doesn't grow, because no caller is served until then.
 START_RETRY_PAUSE = timedelta(milliseconds=100)
 
 #: How long after the first answer, or after an outage, the store may be watched
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -178,6 +178,7 @@
                 threshold=threshold,
                 priority=dispatch.request.route.priority,
                 targets=tuple(send.target.entry.target_id for send in sends),
+                typical_latency=timedelta(seconds=dispatch.latency.seconds),
             ),
         )
 
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -77,7 +77,7 @@
             deps.telemetry,
         )
         #: Answers the store queries of other hosts.
-        self.server = StoreServer(deps.store, self._cache)
+        self.server = StoreServer(deps.store, self._cache, deps.relays.costs)
 
     @property
     def news_time(self) -> timedelta | None:
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -11,7 +11,12 @@
 from almonddock_core.dispatch import DispatchContext, RetryBudget
 from almonddock_core.model import AlmonddockError
 from almonddock_core.placement import ColdStartLimiter
-from almonddock_core.routing import CallerLimits, KnownTarget, TargetTable
+from almonddock_core.routing import (
+    CallerLimits,
+    CostReports,
+    KnownTarget,
+    TargetTable,
+)
 from almonddock_gateway._clock import MonotonicClock
 from almonddock_gateway.admin import build_admin_handler
 from almonddock_gateway.controllers import (
@@ -28,7 +33,7 @@
 from almonddock_gateway.entry._exchange import ExchangeSettings
 from almonddock_gateway.following import FollowingDependencies, StoreFollowing
 from almonddock_gateway.linking import HostLinks
-from almonddock_gateway.relays import RelayRouter, RelaySettings
+from almonddock_gateway.relays import CostExchange, RelayRouter, RelaySettings
 from almonddock_gateway.serving import START_LIMITS, CallerServers
 from almonddock_gateway.settings import GatewaySettings
 from almonddock_gateway.store import Store
@@ -127,7 +132,10 @@
             self._get_connection_limit,
             self._report_reachability,
         )
-        self._relays = RelayRouter(settings.data_centre)
+        self._relays = RelayRouter(
+            settings.data_centre,
+            self._build_cost_exchange(),
+        )
         self._entry = Entry(
             self._state,
             self._context,
@@ -200,6 +208,7 @@
                 self._targets,
                 self._pools,
                 self._clock,
+                self._relays.costs,
             ),
             self._following.server,
             self._hosts,
@@ -273,6 +282,16 @@
             for name, run in loops.items()
         ]
 
+    def _build_cost_exchange(self) -> CostExchange:
+        reports = CostReports(self._targets, self.settings.data_centre)
+        clock = self._clock
+        return CostExchange(
+            record=lambda costs: reports.record(costs, clock.now()),
+            list_observed=lambda: reports.list_observed(clock.now()),
+            list_known=lambda: reports.list_known(clock.now()),
+            list_near=lambda: reports.list_near(clock.now()),
+        )
+
     def _get_limits(self) -> CallerLimits:
         table = self._state.table
         return START_LIMITS if table is None else table.limits
--- a/packages/gateway/almonddock_gateway/links/_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_codec.py
@@ -9,6 +9,7 @@
 import capnp
 
 from almonddock_core.framing import BadFrameError
+from almonddock_gateway.links._cost_codec import read_costs, write_costs
 from almonddock_gateway.links._store_codec import (
     read_store_query,
     read_store_reply,
@@ -35,6 +36,7 @@
 )
 
 US = timedelta(microseconds=1)
+MAX_UINT32 = 0xFFFFFFFF
 
 
 def encode(message: LinkMessage) -> bytes:
@@ -95,6 +97,7 @@
     query.floor = message.threshold
     query.priority = message.priority
     query.targets = message.targets
+    query.typicalLatency = min(MAX_UINT32, message.typical_latency // US)
 
 
 def _read_query(query: Any) -> RelayQuery:
@@ -109,6 +112,7 @@
         threshold=bytes(query.floor),
         priority=query.priority,
         targets=tuple(query.targets),
+        typical_latency=query.typicalLatency * US,
     )
 
 
@@ -121,6 +125,7 @@
     reply.records = message.records
     reply.failedParts = [part for part, _ in message.failures]
     reply.failures = [int(failure) for _, failure in message.failures]
+    write_costs(reply, message.costs)
 
 
 def _read_reply(reply: Any) -> RelayReply:
@@ -138,6 +143,7 @@
                 strict=True,
             )
         ),
+        costs=read_costs(reply),
     )
 
 
--- a/packages/gateway/almonddock_gateway/links/_store_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_store_codec.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import Any
 
+from almonddock_gateway.links._cost_codec import read_costs, write_costs
 from almonddock_gateway.relays import StoreOutcome, StoreQuery, StoreReply
 from almonddock_gateway.store import StoreItem, StoreView
 
@@ -17,6 +18,7 @@
     query.changes = message.after is not None
     query.after = message.after or 0
     query.wait = message.wait // US
+    write_costs(query, message.costs)
 
 
 def read_store_query(query: Any) -> StoreQuery:
@@ -26,6 +28,7 @@
         prefix=query.prefix,
         after=query.after if query.changes else None,
         wait=query.wait * US,
+        costs=read_costs(query),
     )
 
 
@@ -41,6 +44,7 @@
     reply.contents = [item.content or b'' for item in view.items]
     reply.removed = [item.content is None for item in view.items]
     reply.revisions = [item.revision for item in view.items]
+    write_costs(reply, message.costs)
 
 
 def read_store_reply(reply: Any) -> StoreReply:
@@ -60,4 +64,5 @@
         number=reply.number,
         outcome=StoreOutcome(reply.outcome),
         view=StoreView(items, reply.revision, reply.hasMore),
+        costs=read_costs(reply),
     )
--- a/packages/gateway/almonddock_gateway/links/messages.capnp
+++ b/packages/gateway/almonddock_gateway/links/messages.capnp
@@ -29,6 +29,8 @@
   targets @8 :List(Text);
   # Only greater records are wanted; empty if all are.
   floor @9 :Data;
+  # Microseconds in which targets typically answer; 0 if unknown.
+  typicalLatency @10 :UInt32;
 }
 
 struct RelayCancel {
@@ -46,6 +48,9 @@
   records @4 :Data;
   failedParts @5 :List(UInt16);
   failures @6 :List(UInt8);
+  # Slow or failing targets near the sender, with tenths of typical latencies.
+  costlyTargets @7 :List(Text);
+  costs @8 :List(UInt8);
 }
 
 struct StoreQuery {
@@ -56,6 +61,9 @@
   after @3 :UInt64;
   # Microseconds to wait for the first change.
   wait @4 :UInt64;
+  # Slow, failing or unreachable targets, with tenths of typical latencies.
+  costlyTargets @5 :List(Text);
+  costs @6 :List(UInt8);
 }
 
 struct StoreReply {
@@ -68,4 +76,7 @@
   revisions @6 :List(UInt64);
   # Whether the store may have more changes than fit into the answer.
   hasMore @7 :Bool;
+  # Slow, failing or unreachable targets, with tenths of typical latencies.
+  costlyTargets @8 :List(Text);
+  costs @9 :List(UInt8);
 }
--- a/packages/gateway/almonddock_gateway/relays/__init__.py
+++ b/packages/gateway/almonddock_gateway/relays/__init__.py
@@ -24,11 +24,16 @@
     StoreReply,
 )
 from almonddock_gateway.relays._relay import Relay
-from almonddock_gateway.relays._router import LinkDirectory, RelayRouter
+from almonddock_gateway.relays._router import (
+    CostExchange,
+    LinkDirectory,
+    RelayRouter,
+)
 from almonddock_gateway.relays._server import RelayServer, RelaySettings
 from almonddock_gateway.relays._store_cache import StoreCache
 
 __all__ = [
+    'CostExchange',
     'Leaving',
     'LinkDirectory',
     'LinkMessage',
--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -19,7 +19,11 @@
     StoreQuery,
     StoreReply,
 )
-from almonddock_gateway.relays._router import LinkDirectory, RelayRouter
+from almonddock_gateway.relays._router import (
+    CostExchange,
+    LinkDirectory,
+    RelayRouter,
+)
 from almonddock_gateway.relays._store_cache import StoreCache
 from almonddock_gateway.store import (
     HistoryLostError,
@@ -158,12 +162,15 @@
         if links is None or link is None:
             self._note_watcher_lost('no usable link to a watcher')
             return None
-        asked = replace(query, wait=WATCHER_WAIT)
+        costs = self._router.costs
+        asked = replace(query, wait=WATCHER_WAIT, costs=costs.list_observed())
         try:
-            view = await _query_host(links, link, asked, WATCHER_TIMEOUT_S)
+            reply = await _query_host(links, link, asked, WATCHER_TIMEOUT_S)
+            view = _read_view(reply)
         except StoreLostError as lost:
             self._note_watcher_lost(lost.message)
             return None
+        costs.record(reply.costs)
         if self.source is not ReadSource.WATCHER:
             self.source = ReadSource.WATCHER
             self._telemetry.log_event('store_followed_by_watcher')
@@ -179,7 +186,7 @@
         link = links.find_any_link() if links is not None else None
         if links is None or link is None:
             raise StoreLostError('no usable link to another host')
-        return await _query_host(links, link, query, PEER_TIMEOUT_S)
+        return _read_view(await _query_host(links, link, query, PEER_TIMEOUT_S))
 
 
 async def _query_host(
@@ -187,7 +194,7 @@
     link: MessageLink,
     query: StoreQuery,
     timeout_s: float,
-) -> StoreView:
+) -> StoreReply:
     """Returns another host's answer; the timeout starts after the wait."""
     numbered = replace(query, number=links.allocate_number())
     answered: asyncio.Future[LinkMessage | None] = (
@@ -206,21 +213,34 @@
         raise StoreLostError('another host did not answer in time') from late
     finally:
         links.forget(link, numbered.number)
-    return _read_view(reply)
+    if not isinstance(reply, StoreReply):
+        raise StoreLostError('the link to another host was lost')
+    return reply
 
 
 class StoreServer:
     """Reads the store for other hosts."""
 
-    def __init__(self, store: Store, cache: StoreCache) -> None:
-        """Answers from ``cache`` if it is fresh, else from ``store``."""
+    def __init__(
+        self,
+        store: Store,
+        cache: StoreCache,
+        costs: CostExchange | None = None,
+    ) -> None:
+        """Answers from ``cache`` if it is fresh, else from ``store``.
+
+        Gathers in ``costs`` what the hosts that ask have observed of targets,
+        and tells them what the others have.
+        """
         self._store = store
         self._cache = cache
+        self._costs = CostExchange() if costs is None else costs
         self._tasks: set[asyncio.Task[None]] = set()
 
     def receive(self, link: MessageLink, message: LinkMessage) -> None:
         """Answers store queries; ignores other messages."""
         if isinstance(message, StoreQuery):
+            self._costs.record(message.costs)
             task = asyncio.create_task(self._answer(link, message))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -235,7 +255,8 @@
             outcome = StoreOutcome.LOST
         except HistoryLostError:
             outcome = StoreOutcome.HISTORY_LOST
-        link.send(StoreReply(query.number, outcome, view))
+        costs = self._costs.list_known()
+        link.send(StoreReply(query.number, outcome, view, costs))
 
     async def _read(self, query: StoreQuery) -> StoreView:
         if self._cache.is_fresh() and query.prefix == self._cache.prefix:
@@ -245,9 +266,7 @@
         return await self._store.watch(query.prefix, query.after, query.wait)
 
 
-def _read_view(reply: LinkMessage | None) -> StoreView:
-    if not isinstance(reply, StoreReply):
-        raise StoreLostError('the link to another host was lost')
+def _read_view(reply: StoreReply) -> StoreView:
     if reply.outcome is StoreOutcome.LOST:
         raise StoreLostError('another host got no answer from the store either')
     if reply.outcome is StoreOutcome.HISTORY_LOST:
--- a/packages/gateway/almonddock_gateway/relays/_messages.py
+++ b/packages/gateway/almonddock_gateway/relays/_messages.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Protocol
 
+from almonddock_core.routing import Costs
 from almonddock_gateway.store import StoreView
 
 
@@ -68,6 +69,8 @@
     priority: int
     #: The ids of the targets, one for each part.
     targets: tuple[str, ...]
+    #: The typical time in which targets answer such requests; 0 if unknown.
+    typical_latency: timedelta = timedelta()
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +94,9 @@
     #: threshold and the earlier replies to it rule out.
     records: bytes
     failures: tuple[tuple[int, PartFailure], ...]
+    #: What the sender knows of costly targets of its data centre; empty if it
+    #: has sent the same over this link before.
+    costs: Costs = ()
 
 
 class StoreOutcome(enum.IntEnum):
@@ -115,6 +121,8 @@
     after: int | None
     #: How long to wait for the first change.
     wait: timedelta
+    #: The costs of targets that the sender has observed itself.
+    costs: Costs = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +132,8 @@
     number: int
     outcome: StoreOutcome
     view: StoreView
+    #: The costs of targets that hosts of the data centre have observed.
+    costs: Costs = ()
 
 
 class MessageLink(Protocol):
--- a/packages/gateway/almonddock_gateway/relays/_relay.py
+++ b/packages/gateway/almonddock_gateway/relays/_relay.py
@@ -39,6 +39,7 @@
         self._link = link
         self._attempts = attempts
         self._receive = receive
+        self._record_costs = router.costs.record
         #: Parts without an outcome yet.
         self._pending = dict(enumerate(attempts))
         self._cancelled: list[int] = []
@@ -75,6 +76,7 @@
             self._pending = {}
             self._receive([(attempt, Failure.LOST) for attempt in lost])
             return
+        self._record_costs(reply.costs)
         outcomes = self._read_parts(reply)
         for part, failure in reply.failures:
             outcomes.append((self._attempts[part], _read_failure(failure)))
--- a/packages/gateway/almonddock_gateway/relays/_router.py
+++ b/packages/gateway/almonddock_gateway/relays/_router.py
@@ -2,9 +2,11 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
 from almonddock_core.dispatch import Action, Send
+from almonddock_core.routing import Costs
 from almonddock_gateway.relays._messages import (
     LinkMessage,
     MessageLink,
@@ -15,6 +17,20 @@
 HandleReply = Callable[[LinkMessage | None], None]
 
 
+@dataclass(frozen=True, slots=True)
+class CostExchange:
+    """Records and lists the costs of targets that travel with messages.
+
+    The fields are the methods of :class:`~almonddock_core.routing.CostReports`
+    at the current time.
+    """
+
+    record: Callable[[Costs], None] = lambda costs: None
+    list_observed: Callable[[], Costs] = tuple
+    list_known: Callable[[], Costs] = tuple
+    list_near: Callable[[], Costs] = tuple
+
+
 class LinkDirectory(Protocol):
     """The open links to other hosts, and the queries sent over them."""
 
@@ -63,9 +79,15 @@
 class RelayRouter:
     """Groups sub-queries by the link to their data centre."""
 
-    def __init__(self, data_centre: str) -> None:
+    def __init__(
+        self,
+        data_centre: str,
+        costs: CostExchange | None = None,
+    ) -> None:
         #: The links to other hosts; None until they are opened.
         self.links: LinkDirectory | None = None
+        #: For the costs of targets that travel with messages.
+        self.costs = CostExchange() if costs is None else costs
         self._data_centre = data_centre
 
     def group(
--- a/packages/gateway/almonddock_gateway/relays/_server.py
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -12,7 +12,7 @@
     merge_records,
 )
 from almonddock_core.model import Clock
-from almonddock_core.routing import TargetTable
+from almonddock_core.routing import Costs, KnownTarget, TargetTable
 from almonddock_gateway.http import HttpReply, ReplyMatch
 from almonddock_gateway.relays._messages import (
     LinkMessage,
@@ -22,6 +22,7 @@
     RelayQuery,
     RelayReply,
 )
+from almonddock_gateway.relays._router import CostExchange
 from almonddock_gateway.settings import HeaderNames
 from almonddock_gateway.targets import (
     TargetAttempt,
@@ -46,6 +47,43 @@
     targets: TargetTable
     pools: TargetPools
     clock: Clock
+    costs: CostExchange = field(default_factory=CostExchange)
+
+
+@dataclass(slots=True)
+class _Part:
+    """One sub-query, with what this host learns of its target by it."""
+
+    target: KnownTarget
+    pool: TargetPool
+    #: When it was handed to the pool, or sent.
+    started: timedelta
+    typical_latency: timedelta
+    attempt: TargetAttempt | None = None
+
+    def begin(self) -> None:
+        """Counts the sub-query as in flight."""
+        self.target.health.in_flight += 1
+
+    def end(
+        self, outcome: TargetReply | Failure | None, now: timedelta
+    ) -> None:
+        """Records an outcome; None if the sub-query was cancelled."""
+        health = self.target.health
+        health.in_flight -= 1
+        slowness = 1.0
+        if self.typical_latency:
+            slowness = (now - self.started) / self.typical_latency
+        if outcome is None:
+            health.observe_cancellation(slowness, now)
+        elif isinstance(outcome, Failure):
+            health.observe_connection_failure(now)
+        elif outcome.kind is ReplyKind.SUCCESS:
+            health.observe_reply(slowness, now)
+        else:
+            health.observe_failure(now)
+            if outcome.kind is ReplyKind.MISDIRECTED:
+                self.target.replaced = True
 
 
 @dataclass(slots=True)
@@ -56,9 +94,7 @@
     query: RelayQuery
     arrived: timedelta
     #: Parts without an outcome yet.
-    pending: dict[int, tuple[TargetPool, TargetAttempt]] = field(
-        default_factory=dict,
-    )
+    pending: dict[int, _Part] = field(default_factory=dict)
     #: Outcomes that are not sent yet.
     replies: dict[int, tuple[TargetReply, timedelta]] = field(
         default_factory=dict,
@@ -88,6 +124,8 @@
         self._settings = settings
         self._running: dict[tuple[MessageLink, int], _RelayedQuery] = {}
         self._alive_at = settings.clock.now()
+        #: The costs that were last sent over each link.
+        self._sent_costs: dict[MessageLink, Costs] = {}
 
     def record_alive(self) -> None:
         """Records that this host runs; called a few times within a stall."""
@@ -107,6 +145,7 @@
 
     def forget(self, link: MessageLink) -> None:
         """Cancels the queries of a host whose link has closed."""
+        self._sent_costs.pop(link, None)
         for key, relayed in tuple(self._running.items()):
             if relayed.link is link:
                 self._cancel(relayed, tuple(relayed.pending))
@@ -143,11 +182,12 @@
             return
         query = relayed.query
         give_up = relayed.arrived + query.remaining
-        sent_at = [now]
+        pool = settings.pools.get(target)
+        sub_query = _Part(target, pool, now, query.typical_latency)
 
         def encode() -> bytes:
-            sent_at[0] = settings.clock.now()
-            left = give_up - sent_at[0]
+            sub_query.started = settings.clock.now()
+            left = give_up - sub_query.started
             head = format_attempt(query.head, target_id, left, settings.names)
             return head + query.body
 
@@ -155,20 +195,12 @@
             reply = read_reply(raw, query.attempt_id, settings.names)
             if reply is None:
                 return ReplyMatch.FOREIGN
-            self._record_reply(
-                relayed, part, reply, settings.clock.now() - sent_at[0]
-            )
+            self._record_reply(relayed, part, reply)
             return ReplyMatch.ACCEPTED
 
         def fail(failure: Failure) -> None:
-            lost = failure is Failure.LOST
-            self._record_failure(
-                relayed,
-                part,
-                PartFailure.LOST if lost else PartFailure.UNSENT,
-            )
+            self._record_failure(relayed, part, failure)
 
-        pool = settings.pools.get(target)
         attempt = TargetAttempt(
             encode,
             receive,
@@ -176,7 +208,9 @@
             fresh_only=False,
             priority=query.priority,
         )
-        relayed.pending[part] = (pool, attempt)
+        sub_query.attempt = attempt
+        sub_query.begin()
+        relayed.pending[part] = sub_query
         pool.submit(attempt)
 
     def _record_reply(
@@ -184,12 +218,14 @@
         relayed: _RelayedQuery,
         part: int,
         reply: TargetReply,
-        elapsed: timedelta,
     ) -> None:
-        if relayed.pending.pop(part, None) is None:
+        sub_query = relayed.pending.pop(part, None)
+        if sub_query is None:
             return
+        now = self._settings.clock.now()
+        sub_query.end(reply, now)
         if reply.kind is ReplyKind.SUCCESS:
-            relayed.replies[part] = (reply, elapsed)
+            relayed.replies[part] = (reply, now - sub_query.started)
         else:
             relayed.failures.append((part, PartFailure[reply.kind.name]))
         self._send_if_due(relayed)
@@ -198,20 +234,22 @@
         self,
         relayed: _RelayedQuery,
         part: int,
-        failure: PartFailure,
+        failure: Failure,
     ) -> None:
-        if relayed.pending.pop(part, None) is not None:
-            relayed.failures.append((part, failure))
+        sub_query = relayed.pending.pop(part, None)
+        if sub_query is not None:
+            sub_query.end(failure, self._settings.clock.now())
+            relayed.failures.append((part, PartFailure[failure.name]))
             self._send_if_due(relayed)
 
     def _cancel(self, relayed: _RelayedQuery, parts: tuple[int, ...]) -> None:
         """Cancels parts, and drops their replies that are not sent yet."""
         for part in parts:
             relayed.replies.pop(part, None)
-            found = relayed.pending.pop(part, None)
-            if found is not None:
-                pool, attempt = found
-                pool.cancel(attempt)
+            sub_query = relayed.pending.pop(part, None)
+            if sub_query is not None and sub_query.attempt is not None:
+                sub_query.end(None, self._settings.clock.now())
+                sub_query.pool.cancel(sub_query.attempt)
         self._send_if_due(relayed)
 
     def _flush(self, relayed: _RelayedQuery) -> None:
@@ -243,11 +281,20 @@
                 elapsed=tuple(elapsed for _, elapsed in replies.values()),
                 records=relayed.merge(),
                 failures=tuple(relayed.failures),
+                costs=self._list_new_costs(relayed.link),
             ),
         )
         relayed.replies = {}
         relayed.failures = []
 
+    def _list_new_costs(self, link: MessageLink) -> Costs:
+        """Returns the costs to send, none if the link has carried them."""
+        costs = self._settings.costs.list_near()
+        if self._sent_costs.get(link) is costs:
+            return ()
+        self._sent_costs[link] = costs
+        return costs
+
 
 def _refuse(link: MessageLink, query: RelayQuery) -> None:
     """Reports that no part of a query was sent to its target."""
--- a/packages/gateway/almonddock_gateway/tests/test_link_codec.py
+++ b/packages/gateway/almonddock_gateway/tests/test_link_codec.py
@@ -1,6 +1,7 @@
 """Tests of encoding and decoding link messages."""
 
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 
 from almonddock_core.framing import BadFrameError
@@ -38,9 +39,11 @@
                 (3 * MS, 4 * MS),
                 b'records',
                 ((1, PartFailure.REFUSED),),
+                costs=(('t1', 1.5), ('t2', 12.0)),
             ),
+            replace(make_query('t1'), typical_latency=25 * MS),
             StoreQuery(1, 'prefix/', None, timedelta()),
-            StoreQuery(1, 'prefix/', 0, 3000 * MS),
+            StoreQuery(1, 'prefix/', 0, 3000 * MS, costs=(('t1', 3.0),)),
             StoreReply(
                 1,
                 StoreOutcome.ANSWERED,
@@ -49,6 +52,7 @@
                     9,
                     has_more=True,
                 ),
+                costs=(('t1', 3.0),),
             ),
         ):
             with self.subTest(message=message):
--- a/packages/gateway/almonddock_gateway/tests/test_relays.py
+++ b/packages/gateway/almonddock_gateway/tests/test_relays.py
@@ -1,6 +1,7 @@
 """Tests of queries relayed through another host."""
 
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 
 from almonddock_core.dispatch import (
@@ -10,9 +11,10 @@
     TargetReply,
 )
 from almonddock_core.model import ManualClock
-from almonddock_core.routing import TargetTable
+from almonddock_core.routing import Costs, TargetTable
 from almonddock_core.tests.dispatch_cases import THERE, make_entry
 from almonddock_gateway.relays import (
+    CostExchange,
     PartFailure,
     Relay,
     RelayCancel,
@@ -38,10 +40,13 @@
         self.targets = TargetTable()
         for number in range(3):
             self.targets.put(make_entry(f't{number}'), self.clock.now())
+        self.make_server(CostExchange())
+        self.link = FakeLink()
+
+    def make_server(self, costs: CostExchange) -> None:
         self.server = RelayServer(
-            RelaySettings(NAMES, self.targets, self.pools, self.clock),
+            RelaySettings(NAMES, self.targets, self.pools, self.clock, costs),
         )
-        self.link = FakeLink()
 
     def start(self, *targets: str) -> None:
         self.server.receive(self.link, make_query(*targets))
@@ -78,6 +83,37 @@
         self.start('t0')
         self.assertEqual(len(self.pool.attempts), 1)
 
+    async def test_costs_of_targets_near_are_sent_once(self) -> None:
+        """Every reply would carry them otherwise, several a second."""
+        near: list[Costs] = [(('t9', 4.0),), (('t8', 3.0),)]
+        self.make_server(CostExchange(list_near=lambda: near[0]))
+        for _ in range(2):
+            self.start('t0')
+            self.pool.reply(-1, b'a' * 16)
+        near.pop(0)
+        self.start('t0')
+        self.pool.reply(-1, b'a' * 16)
+        sent = [reply.costs for reply in self.get_replies()]
+        self.assertEqual(sent, [(('t9', 4.0),), (), (('t8', 3.0),)])
+
+    async def test_relayed_requests_show_the_health_of_targets(self) -> None:
+        """The host near a target sees more of its requests than any other."""
+        query = make_query('t0', 't1', 't2')
+        query = replace(query, typical_latency=20 * MS)
+        self.server.receive(self.link, query)
+        health = [target.health for target in self.targets.list_all()]
+        self.assertEqual([one.in_flight for one in health], [1, 1, 1])
+        self.clock.advance(160 * MS)
+        self.pool.reply(0, b'a' * 16)
+        self.pool.attempts[1].fail(Failure.LOST)
+        self.server.forget(self.link)
+        now = self.clock.now()
+        slow, failed, cancelled = health
+        self.assertEqual([one.in_flight for one in health], [0, 0, 0])
+        self.assertAlmostEqual(slow.measure_cost(now), 1 + 0.3 * 7)
+        self.assertGreater(failed.ejected_until, now)
+        self.assertGreater(cancelled.measure_cost(now), 3)
+
     async def test_records_that_are_not_needed_are_left_out(self) -> None:
         """A late shard sends only records that can still enter the answer."""
         self.server.receive(
