Report nothing of a data centre from which this host seems cut off

Cause: a host that is cut off finds all targets of a data centre unreachable. The hosts that get its report doubt it only if it names three quarters of that data centre, and it names 256 targets at most: of 500 it would be believed.

Change: the reporting host leaves such a data centre out itself. The class of a relayed sub-query is named so.

test_host_that_is_cut_off_tells_nothing_of_that_data_centre failed before (256 targets told).

--- a/packages/core/almonddock_core/routing/_reports.py
+++ b/packages/core/almonddock_core/routing/_reports.py
@@ -84,11 +84,31 @@
             return
         self._refresh(now)
         for place, reported in by_data_centre.items():
-            credible = max(1, self._sizes[place] * MAX_REPORTED_SHARE)
-            if len(reported) > credible:
-                continue
-            for target, cost in reported:
-                target.health.observe_report(cost, now)
+            if self._is_credible(place, len(reported)):
+                for target, cost in reported:
+                    target.health.observe_report(cost, now)
+
+    def _is_credible(self, data_centre: str, costly: int) -> bool:
+        """Whether so many targets of a data centre may be costly at once."""
+        limit = max(1, self._sizes[data_centre] * MAX_REPORTED_SHARE)
+        return costly <= limit
+
+    def _drop_incredible(
+        self, costly: Sequence[KnownTarget]
+    ) -> list[KnownTarget]:
+        """Leaves out data centres from which this host seems cut off.
+
+        The hosts that get the report could not tell: it names some targets of
+        a large data centre only.
+        """
+        counts = Counter(target.entry.data_centre for target in costly)
+        return [
+            target
+            for target in costly
+            if self._is_credible(
+                target.entry.data_centre, counts[target.entry.data_centre]
+            )
+        ]
 
     def _refresh(self, now: timedelta) -> None:
         refreshed = self._refreshed
@@ -97,11 +117,13 @@
         self._refreshed = now
         targets = self._targets.list_all()
         self._sizes = Counter(target.entry.data_centre for target in targets)
-        costly = [
-            target
-            for target in targets
-            if target.health.may_cost(REPORTED_COST, now)
-        ]
+        costly = self._drop_incredible(
+            [
+                target
+                for target in targets
+                if target.health.may_cost(REPORTED_COST, now)
+            ]
+        )
         near = [
             target
             for target in costly
--- a/packages/core/almonddock_core/tests/test_shared_costs.py
+++ b/packages/core/almonddock_core/tests/test_shared_costs.py
@@ -227,6 +227,20 @@
         self.reports.record([*cut_off, ('t0', 5)], timedelta())
         self.assertEqual(self.list_known(), ['t0'])
 
+    def test_host_that_is_cut_off_tells_nothing_of_that_data_centre(
+        self,
+    ) -> None:
+        """Its report would name 256 targets, too few to be doubted."""
+        for number in range(500):
+            entry = make_entry(f'u{number}', data_centre=THERE)
+            self.table.put(entry, timedelta())
+        for target in self.table.list_all():
+            if target.entry.data_centre == THERE:
+                target.health.unreachable = True
+        self.get_target(0).health.unreachable = True
+        observed = [name for name, _ in self.reports.list_observed(SECOND)]
+        self.assertEqual(observed, ['t0'])
+
     def test_target_that_this_host_found_failing_stays_the_last_choice(
         self,
     ) -> None:
@@ -244,7 +258,7 @@
 
     def test_costliest_targets_are_told_first(self) -> None:
         """A report is bounded: hosts send one with every read."""
-        for number in range(400):
+        for number in range(600):
             self.table.put(make_entry(f'u{number}'), timedelta())
         costs = [(f'u{number}', 2 + number % 7 / 2) for number in range(400)]
         for start in (0, 200):
--- a/packages/gateway/almonddock_gateway/relays/_server.py
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -51,7 +51,7 @@
 
 
 @dataclass(slots=True)
-class _Part:
+class _SubQuery:
     """One sub-query, with what this host learns of its target by it."""
 
     target: KnownTarget
@@ -94,7 +94,7 @@
     query: RelayQuery
     arrived: timedelta
     #: Parts without an outcome yet.
-    pending: dict[int, _Part] = field(default_factory=dict)
+    pending: dict[int, _SubQuery] = field(default_factory=dict)
     #: Outcomes that are not sent yet.
     replies: dict[int, tuple[TargetReply, timedelta]] = field(
         default_factory=dict,
@@ -183,7 +183,7 @@
         query = relayed.query
         give_up = relayed.arrived + query.remaining
         pool = settings.pools.get(target)
-        sub_query = _Part(target, pool, now, query.typical_latency)
+        sub_query = _SubQuery(target, pool, now, query.typical_latency)
 
         def encode() -> bytes:
             sub_query.started = settings.clock.now()
