--- a/soak/injector.py
+++ b/soak/injector.py
@@ -22,6 +22,10 @@
 LINK_DELAY_S = 0.1
 TARGET_DELAY_S = 0.25
 
+#: How long after a reply its copy is sent, in seconds: the connection has then
+#: carried other requests, or waits for the reply to one.
+LATE_COPY_S = 0.05
+
 #: The pause after each configuration version and between checks of the store,
 #: in seconds, and the number of versions in a series.
 SERIES_PAUSE_S = 0.25
@@ -57,6 +61,9 @@
         FaultKind.TARGET_RESET: UNIMPAIRED,
         FaultKind.TARGET_DOUBLE: PathImpairment(doubled=True),
         FaultKind.TARGET_CUT: PathImpairment(cut=True),
+        FaultKind.TARGET_HALF_HEAD: PathImpairment(half_head=True),
+        FaultKind.TARGET_LATE_COPY: PathImpairment(copy_after_s=LATE_COPY_S),
+        FaultKind.TARGET_ENDLESS: PathImpairment(endless=True),
     },
 )
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -11,6 +11,12 @@
 #: ``SO_LINGER`` with a zero timeout: closing the socket sends a reset.
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
+END_OF_HEAD = b'\r\n\r\n'
+
+#: Bytes that are no reply, and the pause between two writes of them.
+FILLER = b'x' * 65_536
+FILLER_INTERVAL_S = 0.002
+
 
 @dataclass(frozen=True, slots=True)
 class PathImpairment:
@@ -29,6 +35,14 @@
     #: Whether only half of the next chunk that the server sends is forwarded,
     #: followed by a reset of the connection.
     cut: bool = False
+    #: Whether the next chunk that the server sends ends in the middle of the
+    #: head of its reply, where the connection is closed without a reset.
+    half_head: bool = False
+    #: How long after a chunk of the server a copy of it is sent, in seconds; 0
+    #: for no copy.
+    copy_after_s: float = 0
+    #: Whether a chunk that the server sends is followed by bytes without end.
+    endless: bool = False
 
 
 UNIMPAIRED = PathImpairment()
@@ -87,6 +101,16 @@
         if self._transport is not None:
             self._transport.write(sent)
 
+    def send_endlessly(self) -> None:
+        """Writes filler as fast as this end reads, until it closes."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if transport.get_write_buffer_size() < len(FILLER):
+            transport.write(FILLER)
+        loop = asyncio.get_running_loop()
+        loop.call_later(FILLER_INTERVAL_S, self.send_endlessly)
+
     def reset(self) -> None:
         """Closes this end with a reset."""
         transport = self._transport
@@ -111,10 +135,19 @@
             self.peer.reset()
             self.reset()
             return
+        peer = self.peer
+        if self._is_server and impairment.half_head:
+            peer.write(received[: max(0, received.find(END_OF_HEAD)) // 2])
+            peer.close()
+            return
         if self._is_server and impairment.doubled:
             received += received
-        peer = self.peer
         self._call_in_order(lambda: peer.write(received))
+        if self._is_server and impairment.copy_after_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(impairment.copy_after_s, peer.write, received)
+        if self._is_server and impairment.endless:
+            peer.send_endlessly()
 
     def _call_in_order(self, call: Callable[[], None]) -> None:
         """Makes a call after the delay, and not before any earlier call."""
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -2,7 +2,7 @@
 
 import enum
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 from datetime import timedelta
 from types import MappingProxyType
@@ -39,6 +39,9 @@
     TARGET_RESET = 'connections to a target reset'
     TARGET_DOUBLE = 'target sends replies twice'
     TARGET_CUT = 'replies of a target cut short'
+    TARGET_HALF_HEAD = 'replies of a target end in their heads'
+    TARGET_LATE_COPY = 'target sends replies again, later'
+    TARGET_ENDLESS = 'bytes without end after replies of a target'
     TARGET_FAULTY = 'target fails requests'
     TARGET_LOSING = 'target runs requests and loses the replies'
     TARGET_CRASH = 'target crashes'
@@ -77,6 +80,16 @@
     },
 )
 
+#: Kinds that are drawn apart from the others, so that the faults of seeds that
+#: once found something stay the same.
+LATER_KINDS = frozenset(
+    (
+        FaultKind.TARGET_HALF_HEAD,
+        FaultKind.TARGET_LATE_COPY,
+        FaultKind.TARGET_ENDLESS,
+    ),
+)
+
 #: The longest duration that is drawn for a fault, in seconds. It is then
 #: shortened to the rest of the fault time.
 MAX_DURATION_S = 6.0
@@ -105,7 +118,6 @@
     ``targets`` is the number of targets; no fault starts before ``start``.
     Faults may overlap, and some are repeated on the same subject.
     """
-    rng = random.Random(settings.seed)
     subject_counts = MappingProxyType(
         {
             'HOST': settings.hosts,
@@ -118,29 +130,53 @@
     )
     named = [FaultKind[name] for name in settings.kinds]
     kinds = named or tuple(FaultKind)
-    weights = [WEIGHTS.get(kind, 1) for kind in kinds]
+    first = [kind for kind in kinds if kind not in LATER_KINDS]
+    later = [kind for kind in kinds if kind in LATER_KINDS]
     total = settings.fault_time.total_seconds()
+    count = round(total * settings.fault_rate)
     faults: list[Fault] = []
-    for _ in range(round(total * settings.fault_rate)):
+    if first:
+        rng = random.Random(settings.seed)
+        faults.extend(_draw(first, count, total, subject_counts, rng))
+        count = round(count * len(later) / len(first))
+    if later:
+        rng = random.Random(f'{settings.seed} later kinds')
+        faults.extend(_draw(later, count, total, subject_counts, rng))
+    moved = (replace(fault, at=start + fault.at) for fault in faults)
+    return sorted(moved, key=lambda fault: fault.at)
+
+
+def _draw(
+    kinds: Sequence[FaultKind],
+    count: int,
+    total_s: float,
+    subject_counts: Mapping[str, int],
+    rng: random.Random,
+) -> Iterator[Fault]:
+    """Yields faults and their repetitions, at times since the first may start.
+
+    ``total_s`` is the fault time in seconds; ``subject_counts`` holds the
+    number of subjects by the first word of a kind.
+    """
+    weights = [WEIGHTS.get(kind, 1) for kind in kinds]
+    for _ in range(count):
         kind = rng.choices(kinds, weights)[0]
-        at = rng.uniform(0, total)
-        count = subject_counts.get(kind.name.split('_')[0], 1)
-        subject = rng.randrange(count)
+        at = rng.uniform(0, total_s)
+        subject = rng.randrange(subject_counts.get(kind.name.split('_')[0], 1))
         duration_s = min(
-            rng.uniform(MIN_DURATION_S, MAX_DURATION_S), total - at
+            rng.uniform(MIN_DURATION_S, MAX_DURATION_S), total_s - at
         )
         fault = Fault(
-            start + timedelta(seconds=at),
+            timedelta(seconds=at),
             kind,
             subject,
             timedelta(seconds=max(duration_s, 0)),
         )
         if kind is FaultKind.DATA_CENTRE_OUT:
             fault = replace(fault, duration=fault.duration + MIN_DRAINED_TIME)
-        faults.append(fault)
+        yield fault
         if rng.random() < REPEAT_SHARE:
-            faults.append(_repeat(fault, rng.random))
-    return sorted(faults, key=lambda fault: fault.at)
+            yield _repeat(fault, rng.random)
 
 
 def _repeat(fault: Fault, draw: Callable[[], float]) -> Fault:
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -5,7 +5,7 @@
 
 from almonddock_gateway.settings import Address
 from almonddock_platform.tests.standins import LOOPBACK
-from soak.proxy import SILENT, UNIMPAIRED, PathImpairment, Proxy
+from soak.proxy import FILLER, SILENT, UNIMPAIRED, PathImpairment, Proxy
 
 #: A timeout that also holds on a busy machine.
 TIMEOUT_S = 10
@@ -63,6 +63,26 @@
         ):
             await self.ask(PathImpairment(cut=True))
 
+    async def test_replies_end_in_their_heads(self) -> None:
+        reader, writer = await asyncio.open_connection(
+            self.address.host,
+            self.address.port,
+        )
+        self.addCleanup(writer.close)
+        self.proxy.impairment = PathImpairment(half_head=True)
+        writer.write(b'HTTP/1.1 200 OK\r\n\r\nrecords')
+        async with asyncio.timeout(TIMEOUT_S):
+            self.assertEqual(await reader.read(), b'HTTP/1.')
+
+    async def test_copies_of_replies_follow_them(self) -> None:
+        copied = await self.ask(PathImpairment(copy_after_s=0.05), 8)
+        self.assertEqual(copied, b'cdefcdef')
+
+    async def test_bytes_without_end_follow_replies(self) -> None:
+        length = 4 * len(FILLER)
+        received = await self.ask(PathImpairment(endless=True), length)
+        self.assertEqual(received[:5], b'cdefx')
+
     async def test_silent_paths_pass_nothing_on(self) -> None:
         for impairment in (
             SILENT,
--- a/soak/tests/test_schedule.py
+++ b/soak/tests/test_schedule.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from soak.regressions import load_cases
-from soak.schedule import FaultKind, draw_schedule
+from soak.schedule import LATER_KINDS, FaultKind, draw_schedule
 from soak.settings import SoakSettings
 
 TARGETS = 20
@@ -34,6 +34,17 @@
         kinds = {fault.kind for fault in faults}
         self.assertEqual(kinds, {FaultKind.HOST_KILL, FaultKind.STORE_DOWN})
 
+    def test_later_kinds_leave_the_other_faults_of_a_seed_alone(self) -> None:
+        settings = SoakSettings(seed=502)
+        faults = draw_schedule(settings, TARGETS, START)
+        others = [one for one in faults if one.kind not in LATER_KINDS]
+        self.assertLess(len(others), len(faults))
+        kinds = tuple(
+            kind.name for kind in FaultKind if kind not in LATER_KINDS
+        )
+        alone = SoakSettings(seed=502, kinds=kinds)
+        self.assertEqual(draw_schedule(alone, TARGETS, START), others)
+
     def test_regressions_name_their_causes(self) -> None:
         cases = load_cases()
         self.assertTrue(cases)
