Keep hedges due when replies are read before their timer

Cause: the wake-up of a dispatch left out times that were past. A reply read after a hedge was due and before its timer ran, which is usual with 90 replies around that time, set the timer to the answer with shards missing: hedges went out at 37.8 ms of a goal of 44 ms instead of 13.3, or never.

Change: the hedge of an attempt stays due until a tick has handled it.

Ruled out: shards whose other replica is slow too (the targets of the late hedges were sound); a hedge budget that is spent (none was refused).

test_reply_after_the_hedge_was_due_leaves_it_due failed before (85 ms for 31).

--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -68,14 +68,16 @@
         wakes = [timing.give_up_at]
         if self.request.route.shards:
             wakes.extend((timing.partial_from, timing.late_partial_from))
-        oldest = self._attempts.find_unhedged()
-        if oldest is not None:
-            wakes.append(oldest.started + timing.hedge_after)
         now = self._now
-        return min(
+        wake_at = min(
             (wake for wake in wakes if wake > now),
             default=timing.give_up_at,
         )
+        oldest = self._attempts.find_unhedged()
+        if oldest is None:
+            return wake_at
+        # Stays due until a tick: replies may be read before it runs.
+        return min(wake_at, oldest.started + timing.hedge_after)
 
     def start(self, now: timedelta) -> list[Action]:
         """Sends the first attempt of every branch."""
--- a/packages/core/almonddock_core/tests/test_dispatch.py
+++ b/packages/core/almonddock_core/tests/test_dispatch.py
@@ -185,6 +185,21 @@
         self.assertEqual(answer.missing, ('desk-3',))
         self.assertEqual(case.list_cancelled(), [3])
 
+    def test_reply_after_the_hedge_was_due_leaves_it_due(self) -> None:
+        """The reply was read before the timer of the hedge ran.
+
+        The next wake-up was then the one for the answer with shards missing,
+        so the hedge went out too late to be of use.
+        """
+        case = self.make_case().start()
+        for attempt in range(3):
+            case.now = (31 + attempt) * MS
+            case.reply(attempt)
+            self.assertLessEqual(case.dispatch.wake_at, case.now)
+        case.actions.extend(case.dispatch.tick(case.now))
+        self.assertEqual(case.list_sent()[4:], ['desk-3/1'])
+        self.assertGreater(case.dispatch.wake_at, case.now)
+
     def make_remote_case(self, shards: int) -> DispatchCase:
         """Returns a query whose targets are all in other data centres."""
         case = DispatchCase(make_route(shards=shards), replicas=0)
