Stop hedges at services where they stay unanswered

Change: a host that saw most of its hedges at a service end without a reply sends one in two seconds there. The request's log line names such services.

A linter finding in a test of the daemon is mended with it.

--- a/packages/cli/almonddock_cli/_causes.py
+++ b/packages/cli/almonddock_cli/_causes.py
@@ -170,7 +170,7 @@
     waited = ', '.join(
         f'{target} ({service})' for service, target in end['unanswered']
     )
-    return f'its time ended while it waited for {waited}{_format_budget(end)}'
+    return f'its time ended while it waited for {waited}{_format_limits(end)}'
 
 
 def _explain_partial(
@@ -180,7 +180,7 @@
     missing = ', '.join(end['missing'])
     return (
         f'it was answered after {end["elapsed_ms"]} ms without {missing}, '
-        f'whose targets were late, failed or gone{_format_budget(end)}'
+        f'whose targets were late, failed or gone{_format_limits(end)}'
     )
 
 
@@ -203,15 +203,21 @@
     slow = f': {_format_tries(tries)}' if tries else ''
     return (
         f'it was answered late, after {elapsed} ms for a goal of '
-        f'{end["goal_ms"]} ms{slow}{_format_budget(end)}'
+        f'{end["goal_ms"]} ms{slow}{_format_limits(end)}'
     )
 
 
-def _format_budget(end: Mapping[str, Any]) -> str:
-    over = end.get('over_budget')
-    if not over:
-        return ''
-    return f'; the retry budget allowed no further try at {", ".join(over)}'
+def _format_limits(end: Mapping[str, Any]) -> str:
+    """Returns why further tries were not sent."""
+    reasons = {
+        'over_budget': 'the retry budget allowed no further try at',
+        'not_hedged': 'hedges had stayed unanswered at',
+    }
+    return ''.join(
+        f'; {reason} {", ".join(end[name])}'
+        for name, reason in reasons.items()
+        if end.get(name)
+    )
 
 
 def _format_tries(tries: Sequence[Mapping[str, Any]]) -> str:
--- a/packages/core/almonddock_core/dispatch/__init__.py
+++ b/packages/core/almonddock_core/dispatch/__init__.py
@@ -42,6 +42,7 @@
     UnavailableService,
 )
 from almonddock_core.dispatch._dispatch import Dispatch
+from almonddock_core.dispatch._hedging import HedgeHistory
 from almonddock_core.dispatch._outcome import count_needed
 from almonddock_core.dispatch._records import (
     RECORD_BYTES,
@@ -81,6 +82,7 @@
     'Failure',
     'Finish',
     'ForwardedAnswer',
+    'HedgeHistory',
     'MergedAnswer',
     'Refusal',
     'RefusalReason',
--- a/packages/core/almonddock_core/dispatch/_attempts.py
+++ b/packages/core/almonddock_core/dispatch/_attempts.py
@@ -32,7 +32,8 @@
         """Opens an attempt."""
         self.decisions.add_attempt(target, reason, now)
         number = len(self._branches)
-        attempt = Attempt(number, branch, target, now)
+        is_hedge = reason is AttemptReason.HEDGE
+        attempt = Attempt(number, branch, target, now, is_hedge)
         self._branches.append(branch)
         self._open[number] = attempt
         branch.open.append(attempt)
--- a/packages/core/almonddock_core/dispatch/_branch.py
+++ b/packages/core/almonddock_core/dispatch/_branch.py
@@ -15,6 +15,8 @@
     branch: 'Branch'
     target: KnownTarget
     started: timedelta
+    #: Whether it hedges another attempt.
+    is_hedge: bool = False
     #: Whether a hedge of this attempt was due; it may not have been allowed.
     hedged: bool = False
 
--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from almonddock_core.dispatch._budget import RetryBudget
+from almonddock_core.dispatch._hedging import HedgeHistory
 from almonddock_core.placement import (
     ColdStartLimiter,
     QueryPlacement,
@@ -26,6 +27,7 @@
     targets: TargetTable
     budget: RetryBudget
     cold: ColdStartLimiter
+    hedges: HedgeHistory = field(default_factory=HedgeHistory)
     #: The configuration in force, for the routes that lead to a service and
     #: the limits of cold targets; None before the first one.
     table: RoutingTable | None = None
--- a/packages/core/almonddock_core/dispatch/_decision_log.py
+++ b/packages/core/almonddock_core/dispatch/_decision_log.py
@@ -64,6 +64,8 @@
     unavailable: list[UnavailableService] = field(default_factory=list)
     #: Services whose hedge or retry the budget did not allow.
     over_budget: list[str] = field(default_factory=list)
+    #: Services whose hedge was left out because hedges there stay unanswered.
+    not_hedged: list[str] = field(default_factory=list)
 
     def add_attempt(
         self,
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -224,6 +224,8 @@
         elapsed = reply.elapsed or self._now - attempt.started
         slowness = self.latency.observe(elapsed.total_seconds())
         attempt.target.health.observe_reply(slowness, self._now)
+        if attempt.is_hedge:
+            self._context.hedges.record_answered(branch.service, self._now)
         return [self._cancel(other) for other in tuple(branch.open)]
 
     def _hedge(self, attempt: Attempt) -> list[Action]:
@@ -232,6 +234,9 @@
             return [Withdraw(attempt.number)]
         if len(branch.open) > 1:
             return []
+        if not self._context.hedges.may_hedge(branch.service, self._now):
+            self.decisions.not_hedged.append(branch.service)
+            return []
         return self._send_another(branch, AttemptReason.HEDGE)
 
     def _send_another(
@@ -281,6 +286,9 @@
         elapsed = (self._now - attempt.started).total_seconds()
         slowness = elapsed / self.latency.seconds
         attempt.target.health.observe_cancellation(slowness, self._now)
+        if attempt.is_hedge:
+            service = attempt.branch.service
+            self._context.hedges.record_unanswered(service, slowness, self._now)
         return Cancel(attempt.number)
 
     def _finish_if_decided(self, actions: list[Action]) -> list[Action]:
--- a/packages/core/almonddock_core/tests/test_overloaded_shards.py
+++ b/packages/core/almonddock_core/tests/test_overloaded_shards.py
@@ -249,7 +249,8 @@
     ) -> None:
         """Three of ten targets turn five times slower, and stay so.
 
-        Each hedge there took the place of a first attempt of another query.
+        Each hedge there took the place of a first attempt of another query;
+        hedges stop, because they stay unanswered.
         """
         fleet = play(4, 5.2, 0.3)
         answered = fleet.outcomes.total()
--- a/packages/daemon/almonddock_daemon/tests/test_http_connection.py
+++ b/packages/daemon/almonddock_daemon/tests/test_http_connection.py
@@ -92,7 +92,7 @@
 
     def test_response_cut_anywhere_is_none(self) -> None:
         """A target may stop in the middle of its head, and close."""
-        for length in range(len(WHOLE)):
+        for length, _ in enumerate(WHOLE):
             with self.subTest(length=length):
                 self.setUp()
                 self.request()
--- a/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
@@ -239,6 +239,8 @@
         }
     if decisions.over_budget:
         described['over_budget'] = decisions.over_budget
+    if decisions.not_hedged:
+        described['not_hedged'] = decisions.not_hedged
     if detailed:
         described['unanswered'] = [
             [record.target.entry.service, record.target.entry.target_id]
