Name the target of a late answer that one target gave

Cause: on-call engineers could not tell from the log which target a late single request had waited for: only attempts that failed or were hedged have a line.

Change: late or failed requests to one service log all their attempts.

test_late_answer_of_one_target_names_it failed before.

--- a/packages/cli/almonddock_cli/tests/test_explain.py
+++ b/packages/cli/almonddock_cli/tests/test_explain.py
@@ -76,6 +76,16 @@
             'were late, failed or gone',
         )
 
+    def test_late_answer_of_one_target_names_it(self) -> None:
+        case = DispatchCase(make_route(idempotent=False)).start()
+        case.now = 300 * MS
+        case.reply(0)
+        self.assertEqual(
+            self.explain(case, 200),
+            'it was answered late, after 300.0 ms for a goal of 100 ms: first '
+            'at desk/0 (desk) success after 300.0 ms',
+        )
+
     def test_refused_request(self) -> None:
         case = DispatchCase(make_route(4))
         for shard in ('desk-0', 'desk-1'):
--- a/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
@@ -123,8 +123,10 @@
         failed = not 0 < status < FIRST_FAILURE_STATUS
         late = elapsed > route.latency_goal
         budget = LineBudget.FAILURE if failed or late else LineBudget.ROUTINE
+        # With a single target, its line is the only sign of what was slow.
+        logs_all = (failed or late) and not route.shards
         for record in dispatch.decisions.attempts:
-            if _is_notable(record):
+            if logs_all or _is_notable(record):
                 self._log_attempt(dispatch, record, budget)
         if not self._lines.has_room(budget):
             self._lines.count_dropped('request_finished')
