--- a/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
@@ -120,14 +120,13 @@
         route = request.route
         elapsed = self._clock.now() - request.arrived
         self._count(dispatch, status, elapsed)
-        failed = not 0 < status < FIRST_FAILURE_STATUS
-        late = elapsed > route.latency_goal
-        budget = LineBudget.FAILURE if failed or late else LineBudget.ROUTINE
+        served = 0 < status < FIRST_FAILURE_STATUS
+        in_time = served and elapsed <= route.latency_goal
+        budget = LineBudget.ROUTINE if in_time else LineBudget.FAILURE
         # With a single target, its line is the only sign of what was slow.
-        logs_all = (failed or late) and not route.shards
-        for record in dispatch.decisions.attempts:
-            if logs_all or _is_notable(record):
-                self._log_attempt(dispatch, record, budget)
+        self._log_attempts(
+            dispatch, budget, log_all=not (in_time or route.shards)
+        )
         if not self._lines.has_room(budget):
             self._lines.count_dropped('request_finished')
             return
@@ -141,13 +140,24 @@
             elapsed_ms=_count_ms(elapsed),
             goal_ms=round(route.latency_goal / MS),
             **_describe_answer(dispatch),
-            **_describe_decisions(dispatch.decisions, detailed=failed or late),
+            **_describe_decisions(dispatch.decisions, detailed=not in_time),
         )
 
     def flush(self) -> None:
         """Writes buffered lines as far as the reader accepts them."""
         self._lines.flush()
 
+    def _log_attempts(
+        self,
+        dispatch: Dispatch,
+        budget: LineBudget,
+        *,
+        log_all: bool,
+    ) -> None:
+        for record in dispatch.decisions.attempts:
+            if log_all or _is_notable(record):
+                self._log_attempt(dispatch, record, budget)
+
     def _log_attempt(
         self,
         dispatch: Dispatch,
