Avoid targets that let unrepeatable requests wait

Cause: a request that must not be sent twice is neither hedged nor cancelled, so a slow or silent target told nothing before its reply, which took up to 8 s.

Change: the wait of the oldest such request counts as the slowness of its target, and is reported to other hosts from three typical latencies on.

Ruled out: counting the waits of all requests.

test_targets_that_let_requests_wait_are_avoided_before_they_reply failed before for 26 and 78 hosts: 23 and 18 of 32 in time, bound 24.

--- a/packages/core/almonddock_core/dispatch/_attempts.py
+++ b/packages/core/almonddock_core/dispatch/_attempts.py
@@ -10,13 +10,17 @@
     DecisionLog,
 )
 from almonddock_core.dispatch._requests import TargetReply
-from almonddock_core.routing import KnownTarget
+from almonddock_core.placement import OpenRequest, TypicalLatency
+from almonddock_core.routing import KnownTarget, Route
 
 
 class AttemptTracker:
     """Numbers attempts, and tracks those without an outcome."""
 
-    def __init__(self) -> None:
+    def __init__(self, route: Route, latency: TypicalLatency) -> None:
+        """Takes the request's route and the route's typical latency."""
+        self._route = route
+        self._latency = latency
         self.decisions = DecisionLog()
         self._open: dict[int, Attempt] = {}
         # The branch of each attempt, by the attempt's number.
@@ -33,13 +37,17 @@
         self.decisions.add_attempt(target, reason, now)
         number = len(self._branches)
         is_hedge = reason is AttemptReason.HEDGE
-        attempt = Attempt(number, branch, target, now, is_hedge)
+        attempt = Attempt(number, branch, target, now, is_hedge=is_hedge)
         self._branches.append(branch)
         self._open[number] = attempt
         branch.open.append(attempt)
         branch.tried.add(target.entry.target_id)
         branch.sent += 1
         target.health.in_flight += 1
+        if not self._route.idempotent:
+            typical = timedelta(seconds=self._latency.seconds)
+            attempt.unrepeatable = OpenRequest(now, typical)
+            target.health.unrepeatable[attempt.unrepeatable] = None
         return Send(number, target)
 
     def close(
@@ -53,7 +61,10 @@
         if attempt is not None:
             self.decisions.end_attempt(number, outcome, now)
             attempt.branch.open.remove(attempt)
-            attempt.target.health.in_flight -= 1
+            health = attempt.target.health
+            health.in_flight -= 1
+            if attempt.unrepeatable is not None:
+                del health.unrepeatable[attempt.unrepeatable]
         return attempt
 
     def get_branch(self, number: int) -> Branch:
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -54,7 +54,7 @@
         #: The typical latency of the route's requests to targets.
         self.latency = context.get_latency(request.route)
         self._branches = [Branch(service) for service in request.services]
-        self._attempts = AttemptTracker()
+        self._attempts = AttemptTracker(request.route, self.latency)
         #: The decisions of this request, for the log.
         self.decisions = self._attempts.decisions
         #: Returns the successful replies so far.
--- a/packages/core/almonddock_core/placement/__init__.py
+++ b/packages/core/almonddock_core/placement/__init__.py
@@ -10,7 +10,7 @@
 
 from almonddock_core.placement._choice import Candidate, choose_target
 from almonddock_core.placement._cold import ColdStartLimiter
-from almonddock_core.placement._health import TargetHealth
+from almonddock_core.placement._health import OpenRequest, TargetHealth
 from almonddock_core.placement._isolation import Reachability, is_isolated
 from almonddock_core.placement._latency import TypicalLatency
 from almonddock_core.placement._query import QueryPlacement
@@ -18,6 +18,7 @@
 __all__ = [
     'Candidate',
     'ColdStartLimiter',
+    'OpenRequest',
     'QueryPlacement',
     'Reachability',
     'TargetHealth',
--- a/packages/core/almonddock_core/placement/_health.py
+++ b/packages/core/almonddock_core/placement/_health.py
@@ -1,7 +1,7 @@
 """The health of one target, from replies and from what other hosts report."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 #: The weight of a new observation in the averages of slowness and failures.
@@ -39,6 +39,23 @@
 MAX_REPORTED_COST = 6
 
 
+#: The wait from which an open request is reported, in typical latencies.
+MIN_REPORTED_WAIT = 3
+
+
+@dataclass(frozen=True, eq=False, slots=True)
+class OpenRequest:
+    """A request without a reply that must not be sent to another target."""
+
+    started: timedelta
+    #: The typical latency of its route.
+    typical: timedelta
+
+    def measure_wait(self, now: timedelta) -> float:
+        """Returns the time since it was sent, in typical latencies."""
+        return min((now - self.started) / self.typical, MAX_SLOWNESS)
+
+
 @dataclass(slots=True)
 class TargetHealth:
     """Running averages over requests to one target, and the last report."""
@@ -68,6 +85,9 @@
     reported_cost: float = 1
     #: When it was reported.
     reported: timedelta = timedelta()
+    #: The requests without a reply that must not be sent to another target, the
+    #: oldest first; the others are hedged, and then cancelled, when late.
+    unrepeatable: dict[OpenRequest, None] = field(default_factory=dict)
 
     def observe_reply(self, slowness: float, now: timedelta) -> None:
         """Records a success and its time relative to the typical one."""
@@ -116,7 +136,8 @@
         """Returns the expected wait in typical latencies."""
         decay = self._compute_decay(now)
         slowness = 1 + (self.slowness - 1) * decay
-        slowness = max(slowness, self.decay_report(now))
+        waited = self._measure_wait(now)
+        slowness = max(slowness, waited, self.decay_report(now))
         queue = 1 + self.in_flight / self.slots
         return slowness * queue + FAILURE_COST * self.failure_share * decay
 
@@ -127,6 +148,8 @@
         """
         if self.unreachable or self.ejected_until > now:
             return True
+        if self.unrepeatable:
+            return True
         observed = self.slowness + FAILURE_COST * self.failure_share
         return max(observed, self.reported_cost) >= limit
 
@@ -136,7 +159,9 @@
             return MAX_SLOWNESS
         decay = self._compute_decay(now)
         cost = (self.slowness - 1) + FAILURE_COST * self.failure_share
-        return 1 + cost * decay
+        observed = 1 + cost * decay
+        waited = self._measure_wait(now)
+        return observed if waited < MIN_REPORTED_WAIT else max(observed, waited)
 
     def estimate_shared_cost(self, now: timedelta) -> float:
         """Returns the cost by this host's requests and by reports."""
@@ -150,6 +175,15 @@
         excess = self.reported_cost - 1
         return 1 + excess * math.exp(-age / REPORT_DECAY_SECONDS)
 
+    def _measure_wait(self, now: timedelta) -> float:
+        """Returns how long the target has let a request wait.
+
+        A target is as slow as that at least. Without a reply, nothing else
+        tells of a request that is neither hedged nor cancelled.
+        """
+        oldest = next(iter(self.unrepeatable), None)
+        return 0 if oldest is None else oldest.measure_wait(now)
+
     def _add_failure(self, now: timedelta) -> None:
         self._apply_decay(now)
         self.failure_share += OBSERVATION_WEIGHT * (1 - self.failure_share)
--- a/packages/core/almonddock_core/tests/test_shared_costs.py
+++ b/packages/core/almonddock_core/tests/test_shared_costs.py
@@ -63,6 +63,7 @@
     size: int
     sharing: bool
     slow: frozenset[str] = frozenset()
+    slow_work: timedelta = SLOW_WORK
     now: timedelta = timedelta()
     in_time: int = 0
     late: int = 0
@@ -131,7 +132,7 @@
         for action in actions:
             if isinstance(action, Send):
                 target_id = action.target.entry.target_id
-                work = SLOW_WORK if target_id in self.slow else WORK
+                work = self.slow_work if target_id in self.slow else WORK
                 work *= self._rng.uniform(0.8, 1.2)
                 self._schedule(
                     self.now + work, self._make_reply(dispatch, action.attempt)
@@ -196,6 +197,22 @@
                 self.assertGreaterEqual(together.in_time, 0.9 * few.in_time)
                 self.assertGreater(alone.late, 2 * together.late)
 
+    def test_targets_that_let_requests_wait_are_avoided_before_they_reply(
+        self,
+    ) -> None:
+        """Two of three targets take longer than the callers wait.
+
+        Nothing answers before then, and these requests are not cancelled.
+        """
+        for size in (4, 26, 78):
+            with self.subTest(size=size):
+                fleet = Fleet(size, sharing=True, slow_work=30 * SECOND)
+                fleet.run(20 * SECOND, 8)
+                fleet.slow = frozenset(('t0', 't1'))
+                fleet.in_time = 0
+                fleet.run(24 * SECOND, 8)
+                self.assertGreaterEqual(fleet.in_time, 0.75 * 4 * 8)
+
     def test_targets_are_used_again_once_they_are_sound(self) -> None:
         fleet = play(26, sharing=True)
         fleet.slow = frozenset()
--- a/packages/core/almonddock_core/tests/test_target_choice.py
+++ b/packages/core/almonddock_core/tests/test_target_choice.py
@@ -10,6 +10,7 @@
 )
 from almonddock_core.placement import (
     ColdStartLimiter,
+    OpenRequest,
     Reachability,
     TypicalLatency,
     choose_target,
@@ -48,6 +49,15 @@
         self.near.health.in_flight = 2
         self.assertIs(self.choose(), self.far)
 
+    def test_target_that_lets_a_request_wait_is_avoided(self) -> None:
+        """It must not be sent twice, so nothing else tells before its reply."""
+        request = OpenRequest(START, 40 * MS)
+        self.near.health.unrepeatable[request] = None
+        self.assertIs(self.choose(20 * MS), self.near)
+        self.assertIs(self.choose(100 * MS), self.far)
+        del self.near.health.unrepeatable[request]
+        self.assertIs(self.choose(100 * MS), self.near)
+
     def test_slow_target_is_avoided_and_used_again(self) -> None:
         for _ in range(3):
             self.near.health.observe_reply(10, START)
