Let the soak send endless bytes within the heads of replies

Cause: endless bytes after a whole reply end the connection as unsolicited ones; the bound on what is no body was not reached.

Change: the fault cuts the head of a reply in half and goes on without end.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -41,7 +41,7 @@
     #: How long after a chunk of the server a copy of it is sent, in seconds; 0
     #: for no copy.
     copy_after_s: float = 0
-    #: Whether a chunk that the server sends is followed by bytes without end.
+    #: Whether the head of a reply goes on with bytes without end.
     endless: bool = False
 
 
@@ -136,9 +136,12 @@
             self.reset()
             return
         peer = self.peer
-        if self._is_server and impairment.half_head:
+        if self._is_server and (impairment.half_head or impairment.endless):
             peer.write(received[: max(0, received.find(END_OF_HEAD)) // 2])
-            peer.close()
+            if impairment.endless:
+                peer.send_endlessly()
+            else:
+                peer.close()
             return
         if self._is_server and impairment.doubled:
             received += received
@@ -146,8 +149,6 @@
         if self._is_server and impairment.copy_after_s:
             loop = asyncio.get_running_loop()
             loop.call_later(impairment.copy_after_s, peer.write, received)
-        if self._is_server and impairment.endless:
-            peer.send_endlessly()
 
     def _call_in_order(self, call: Callable[[], None]) -> None:
         """Makes a call after the delay, and not before any earlier call."""
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -41,7 +41,7 @@
     TARGET_CUT = 'replies of a target cut short'
     TARGET_HALF_HEAD = 'replies of a target end in their heads'
     TARGET_LATE_COPY = 'target sends replies again, later'
-    TARGET_ENDLESS = 'bytes without end after replies of a target'
+    TARGET_ENDLESS = 'heads of replies of a target go on without end'
     TARGET_FAULTY = 'target fails requests'
     TARGET_LOSING = 'target runs requests and loses the replies'
     TARGET_CRASH = 'target crashes'
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -78,10 +78,10 @@
         copied = await self.ask(PathImpairment(copy_after_s=0.05), 8)
         self.assertEqual(copied, b'cdefcdef')
 
-    async def test_bytes_without_end_follow_replies(self) -> None:
+    async def test_heads_of_replies_go_on_without_end(self) -> None:
         length = 4 * len(FILLER)
         received = await self.ask(PathImpairment(endless=True), length)
-        self.assertEqual(received[:5], b'cdefx')
+        self.assertEqual(received, b'x' * length)
 
     async def test_silent_paths_pass_nothing_on(self) -> None:
         for impairment in (
