Serve routes whose configuration states a latency goal of zero

Cause: reply times are divided by the typical latency, which starts as a share of the goal: each reply on such a route raised ZeroDivisionError, and its caller got no answer of the target.

Change: the typical latency is at least 0.1 ms.

Ruled out: a refusal of the configuration, which would keep all its other changes from being in force.

test_route_without_time_for_an_answer_is_served failed before.

--- a/packages/core/almonddock_core/placement/_latency.py
+++ b/packages/core/almonddock_core/placement/_latency.py
@@ -8,12 +8,16 @@
 #: The estimate before the first reply, as a share of the latency goal.
 INITIAL_ESTIMATE_SHARE = 0.2
 
+#: The least estimate, in seconds: other times are divided by it.
+MIN_ESTIMATE = 0.0001
+
 
 class TypicalLatency:
     """A running median: each reply moves it one step up or down."""
 
     def __init__(self, latency_goal: timedelta) -> None:
-        self._estimate = latency_goal.total_seconds() * INITIAL_ESTIMATE_SHARE
+        initial = latency_goal.total_seconds() * INITIAL_ESTIMATE_SHARE
+        self._estimate = max(MIN_ESTIMATE, initial)
 
     @property
     def seconds(self) -> float:
@@ -24,7 +28,6 @@
         """Updates the estimate; returns the time relative to the old one."""
         estimate = self._estimate
         step = estimate * STEP_SHARE
-        self._estimate = (
-            estimate + step if seconds > estimate else estimate - step
-        )
+        moved = estimate + step if seconds > estimate else estimate - step
+        self._estimate = max(MIN_ESTIMATE, moved)
         return seconds / estimate
--- a/packages/core/almonddock_core/tests/test_dispatch.py
+++ b/packages/core/almonddock_core/tests/test_dispatch.py
@@ -83,6 +83,18 @@
                     self.assertTrue(answer.not_run)
                     self.assertIsNotNone(answer.retry_after)
 
+    def test_route_without_time_for_an_answer_is_served(self) -> None:
+        """A configuration may state a latency goal of zero."""
+        for idempotent in (True, False):
+            with self.subTest(idempotent=idempotent):
+                route = make_route(
+                    latency_goal=timedelta(), idempotent=idempotent
+                )
+                case = DispatchCase(route).start()
+                case.advance(MS)
+                case.reply(0)
+                self.assertIsInstance(case.dispatch.answer, ForwardedAnswer)
+
     def test_no_target_is_refused_at_once(self) -> None:
         case = DispatchCase(make_route(), replicas=0).start()
         answer = case.dispatch.answer
