Measure the soak's own delay; send endless bytes more slowly

Traced: at the findings no host got any reply from any target for 0.3 to 2.1 s (t = 366.2, 460.4, 474.4), also from those without a fault: the process that plays the targets wrote 64 KiB every 2 ms on each such connection.

Change: the report names the largest delay of that process, and the bytes come every 20 ms.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,8 @@
 #: Exit code after SIGTERM, by shell convention: 128 + 15.
 EXIT_TERMINATED = 143
 
+MILLISECOND = timedelta(milliseconds=1)
+
 app = typer.Typer(
     help='Runs the system under injected faults and checks its guarantees.'
 )
@@ -71,6 +73,7 @@
         f'seed {report.settings.seed}: {len(report.faults)} faults, '
         f'{report.calls} requests, {report.arrivals} sub-queries, '
         f'{statuses}, peak memory of a host {report.memory >> 20} MiB, '
+        f'largest delay of the soak itself {report.delay // MILLISECOND} ms, '
         f'{len(report.findings)} findings, logs in {report.folder}',
     )
     for finding in report.findings[:MAX_PRINTED_FINDINGS]:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -15,7 +15,7 @@
 
 #: Bytes that are no reply, and the pause between two writes of them.
 FILLER = b'x' * 65_536
-FILLER_INTERVAL_S = 0.002
+FILLER_INTERVAL_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -27,6 +27,9 @@
 #: The pause between two samples of the hosts' memory, in seconds.
 MEMORY_INTERVAL_S = 0.5
 
+#: The pause between two samples of the delay of the soak itself, in seconds.
+DELAY_INTERVAL_S = 0.05
+
 
 @dataclass(frozen=True, slots=True)
 class RunReport:
@@ -41,6 +44,9 @@
     arrivals: int
     #: The largest resident memory of any host, in bytes.
     memory: int
+    #: The largest delay of the process that plays callers, targets and store:
+    #: what it saw may be late by as much.
+    delay: timedelta
     findings: Sequence[Finding]
     #: The folder that holds the logs of the hosts.
     folder: pathlib.Path
@@ -64,6 +70,7 @@
         ),
         arrivals=len(evidence.arrivals),
         memory=evidence.memory,
+        delay=run.delay,
         findings=check_all(evidence, settings.promises),
         folder=folder,
     )
@@ -79,6 +86,7 @@
     ) -> None:
         self.faults: Sequence[Fault] = ()
         self.calls: list[Call] = []
+        self.delay = timedelta()
         self._settings = settings
         self._installation = installation
         self._injector = Injector(installation)
@@ -93,6 +101,7 @@
         balancer = Balancer([host.endpoint for host in installation.hosts])
         self._start_task(balancer.run())
         self._start_task(self._watch_memory())
+        self._start_task(self._watch_delay())
         await _wait_for_hosts(balancer, settings.hosts)
         self._start_callers(balancer)
         self.faults = draw_schedule(
@@ -157,6 +166,12 @@
             for host in self._installation.hosts:
                 host.process.sample_memory()
 
+    async def _watch_delay(self) -> None:
+        while True:
+            due = self._installation.now() + timedelta(seconds=DELAY_INTERVAL_S)
+            await asyncio.sleep(DELAY_INTERVAL_S)
+            self.delay = max(self.delay, self._installation.now() - due)
+
 
 async def _wait_for_hosts(balancer: Balancer, hosts: int) -> None:
     async with asyncio.timeout(START_TIMEOUT_S):
