--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -58,10 +58,7 @@
 @app.command('regressions')
 def run_regressions() -> None:
     """Runs every seed of regressions.json."""
-    _run_all(
-        SoakSettings(seed=case.seed, fault_rate=case.rate)
-        for case in load_cases()
-    )
+    _run_all(case.make_settings() for case in load_cases())
 
 
 def print_report(report: RunReport) -> None:
--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -2,7 +2,11 @@
 
 import json
 import pathlib
+from collections.abc import Sequence
 from dataclasses import dataclass
+from datetime import timedelta
+
+from soak.settings import SoakSettings
 
 CASES_PATH = pathlib.Path(__file__).with_name('regressions.json')
 
@@ -15,6 +19,19 @@
     #: Faults per second.
     rate: float
     cause: str
+    #: How long faults are injected, in seconds.
+    seconds: float = 20
+    #: Names of the kinds of faults that are drawn; empty for all.
+    kinds: Sequence[str] = ()
+
+    def make_settings(self) -> SoakSettings:
+        """Returns the settings of the run."""
+        return SoakSettings(
+            seed=self.seed,
+            fault_rate=self.rate,
+            fault_time=timedelta(seconds=self.seconds),
+            kinds=tuple(self.kinds),
+        )
 
 
 def load_cases() -> list[RegressionCase]:
--- a/soak/tests/test_schedule.py
+++ b/soak/tests/test_schedule.py
@@ -49,7 +49,8 @@
         cases = load_cases()
         self.assertTrue(cases)
         for case in cases:
-            settings = SoakSettings(seed=case.seed, fault_rate=case.rate)
+            settings = case.make_settings()
+            self.assertEqual(settings.seed, case.seed)
             self.assertTrue(draw_schedule(settings, TARGETS, START))
             self.assertGreater(len(case.cause), 10)
 
