Name unrepeatable requests so; split the breaking of heads in the soak's proxy

Cause: reading the change, the class OpenRequest and the field unrepeatable were two names for one thing, a constant lacked its unit, and one function of the proxy did three things.

Change: names and one extracted method; no behaviour.

--- a/packages/core/almonddock_core/dispatch/_attempts.py
+++ b/packages/core/almonddock_core/dispatch/_attempts.py
@@ -10,7 +10,7 @@
     DecisionLog,
 )
 from almonddock_core.dispatch._requests import TargetReply
-from almonddock_core.placement import OpenRequest, TypicalLatency
+from almonddock_core.placement import TypicalLatency, UnrepeatableRequest
 from almonddock_core.routing import KnownTarget, Route
 
 
@@ -46,7 +46,7 @@
         target.health.in_flight += 1
         if not self._route.idempotent:
             typical = timedelta(seconds=self._latency.seconds)
-            attempt.unrepeatable = OpenRequest(now, typical)
+            attempt.unrepeatable = UnrepeatableRequest(now, typical)
             target.health.unrepeatable[attempt.unrepeatable] = None
         return Send(number, target)
 
--- a/packages/core/almonddock_core/dispatch/_branch.py
+++ b/packages/core/almonddock_core/dispatch/_branch.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from almonddock_core.dispatch._requests import TargetReply
-from almonddock_core.placement import OpenRequest
+from almonddock_core.placement import UnrepeatableRequest
 from almonddock_core.routing import KnownTarget
 
 
@@ -17,7 +17,7 @@
     target: KnownTarget
     started: timedelta
     #: Its record at the target, if it must not be sent to another one.
-    unrepeatable: OpenRequest | None = None
+    unrepeatable: UnrepeatableRequest | None = None
     #: Whether it hedges another attempt.
     is_hedge: bool = False
     #: Whether a hedge of this attempt was due; it may not have been allowed.
--- a/packages/core/almonddock_core/framing/__init__.py
+++ b/packages/core/almonddock_core/framing/__init__.py
@@ -9,9 +9,9 @@
 from almonddock_core.framing._replies import is_oversized
 
 __all__ = [
+    'MAX_FRAME_BYTES',
     'BadFrameError',
     'FrameReader',
-    'MAX_FRAME_BYTES',
     'OversizedFrameError',
     'add_length_prefix',
     'is_oversized',
--- a/packages/core/almonddock_core/placement/__init__.py
+++ b/packages/core/almonddock_core/placement/__init__.py
@@ -10,7 +10,7 @@
 
 from almonddock_core.placement._choice import Candidate, choose_target
 from almonddock_core.placement._cold import ColdStartLimiter
-from almonddock_core.placement._health import OpenRequest, TargetHealth
+from almonddock_core.placement._health import TargetHealth, UnrepeatableRequest
 from almonddock_core.placement._isolation import Reachability, is_isolated
 from almonddock_core.placement._latency import TypicalLatency
 from almonddock_core.placement._query import QueryPlacement
@@ -18,11 +18,11 @@
 __all__ = [
     'Candidate',
     'ColdStartLimiter',
-    'OpenRequest',
     'QueryPlacement',
     'Reachability',
     'TargetHealth',
     'TypicalLatency',
+    'UnrepeatableRequest',
     'choose_target',
     'is_isolated',
 ]
--- a/packages/core/almonddock_core/placement/_health.py
+++ b/packages/core/almonddock_core/placement/_health.py
@@ -38,14 +38,18 @@
 #: sound target, below that of one that this host has found failing.
 MAX_REPORTED_COST = 6
 
-
-#: The wait from which an open request is reported, in typical latencies.
+#: The wait from which an unrepeatable request is reported, in typical
+#: latencies.
 MIN_REPORTED_WAIT = 3
 
 
 @dataclass(frozen=True, eq=False, slots=True)
-class OpenRequest:
-    """A request without a reply that must not be sent to another target."""
+class UnrepeatableRequest:
+    """A request without a reply that must not be sent to another target.
+
+    It is neither hedged nor cancelled, so only its wait tells how slow the
+    target is.
+    """
 
     started: timedelta
     #: The typical latency of its route.
@@ -87,7 +91,7 @@
     reported: timedelta = timedelta()
     #: The requests without a reply that must not be sent to another target, the
     #: oldest first; the others are hedged, and then cancelled, when late.
-    unrepeatable: dict[OpenRequest, None] = field(default_factory=dict)
+    unrepeatable: dict[UnrepeatableRequest, None] = field(default_factory=dict)
 
     def observe_reply(self, slowness: float, now: timedelta) -> None:
         """Records a success and its time relative to the typical one."""
--- a/packages/core/almonddock_core/placement/_latency.py
+++ b/packages/core/almonddock_core/placement/_latency.py
@@ -9,7 +9,7 @@
 INITIAL_ESTIMATE_SHARE = 0.2
 
 #: The least estimate, in seconds: other times are divided by it.
-MIN_ESTIMATE = 0.0001
+MIN_ESTIMATE_S = 0.0001
 
 
 class TypicalLatency:
@@ -17,7 +17,7 @@
 
     def __init__(self, latency_goal: timedelta) -> None:
         initial = latency_goal.total_seconds() * INITIAL_ESTIMATE_SHARE
-        self._estimate = max(MIN_ESTIMATE, initial)
+        self._estimate = max(MIN_ESTIMATE_S, initial)
 
     @property
     def seconds(self) -> float:
@@ -29,5 +29,5 @@
         estimate = self._estimate
         step = estimate * STEP_SHARE
         moved = estimate + step if seconds > estimate else estimate - step
-        self._estimate = max(MIN_ESTIMATE, moved)
+        self._estimate = max(MIN_ESTIMATE_S, moved)
         return seconds / estimate
--- a/packages/core/almonddock_core/tests/test_target_choice.py
+++ b/packages/core/almonddock_core/tests/test_target_choice.py
@@ -10,9 +10,9 @@
 )
 from almonddock_core.placement import (
     ColdStartLimiter,
-    OpenRequest,
     Reachability,
     TypicalLatency,
+    UnrepeatableRequest,
     choose_target,
     is_isolated,
 )
@@ -51,7 +51,7 @@
 
     def test_target_that_lets_a_request_wait_is_avoided(self) -> None:
         """It must not be sent twice, so nothing else tells before its reply."""
-        request = OpenRequest(START, 40 * MS)
+        request = UnrepeatableRequest(START, 40 * MS)
         self.near.health.unrepeatable[request] = None
         self.assertIs(self.choose(20 * MS), self.near)
         self.assertIs(self.choose(100 * MS), self.far)
--- a/packages/gateway/almonddock_gateway/relays/__init__.py
+++ b/packages/gateway/almonddock_gateway/relays/__init__.py
@@ -34,6 +34,7 @@
 
 __all__ = [
     'CostExchange',
+    'FallbackStore',
     'Leaving',
     'LinkDirectory',
     'LinkMessage',
@@ -42,13 +43,12 @@
     'Ping',
     'Pong',
     'Relay',
-    'RelayRouter',
     'RelayCancel',
     'RelayQuery',
     'RelayReply',
+    'RelayRouter',
     'RelayServer',
     'RelaySettings',
-    'FallbackStore',
     'StoreCache',
     'StoreOutcome',
     'StoreQuery',
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -137,11 +137,7 @@
             return
         peer = self.peer
         if self._is_server and (impairment.half_head or impairment.endless):
-            peer.write(received[: max(0, received.find(END_OF_HEAD)) // 2])
-            if impairment.endless:
-                peer.send_endlessly()
-            else:
-                peer.close()
+            self._break_head(peer, received)
             return
         if self._is_server and impairment.doubled:
             received += received
@@ -150,6 +146,14 @@
             loop = asyncio.get_running_loop()
             loop.call_later(impairment.copy_after_s, peer.write, received)
 
+    def _break_head(self, peer: '_Side', received: bytes) -> None:
+        """Forwards half of a reply's head, then filler or the end."""
+        peer.write(received[: max(0, received.find(END_OF_HEAD)) // 2])
+        if self._proxy.impairment.endless:
+            peer.send_endlessly()
+        else:
+            peer.close()
+
     def _call_in_order(self, call: Callable[[], None]) -> None:
         """Makes a call after the delay, and not before any earlier call."""
         loop = asyncio.get_running_loop()
