Show that a broken copy of an answer puts a foreign stamp into a success

A replica sends the beginning of a second copy of an answer, late, and then the next answer in full. The host reads both as one reply with two stamps and takes the first: the success to a query over shards names a signature of another request, or none. Safe requests only.

Shown by a script with two hosts, 40 replicas and a store.

--- a/review/kit.py
+++ b/review/kit.py
@@ -333,6 +333,8 @@
         #: Decides whether a second copy of an answer is sent late, at the point
         #: where the next answer on the connection is due; None if never.
         self.copies_late = None
+        #: Returns what is sent of such a copy.
+        self.cut_copy = bytes
         self._late = {}
         self._deployment = deployment
         self._running = {}
@@ -398,7 +400,7 @@
         """Sends an answer; trouble may keep a second copy of it for later."""
         connection.write(encoded)
         if self.copies_late is not None and self.copies_late():
-            self._late[connection] = encoded
+            self._late[connection] = self.cut_copy(encoded)
 
     def shed(self, connection, attempt):
         """Rejects a request without running it.
