Show that a stop drops requests that were read behind another

Case review/5, rule LOST. A host gets SIGTERM while requesters have three requests in line on a connection. The answer to the first closes the connection, and the two that the host has read behind it get no answer, 0.3 and 0.6 s after they were sent.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,9 +1,8 @@
-"""Replicas spoil the head of a few answers."""
+"""A host is stopped as planned while a requester's requests wait in line."""
 
 import asyncio
-import gzip
 import pathlib
-import random
+import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -11,119 +10,88 @@
 
 import kit  # noqa: E402
 
-HOSTS = 4
-REQUESTS_PER_S = 50
-REQUESTERS = 20
-DEADLINE_MS = 2000
-BODY = b'the whole answer of the replica'
-
-#: The dose of the disruption: the largest that the site file has for garble.
-REPLICA_SHARE = 0.5
-SPOILT_SHARE = 0.05
-TROUBLE_S = 6
-TROUBLE_AT_S = 2
-LENGTH_S = 10
-
-
-class Trouble:
-    """Lets a replica spoil a share of its answers for a while."""
-
-    def __init__(self, record):
-        self.on = False
-        self._record = record
-        self._random = random.Random(27)
-        self._spoilt = 0
-
-    def bring_to(self, replica):
-        """Puts a replica among those that spoil answers."""
-
-        def spoil(request, connection, attempt):
-            if not self.on or self._random.random() >= SPOILT_SHARE:
-                return False
-            self._spoilt += 1
-            headers = dict(replica.list_headers(attempt))
-            body = BODY
-            if self._spoilt % 2:
-                what = 'the stamp is empty'
-                headers['X-Almonddock-Response-Stamp'] = ''
-                body = BODY[: len(BODY) // 2]
-            else:
-                what = 'the body is encoded'
-                headers['Content-Encoding'] = 'gzip'
-                body = gzip.compress(BODY)
-            self._record.add(f'{replica.target_id} spoils {attempt}: {what}')
-            encoded = kit.format_answer(200, headers.items(), body)
-            replica.send(connection, encoded)
-            return True
-
-        replica.trouble = spoil
-
-
-async def send_requests(deployment, host, answers):
-    """Sends requests over kept connections at a steady rate."""
-    free = [kit.Requester(deployment, host) for _ in range(REQUESTERS)]
-    tasks = []
-    for number in range(LENGTH_S * REQUESTS_PER_S):
-        if free:
-            requester = free.pop(0)
-            attempt = f'{host.name}-{number:05d}'
-            tasks.append(
-                asyncio.ensure_future(
-                    send_one(requester, attempt, free, answers)
-                )
-            )
-        await asyncio.sleep(1 / REQUESTS_PER_S)
-    await asyncio.gather(*tasks)
-
-
-async def send_one(requester, attempt, free, answers):
-    """Sends one request and keeps its answer."""
-    answers[attempt] = await requester.ask(
-        '/order/x', attempt, DEADLINE_MS, 'POST', b'one reed plate'
-    )
-    free.append(requester)
-
-
-async def bring_trouble(trouble):
-    """Has the trouble begin and end."""
-    await asyncio.sleep(TROUBLE_AT_S)
-    trouble.on = kit.has_trouble()
-    await asyncio.sleep(TROUBLE_S)
-    trouble.on = False
+REQUESTERS = 6
+#: The requests that a requester has on its connection at once.
+IN_LINE = 3
+DEADLINE_MS = 8000
+LOSS_SLACK_S = kit.BOUNDS['loss_slack_ms'] / 1000
+STOP_AT_S = 3
+LENGTH_S = 8
+
+
+class Line:
+    """Keeps a few requests on one connection, answered in order."""
+
+    def __init__(self, deployment, host, number):
+        self.requester = kit.Requester(deployment, host)
+        #: The attempts that were sent and not answered yet, with the times at
+        #: which their last bytes were sent.
+        self.open = []
+        #: How many answers came.
+        self.answered = 0
+        self._record = deployment.record
+        self._name = f'{host.name}-{number}'
+        self._sent = 0
+
+    async def run(self, end):
+        """Sends until the connection ends or the time is over."""
+        await self.requester.connect()
+        while self._record.now() < end:
+            while len(self.open) < IN_LINE:
+                self._send()
+            answer = await self.requester.read(self.open[0][0])
+            if not answer.status:
+                break
+            self.open.pop(0)
+            self.answered += 1
+            if self.requester.writer is None:
+                break
+        while self.open and self.requester.writer is not None:
+            answer = await self.requester.read(self.open[0][0])
+            if not answer.status:
+                break
+            self.open.pop(0)
+        return self._record.now()
+
+    def _send(self):
+        attempt = f'{self._name}-{self._sent:04d}'
+        self._sent += 1
+        self._record.add(f'requester sends {attempt}')
+        encoded = self.requester.encode('/pull/x', attempt, DEADLINE_MS)
+        self.requester.writer.write(encoded)
+        self.open.append((attempt, self._record.now()))
 
 
 async def play(record):
     """Plays the case; returns the breaks of the rule."""
     deployment = kit.Deployment(record)
-    trouble = Trouble(record)
-    answers = {}
     replicas = [
         {
-            'service': 'orders',
-            'zone': kit.ZONES[number],
-            'slots': 3,
-            'work_s': 0.02,
+            'service': 'ledger',
+            'zone': kit.ZONES[number % 3],
+            'slots': 4,
+            'work_s': 0.3,
         }
-        for number in range(2)
+        for number in range(7)
     ]
     routes = [
         {
-            'name': 'order',
+            'name': 'history-pull',
             'host': kit.HOST_NAME,
-            'prefix': '/order/',
-            'type': 'unsafe',
-            'timeout_ms': 2000,
-            'target_latency_ms': 400,
-            'priority': 1,
-            'service': 'orders',
+            'prefix': '/pull/',
+            'type': 'safe',
+            'timeout_ms': 8000,
+            'target_latency_ms': 2000,
+            'priority': 2,
+            'service': 'ledger',
             'max_attempts': 2,
         }
     ]
     services = [
         {
-            'name': 'orders',
+            'name': 'ledger',
             'health_path': '/health',
-            'max_conns': 30,
+            'max_conns': 96,
             'protocol': 'h1',
             'tls': False,
             'warmup_s': 3.0,
@@ -131,32 +99,36 @@
         }
     ]
     try:
-        await deployment.start(HOSTS, replicas, routes, services)
-        for replica in deployment.replicas:
-            replica.body = BODY
-        count = int(REPLICA_SHARE * len(deployment.replicas))
-        for replica in deployment.replicas[:count]:
-            trouble.bring_to(replica)
-        await asyncio.gather(
-            bring_trouble(trouble),
-            *(
-                send_requests(deployment, host, answers)
-                for host in deployment.hosts
-            ),
-        )
+        await deployment.start(2, replicas, routes, services)
+        host = deployment.hosts[0]
+        start = record.now()
+        lines = [
+            Line(deployment, host, number) for number in range(REQUESTERS)
+        ]
+        tasks = [
+            asyncio.ensure_future(line.run(start + LENGTH_S)) for line in lines
+        ]
+        await asyncio.sleep(STOP_AT_S)
+        if kit.has_trouble():
+            host.send(signal.SIGTERM, 'planned stop')
+        ends = await asyncio.gather(*tasks)
     finally:
         await deployment.close()
+    ran = {
+        attempt for replica in deployment.replicas for attempt in replica.runs
+    }
     breaks = []
-    for attempt, answer in answers.items():
-        if not 200 <= answer.status < 300:
-            continue
-        if not answer.headers.get('x-almonddock-response-stamp'):
-            breaks.append(f'MIXED: {attempt} got a success without a stamp')
-        elif answer.body != BODY:
-            breaks.append(
-                f'MIXED: {attempt} got a success with a body that is not '
-                "the replica's"
+    for line, end in zip(lines, ends, strict=True):
+        for attempt, sent in line.open:
+            record.add(
+                f'{attempt} has no answer; sent {end - sent:.3f} s before the '
+                f'end of its connection; ran: {attempt in ran}'
             )
+            if attempt in ran or end - sent > LOSS_SLACK_S:
+                breaks.append(
+                    f'LOST: {attempt} was sent {end - sent:.3f} s before its '
+                    'connection ended, and got no answer'
+                )
     return breaks
 
 
