Keep the case of small chunks within the dose of one entry

review/1 mixed the largest share, x and length of several garble entries. It now plays those of one: share 0.5, x 0.05, 5 s, three times.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -24,14 +24,14 @@
 #: The requesters of one host; each keeps its connection.
 REQUESTERS = 22
 
-#: The dose of the disruption: the largest share of replicas, share of answers
-#: and length that the site file has for garble.
-REPLICA_SHARE = 0.6
+#: The dose of the disruption: that of one entry of the site file, garble
+#: "unframed" of the day at second 19 (x 0.05, 5 s, the share by default 0.5).
+REPLICA_SHARE = 0.5
 SPOILT_SHARE = 0.05
-TROUBLE_S = 6
+TROUBLE_S = 5
 #: When it comes, in seconds after every host is ready.
-TROUBLE_AT_S = (6, 18)
-LENGTH_S = 26
+TROUBLE_AT_S = (6, 14, 22)
+LENGTH_S = 28
 
 #: A chunk of two bytes, as often as fits into 64 KB.
 CHUNKS = b'2\r\nxx\r\n' * 9362
