Keep replies in small chunks in one buffer

What callers saw: while targets spoilt a few replies with a body in chunks of two bytes, without end, hosts exceeded their memory and were killed.

Cause: each chunk was kept as an object of its own. The limits on incomplete replies count received bytes, 7 for a chunk of two; the object takes about 57. A read of up to 256 KB was also parsed whole before the limit on a head was checked, and a short header line takes many times its size.

Evidence: 1.0 MB of such chunks leave 6.4 MB allocated, a read of 246 KB in lines of five bytes 4.8 MB.

Why it works: what is kept for a body now is its bytes, fewer than are counted, and the limits are checked every 4 KB. At most 256 header lines are kept.

Related paths with the same cause, changed too: bodies and heads of callers, and replies that almonddockd reads.

Each of the new tests failed before the change: 6,444,216 bytes held of 1,032,192 received; 4,813,486 and 4,818,598 bytes at the peak of a read of 245,760; a reply with 300 header lines was accepted; 1,424,584 and 4,815,895 bytes for callers; 710,080 of 114,688 in almonddockd.

--- a/packages/daemon/almonddock_daemon/adapters/_http_connection.py
+++ b/packages/daemon/almonddock_daemon/adapters/_http_connection.py
@@ -37,7 +37,7 @@
         self._handle: HandleResponse | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: dict[bytes, bytes] = {}
-        self._body: list[bytes] = []
+        self._body = bytearray()
         # The whole response; it is handed on once the bytes that came with
         # it are parsed.
         self._response: HttpResponse | None = None
@@ -102,7 +102,7 @@
         if self._response is not None:
             self.abort()
         self._headers = {}
-        self._body = []
+        self._body = bytearray()
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Stores a header; called by the parser."""
@@ -111,7 +111,7 @@
     def on_body(self, part: bytes) -> None:
         """Stores a part of the body; called by the parser."""
         self._body_bytes += len(part)
-        self._body.append(part)
+        self._body += part
 
     def on_message_complete(self) -> None:
         """Keeps the first final response; called by the parser."""
@@ -121,7 +121,7 @@
         self._response = HttpResponse(
             status=status,
             headers=self._headers,
-            body=b''.join(self._body),
+            body=bytes(self._body),
         )
         if not self._parser.should_keep_alive():
             self.abort()
--- a/packages/daemon/almonddock_daemon/tests/test_http_connection.py
+++ b/packages/daemon/almonddock_daemon/tests/test_http_connection.py
@@ -1,6 +1,7 @@
 """Tests of connections to targets that send what is no answer."""
 
 import asyncio
+import tracemalloc
 import unittest
 
 from almonddock_daemon.adapters._http_connection import (
@@ -68,6 +69,19 @@
                 self.connection.connection_lost(None)
                 self.assertEqual(self.responses, [None])
 
+    def test_small_chunks_take_no_more_memory_than_was_received(self) -> None:
+        """Endless replies in two-byte chunks exhausted the memory of hosts."""
+        chunks = b'2\r\nxx\r\n' * 0x4000
+        self.request()
+        self.connection.data_received(
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+        )
+        tracemalloc.start()
+        self.connection.data_received(chunks)
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        self.assertLess(held, len(chunks))
+
     def test_bytes_that_no_request_waits_for_end_the_connection(self) -> None:
         """The rest of a late copy would be taken for the next answer."""
         self.request()
--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -11,7 +11,11 @@
 from almonddock_core.model import Clock
 from almonddock_core.routing import CallerLimits
 from almonddock_gateway.http._errors import report_error
-from almonddock_gateway.http._messages import Headers, format_response
+from almonddock_gateway.http._messages import (
+    Headers,
+    format_response,
+    split_received,
+)
 from almonddock_gateway.http._sockets import set_user_timeout
 
 #: The most requests that wait on one connection behind the current one.
@@ -31,6 +35,9 @@
 BAD_GATEWAY = 502
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
+#: What the parser raises.
+ParserFault = httptools.HttpParserError, httptools.HttpParserUpgrade
+
 
 @dataclass(slots=True)
 class CallerRequest:
@@ -86,7 +93,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._request = CallerRequest()
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._head_bytes = 0
         self._reading_head = False
@@ -166,30 +173,27 @@
 
     def data_received(self, received: bytes) -> None:
         """Feeds the parser."""
-        if self._ended:
-            return
-        if self.idle:
-            self.since = self._settings.clock.now()
-            self._reading_head = True
-        if self._reading_head:
-            self._head_bytes += len(received)
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserCallbackError as fault:
-            report_error('a request of a caller failed', fault)
-            self._reject(BAD_GATEWAY)
-            return
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._reject(BAD_REQUEST)
-            return
-        limits = self._settings.get_limits()
-        if self._reading_head and self._head_bytes > limits.header_bytes:
-            self._reject(HEADERS_TOO_LARGE)
+        for part in split_received(received):
+            if self._ended:
+                return
+            if self.idle:
+                self.since = self._settings.clock.now()
+                self._reading_head = True
+            if self._reading_head:
+                self._head_bytes += len(part)
+            try:
+                self._parser.feed_data(part)
+            except ParserFault as fault:
+                self._reject(_choose_status(fault))
+                return
+            limits = self._settings.get_limits()
+            if self._reading_head and self._head_bytes > limits.header_bytes:
+                self._reject(HEADERS_TOO_LARGE)
 
     def on_message_begin(self) -> None:
         """Starts a request; called by the parser."""
         self._request = CallerRequest()
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._head_bytes = 0
         self._reading_head = True
@@ -229,7 +233,7 @@
         if self._body_bytes > self._settings.get_limits().body_bytes:
             self._reject(BODY_TOO_LARGE)
         elif not self._ended:
-            self._body.append(part)
+            self._body += part
 
     def on_message_complete(self) -> None:
         """Queues or starts the request; called by the parser."""
@@ -237,7 +241,7 @@
         if self._ended:
             return
         request = self._request
-        request.body = b''.join(self._body)
+        request.body = bytes(self._body)
         request.keep_alive = self._parser.should_keep_alive()
         self._waiting.append(request)
         if self._current is None:
@@ -282,3 +286,11 @@
             transport.abort()
             return
         asyncio.get_running_loop().call_later(LINGER_S, transport.close)
+
+
+def _choose_status(fault: Exception) -> int:
+    """Returns the status after an error in parsing or handling a request."""
+    if isinstance(fault, httptools.HttpParserCallbackError):
+        report_error('a request of a caller failed', fault)
+        return BAD_GATEWAY
+    return BAD_REQUEST
--- a/packages/gateway/almonddock_gateway/http/_client_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_client_connection.py
@@ -9,7 +9,8 @@
 
 from almonddock_core.framing import is_oversized
 from almonddock_gateway.http._errors import report_error
-from almonddock_gateway.http._messages import Headers
+from almonddock_gateway.http._incomplete_reply import IncompleteReply
+from almonddock_gateway.http._messages import Headers, split_received
 from almonddock_gateway.http._reply_memory import ReplyMemory
 from almonddock_gateway.http._sockets import set_user_timeout
 
@@ -80,8 +81,8 @@
         # Bytes received since the request was sent, and those of bodies.
         self._received_bytes = 0
         self._body_bytes = 0
+        self._reply = IncompleteReply()
         self._parser = httptools.HttpResponseParser(self)
-        self._reset()
 
     @property
     def usable(self) -> bool:
@@ -126,28 +127,14 @@
 
     def data_received(self, received: bytes) -> None:
         """Feeds the parser; unsolicited bytes end the connection."""
-        if self._handle is None:
-            self.abort()
-            return
-        self._received_bytes += len(received)
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserCallbackError as fault:
-            report_error('the handling of a reply failed', fault)
-            self.abort()
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.abort()
-        if self._handle is None:
-            self._memory.release(self)
-        elif is_oversized(self._received_bytes, self._body_bytes):
-            self.abort()
-        else:
-            self._memory.hold(self, self._received_bytes)
+        for part in split_received(received):
+            self._parse(part)
         self._release_if_usable()
 
     def eof_received(self) -> bool:
         """Completes a reply that is delimited by the connection's end."""
-        if self._head_complete and not self._has_length:
+        reply = self._reply
+        if reply.is_head_complete and not reply.has_length:
             self.on_message_complete()
         return False
 
@@ -165,23 +152,28 @@
         """Starts a reply; called by the parser."""
         if self._handle is None:
             self.abort()
-        self._reset()
+        self._reply = IncompleteReply()
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Stores a header; called by the parser."""
+        reply = self._reply
+        if reply.has_too_many_headers:
+            return
         name = name.lower()
-        self._headers.append((name, content))
+        reply.headers.append((name, content))
         if name in {b'content-length', b'transfer-encoding'}:
-            self._has_length = True
+            reply.has_length = True
+        if reply.has_too_many_headers:
+            self.abort()
 
     def on_headers_complete(self) -> None:
         """Handles the end of the headers; called by the parser."""
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             return
-        self._head_complete = True
+        self._reply.is_head_complete = True
         if status in NO_BODY_STATUSES:
-            self._has_length = True
+            self._reply.has_length = True
         elif self._without_body:
             self.on_message_complete()
             self.abort()
@@ -189,20 +181,23 @@
     def on_body(self, part: bytes) -> None:
         """Stores a part of the body; called by the parser."""
         self._body_bytes += len(part)
-        self._body.append(part)
+        self._reply.body += part
 
     def on_message_complete(self) -> None:
         """Passes the reply to its handler; called by the parser."""
         handle = self._handle
-        if handle is None or not self._head_complete:
+        read = self._reply
+        if handle is None or not read.is_head_complete:
+            return
+        if read.has_too_many_headers:
             return
         reply = HttpReply(
             status=self._parser.get_status_code(),
-            headers=self._headers,
-            body=b''.join(self._body),
+            headers=read.headers,
+            body=bytes(read.body),
         )
-        keep = self._has_length and self._parser.should_keep_alive()
-        self._reset()
+        keep = read.has_length and self._parser.should_keep_alive()
+        self._reply = IncompleteReply()
         if handle(reply) is ReplyMatch.FOREIGN:
             if not keep:
                 self.abort()
@@ -214,6 +209,29 @@
         else:
             self.abort()
 
+    def _parse(self, part: bytes) -> None:
+        """Feeds the parser, then checks the limits of a reply."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self._handle is None:
+            self.abort()
+            return
+        self._received_bytes += len(part)
+        try:
+            self._parser.feed_data(part)
+        except httptools.HttpParserCallbackError as fault:
+            report_error('the handling of a reply failed', fault)
+            self.abort()
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.abort()
+        if self._handle is None:
+            self._memory.release(self)
+        elif is_oversized(self._received_bytes, self._body_bytes):
+            self.abort()
+        else:
+            self._memory.hold(self, self._received_bytes)
+
     def _release_if_usable(self) -> None:
         """Releases the connection, unless bytes follow the reply on it.
 
@@ -231,9 +249,3 @@
             seconds = stated[len(b'timeout=') :].split(b',')[0]
             if seconds.isdigit():
                 self.keep_alive = float(seconds)
-
-    def _reset(self) -> None:
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._head_complete = False
-        self._has_length = False
--- a/packages/gateway/almonddock_gateway/http/_messages.py
+++ b/packages/gateway/almonddock_gateway/http/_messages.py
@@ -1,7 +1,7 @@
 """Helpers for HTTP/1.1 messages."""
 
 import http
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from types import MappingProxyType
 
 #: Pairs of header name, in lower case, and content, in the order received.
@@ -32,6 +32,9 @@
     },
 )
 
+#: How many received bytes are parsed between two checks of the limits.
+PARSED_AT_ONCE_BYTES = 0x1000
+
 NO_BODY_STATUSES = frozenset((204, 304))
 
 
@@ -73,3 +76,9 @@
     ending = b'connection: close\r\n\r\n' if close else b'\r\n'
     sent = body if with_body and length else b''
     return b''.join((line, format_headers(headers), length, ending, sent))
+
+
+def split_received(received: bytes) -> Iterator[bytes]:
+    """Yields the pieces to parse: a read can be larger than a head may be."""
+    for start in range(0, len(received), PARSED_AT_ONCE_BYTES):
+        yield received[start : start + PARSED_AT_ONCE_BYTES]
--- a/packages/gateway/almonddock_gateway/tests/fakes.py
+++ b/packages/gateway/almonddock_gateway/tests/fakes.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import errno
+import tracemalloc
+from collections.abc import Callable
 from datetime import timedelta
 
 from almonddock_core.routing import CallerLimits
@@ -28,6 +30,19 @@
 )
 
 
+def measure_memory(
+    receive: Callable[[bytes], None], *parts: bytes
+) -> tuple[int, int]:
+    """Receives parts; returns the bytes left allocated, and their peak."""
+    tracemalloc.start()
+    try:
+        for part in parts:
+            receive(part)
+        return tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+
+
 class FakeTransport(asyncio.Transport):
     """Records written bytes, and whether it was closed."""
 
--- a/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 
 from almonddock_core.model import ManualClock
@@ -11,7 +12,11 @@
     ConnectionSettings,
     Exchange,
 )
-from almonddock_gateway.tests.fakes import LIMITS, FakeTransport
+from almonddock_gateway.tests.fakes import (
+    LIMITS,
+    FakeTransport,
+    measure_memory,
+)
 
 GET = b'GET /a/b?c HTTP/1.1\r\nhost: desk.example\r\n\r\n'
 POST = b'POST /a/ HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nbody'
@@ -37,6 +42,7 @@
         self.clock = ManualClock()
         self.requests: list[CallerRequest] = []
         self.exchanges: list[FakeExchange] = []
+        self.limits = LIMITS
         self.stopping = False
         #: Raised by the handling of a request; None handles it.
         self.fault: Exception | None = None
@@ -44,7 +50,7 @@
         self.connection = CallerConnection(
             ConnectionSettings(
                 handle=self.handle,
-                get_limits=lambda: LIMITS,
+                get_limits=lambda: self.limits,
                 is_stopping=lambda: self.stopping,
                 opened=lambda connection: None,
                 closed=lambda connection: None,
@@ -132,6 +138,21 @@
                 self.assertEqual(self.requests, [])
                 self.assertEqual(self.transport.ended, status is not None)
 
+    async def test_small_pieces_of_requests_take_little_memory(self) -> None:
+        """A caller can send a body, or a head, in very small pieces.
+
+        The limits on both count bytes; an object for each chunk takes many
+        times its size, and a read can be larger than a head may be.
+        """
+        chunks = CHUNKED[: CHUNKED.index(b'2\r\nbo')] + b'2\r\nxx\r\n' * 0x8000
+        lines = GET[:-2] + b'x:y\r\n' * 0xC000
+        for encoded in (chunks, lines):
+            with self.subTest(start=encoded[:20]):
+                self.setUp()
+                self.limits = replace(LIMITS, body_bytes=0x40000)
+                _, peak = measure_memory(self.connection.data_received, encoded)
+                self.assertLess(peak, 2 * len(encoded))
+
     async def test_conflicting_lengths_are_rejected(self) -> None:
         smuggled = (
             b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n'
--- a/packages/gateway/almonddock_gateway/tests/test_client_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_client_connection.py
@@ -10,7 +10,11 @@
     ReplyMemory,
 )
 from almonddock_gateway.targets import read_reply
-from almonddock_gateway.tests.fakes import NAMES, FakeTransport
+from almonddock_gateway.tests.fakes import (
+    NAMES,
+    FakeTransport,
+    measure_memory,
+)
 
 OK = b'HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-stamp: s\r\n'
 WHOLE = b'%bcontent-length: 4\r\n\r\nbody' % OK
@@ -201,6 +205,43 @@
         )
         self.assertEqual(self.list_bodies(), [b'a' * 50_000])
 
+    def test_small_chunks_take_no_more_memory_than_they_are_counted_for(
+        self,
+    ) -> None:
+        """Endless replies in two-byte chunks exhausted the memory of hosts.
+
+        Each chunk was kept as an object of its own, so the limit on the bytes
+        received allowed eight times as much memory.
+        """
+        chunks = b'2\r\nxx\r\n' * 0x4000
+        self.request(b'%btransfer-encoding: chunked\r\n\r\n' % OK)
+        held, _ = measure_memory(
+            self.connection.data_received, *itertools.repeat(chunks, 9)
+        )
+        self.assertLess(held, 9 * len(chunks))
+        self.connection.data_received(b'0\r\n\r\n')
+        self.assertEqual(self.list_bodies(), [b'xx' * 0x4000 * 9])
+
+    def test_short_header_lines_in_one_read_take_little_memory(self) -> None:
+        """A read of 256 KB was parsed whole before the limit of a head."""
+        for start in (b'', b'transfer-encoding: chunked\r\n\r\n0\r\n'):
+            with self.subTest(start=start):
+                self.setUp()
+                self.request(OK + start)
+                lines = b'x:y\r\n' * 0xC000
+                _, peak = measure_memory(self.connection.data_received, lines)
+                self.assertLess(peak, 2 * len(lines))
+                self.assertTrue(self.transport.closed)
+
+    def test_reply_with_too_many_headers_is_none(self) -> None:
+        for count, body in ((200, b'body'), (300, None)):
+            with self.subTest(count=count):
+                self.setUp()
+                head = OK + b'x: y\r\n' * count
+                self.request(b'%bcontent-length: 4\r\n\r\nbody' % head)
+                self.end(clean=False)
+                self.assertEqual(self.list_bodies(), [body])
+
     def send_next(self, connection: ClientConnection) -> None:
         connection.request(b'', self.receive)
 
