Expand the data of links in pieces

What could be seen: a host at the other end of a link that sends faulty data makes this host expand a whole read, up to a thousand times its size, before the limit on frames is checked.

Why it works: at most 64 KB are expanded before frames, and so the limit of 8 MB on each, are read from them. The codec test joins the pieces and compares the same frames as before.

--- a/packages/gateway/almonddock_gateway/links/_link.py
+++ b/packages/gateway/almonddock_gateway/links/_link.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from almonddock_core.framing import (
     BadFrameError,
@@ -30,6 +30,9 @@
 WINDOW_BITS = 13
 MEMORY_LEVEL = 5
 
+#: The most bytes that are decompressed before frames are read from them.
+DECOMPRESSED_AT_ONCE_BYTES = 0x10000
+
 
 class Link(asyncio.Protocol):
     """Sends and receives messages, and detects an unresponsive peer.
@@ -120,8 +123,9 @@
         self._unanswered_since = None
         self._has_received = True
         try:
-            for encoded in self._reader.feed(self._decompress(received)):
-                self._handle_message(decode(encoded))
+            for piece in self._decompress(received):
+                for encoded in self._reader.feed(piece):
+                    self._handle_message(decode(encoded))
         except BadFrameError:
             self.close()
 
@@ -130,11 +134,21 @@
         self._transport = None
         self._closed(self)
 
-    def _decompress(self, received: bytes) -> bytes:
-        try:
-            return self._decompressor.decompress(received)
-        except zlib.error as fault:
-            raise BadFrameError(f'bad compressed data: {fault}') from fault
+    def _decompress(self, received: bytes) -> Iterator[bytes]:
+        """Yields pieces, so that the limit on frames bounds their memory."""
+        is_complete = False
+        while not is_complete:
+            try:
+                piece = self._decompressor.decompress(
+                    received, DECOMPRESSED_AT_ONCE_BYTES
+                )
+            except zlib.error as fault:
+                raise BadFrameError(f'bad compressed data: {fault}') from fault
+            yield piece
+            received = self._decompressor.unconsumed_tail
+            # Output can be left when all input was consumed.
+            is_full = len(piece) == DECOMPRESSED_AT_ONCE_BYTES
+            is_complete = not (received or is_full)
 
     def _handle_message(self, message: LinkMessage) -> None:
         if isinstance(message, Ping):
--- a/packages/gateway/almonddock_gateway/tests/test_links.py
+++ b/packages/gateway/almonddock_gateway/tests/test_links.py
@@ -23,7 +23,7 @@
     LineWriter,
     Telemetry,
 )
-from almonddock_gateway.tests.fakes import FakeTransport
+from almonddock_gateway.tests.fakes import FakeTransport, measure_memory
 
 
 class LinkTest(unittest.IsolatedAsyncioTestCase):
@@ -50,6 +50,15 @@
         transport.written = b''
         link.data_received(written)
 
+    async def test_much_compressed_data_takes_little_memory(self) -> None:
+        """A read of 100 KB can hold 100 MB, which no limit on frames bounds."""
+        compressor = zlib.compressobj(wbits=-13)
+        packed = compressor.compress(b'\xff' * 4 + bytes(50_000_000))
+        packed += compressor.flush()
+        _, peak = measure_memory(self.here.data_received, packed)
+        self.assertLess(peak, 1_000_000)
+        self.assertTrue(self.here_transport.closed)
+
     async def test_link_is_used_only_after_the_other_host_answered(
         self,
     ) -> None:
@@ -82,7 +91,7 @@
 
     async def test_codec_decodes_sent_frames(self) -> None:
         self.here.ping()
-        expanded = self.there._decompress(self.here_transport.written)
+        expanded = b''.join(self.there._decompress(self.here_transport.written))
         frames = list(FrameReader().feed(expanded))
         self.assertEqual([decode(frame) for frame in frames], [Ping(1)])
 
