Answer the requests that are open when a stop ends

What callers saw: a host that was stopped as planned, under more load than its service can take, ended with requests that still waited for a connection to a target.

Cause: the shutdown waited for 0.95 of its time and returned; nothing answered what was still open. Ruled out: requests that come late in the stop, which are refused from half of it on.

An attempt that is withdrawn tells nothing of its target's health.

Related paths: parts of queries of other hosts are reported as unsent in the same way, and the host stays while it relays. The steps moved to shutdown.py, and the timer of a request to a class of its own.

--- a/packages/core/almonddock_core/dispatch/_actions.py
+++ b/packages/core/almonddock_core/dispatch/_actions.py
@@ -13,6 +13,8 @@
 
     #: No byte of the request reached the target.
     UNSENT = 'unsent'
+    #: As ``UNSENT``, for a reason that says nothing about the target's health.
+    WITHDRAWN = 'withdrawn'
     #: The request may have run.
     LOST = 'lost'
 
--- a/packages/core/almonddock_core/dispatch/_attempts.py
+++ b/packages/core/almonddock_core/dispatch/_attempts.py
@@ -2,7 +2,7 @@
 
 from datetime import timedelta
 
-from almonddock_core.dispatch._actions import Send
+from almonddock_core.dispatch._actions import Failure, Send
 from almonddock_core.dispatch._branch import Attempt, Branch
 from almonddock_core.dispatch._decision_log import (
     AttemptOutcome,
@@ -67,9 +67,15 @@
                 del health.unrepeatable[attempt.unrepeatable]
         return attempt
 
-    def get_branch(self, number: int) -> Branch:
-        """Returns the branch of an attempt, open or not."""
-        return self._branches[number]
+    def replace_reply(
+        self, number: int, outcome: TargetReply | Failure
+    ) -> None:
+        """Replaces an earlier reply of the shard with a merged one."""
+        if isinstance(outcome, Failure) or outcome.group is None:
+            return
+        branch = self._branches[number]
+        branch.reply = outcome
+        branch.succeeded = True
 
     def list_replies(self) -> list[TargetReply]:
         """Returns the successful replies so far, one for each branch."""
--- a/packages/core/almonddock_core/dispatch/_decision_log.py
+++ b/packages/core/almonddock_core/dispatch/_decision_log.py
@@ -26,6 +26,7 @@
     REFUSED = 'refused'
     MISDIRECTED = 'misdirected'
     UNSENT = 'unsent'
+    WITHDRAWN = 'withdrawn'
     LOST = 'lost'
     CANCELLED = 'cancelled'
 
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -31,7 +31,7 @@
     ReplyKind,
     TargetReply,
 )
-from almonddock_core.dispatch._timing import plan_timing
+from almonddock_core.dispatch._timing import end_timing, plan_timing
 from almonddock_core.placement import choose_target
 from almonddock_core.routing import KnownTarget
 
@@ -134,7 +134,7 @@
             attempt_outcome = AttemptOutcome(kind.value)
             attempt = self._attempts.close(number, attempt_outcome, now)
             if attempt is None:
-                self._replace_reply(number, outcome)
+                self._attempts.replace_reply(number, outcome)
             elif isinstance(outcome, Failure):
                 actions.extend(self._handle_failure(attempt, outcome))
             else:
@@ -172,6 +172,14 @@
             actions.extend(self._hedge(attempt))
         return self._finish_if_decided(actions)
 
+    def give_up(self, now: timedelta) -> list[Action]:
+        """Answers with what is known, because the host stops."""
+        self._now = now
+        if self.answer is not None:
+            return []
+        self.timing = end_timing(self.timing, now)
+        return self._finish_if_decided([])
+
     def abandon(self, now: timedelta) -> list[Action]:
         """Cancels all open attempts, because the caller has left."""
         self._now = now
@@ -198,23 +206,14 @@
         self, attempt: Attempt, failure: Failure
     ) -> list[Action]:
         branch = attempt.branch
-        attempt.target.health.observe_connection_failure(self._now)
+        if failure is not Failure.WITHDRAWN:
+            attempt.target.health.observe_connection_failure(self._now)
         if failure is Failure.LOST:
             branch.may_have_run = True
         else:
             branch.sent -= 1
         return self._send_another(branch)
 
-    def _replace_reply(
-        self, number: int, outcome: TargetReply | Failure
-    ) -> None:
-        """Replaces an earlier reply of the shard with a merged one."""
-        if isinstance(outcome, Failure) or outcome.group is None:
-            return
-        branch = self._attempts.get_branch(number)
-        branch.reply = outcome
-        branch.succeeded = True
-
     def _handle_success(
         self, attempt: Attempt, reply: TargetReply
     ) -> list[Action]:
--- a/packages/core/almonddock_core/dispatch/_timing.py
+++ b/packages/core/almonddock_core/dispatch/_timing.py
@@ -1,6 +1,6 @@
 """When a request is hedged, answered with shards missing, and given up."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from almonddock_core.dispatch._requests import DispatchedRequest
@@ -54,3 +54,10 @@
         ),
         give_up_at=give_up_at,
     )
+
+
+def end_timing(timing: DispatchTiming, now: timedelta) -> DispatchTiming:
+    """Returns the points in time of a request that is answered now."""
+    return replace(
+        timing, partial_from=now, late_partial_from=now, give_up_at=now
+    )
--- a/packages/core/almonddock_core/tests/test_dispatch.py
+++ b/packages/core/almonddock_core/tests/test_dispatch.py
@@ -95,6 +95,32 @@
                 case.reply(0)
                 self.assertIsInstance(case.dispatch.answer, ForwardedAnswer)
 
+    def test_request_of_a_stopping_host_is_answered_at_once(self) -> None:
+        """A host that stops would exit without an answer to the caller."""
+        case = DispatchCase(make_route()).start()
+        case.actions.extend(case.dispatch.give_up(10 * MS))
+        self.assertEqual(case.list_cancelled(), [0])
+        self.assertEqual(
+            case.dispatch.answer,
+            Refusal(RefusalReason.TIMED_OUT, not_run=False),
+        )
+        self.assertEqual(case.dispatch.give_up(20 * MS), [])
+        self.assertEqual(case.count_answers(), 1)
+
+    def test_withdrawn_attempt_says_nothing_of_its_target(self) -> None:
+        """Another target is asked, without a retry from the budget."""
+        case = DispatchCase(make_route(), limits=NO_EXTRA_ATTEMPTS).start()
+        target = case.targets.find('desk/0')
+        assert target is not None
+        case.actions.extend(case.dispatch.fail(0, Failure.WITHDRAWN, case.now))
+        self.assertEqual(case.list_sent(), ['desk/0', 'desk/1'])
+        self.assertEqual(target.health.connection_failures, 0)
+        case.actions.extend(case.dispatch.fail(1, Failure.WITHDRAWN, case.now))
+        answer = case.dispatch.answer
+        assert isinstance(answer, Refusal)
+        self.assertTrue(answer.not_run)
+        self.assertIsNotNone(answer.retry_after)
+
     def test_no_target_is_refused_at_once(self) -> None:
         case = DispatchCase(make_route(), replicas=0).start()
         answer = case.dispatch.answer
@@ -174,6 +200,17 @@
     def make_case(self, **changes: object) -> DispatchCase:
         return DispatchCase(make_route(4, **changes))
 
+    def test_query_of_a_stopping_host_gets_the_shards_that_answered(
+        self,
+    ) -> None:
+        for answered, expected in ((3, MergedAnswer), (2, Refusal)):
+            with self.subTest(answered=answered):
+                case = DispatchCase(make_route(shards=4)).start()
+                for number in range(answered):
+                    case.reply(number)
+                case.actions.extend(case.dispatch.give_up(10 * MS))
+                self.assertIsInstance(case.dispatch.answer, expected)
+
     def test_complete_answer_goes_out_at_once(self) -> None:
         case = self.make_case().start()
         for attempt in range(4):
--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -25,6 +25,11 @@
 )
 from almonddock_gateway.telemetry import Telemetry
 
+#: How long a stopping host waits for its registration to be removed. It expires
+#: by itself if the store does not answer.
+DEREGISTRATION_TIMEOUT_MS = 200
+DEREGISTRATION_TIMEOUT = timedelta(milliseconds=DEREGISTRATION_TIMEOUT_MS)
+
 #: The time to live of a registration without a renewal.
 REGISTRATION_TTL_S = 15
 REGISTRATION_TTL = timedelta(seconds=REGISTRATION_TTL_S)
@@ -124,10 +129,11 @@
         if self._lease is None:
             return
         try:
-            await self._store.end_lease(self._lease)
-        except (StoreLostError, LeaseEndedError) as lost:
+            async with asyncio.timeout(DEREGISTRATION_TIMEOUT.total_seconds()):
+                await self._store.end_lease(self._lease)
+        except (StoreLostError, LeaseEndedError, TimeoutError) as lost:
             self._telemetry.log_event(
-                'deregistration_failed', reason=lost.message
+                'deregistration_failed', reason=repr(lost)
             )
 
     def _update_count(self, revision: int) -> None:
--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -55,6 +55,10 @@
     closing: bool = False
     rotations: dict[str, WeightedRotation] = field(default_factory=dict)
 
+    def refuse_new(self) -> None:
+        """Answers new requests with 503 from now on."""
+        self.closing = True
+
     def pick_services(self, route: Route) -> tuple[str, ...]:
         """Returns all shards, or one service by weighted rotation."""
         if route.shards:
@@ -82,8 +86,17 @@
         self._context = context
         self._settings = settings
         self._telemetry = telemetry
-        #: The number of requests in progress.
-        self.running = 0
+        self._exchanges: set[TargetExchange] = set()
+
+    @property
+    def running(self) -> int:
+        """The number of requests in progress."""
+        return len(self._exchanges)
+
+    def give_up(self) -> None:
+        """Answers all requests in progress, because the process ends."""
+        for exchange in tuple(self._exchanges):
+            exchange.give_up()
 
     def handle(
         self,
@@ -124,7 +137,7 @@
         )
 
         def finish(exchange: TargetExchange, answer: Answer | None) -> None:
-            self.running -= 1
+            self._exchanges.discard(exchange)
             version = table.version
             status = 0
             if answer is not None:
@@ -134,7 +147,7 @@
             self._telemetry.log_finished(exchange, status, version)
 
         exchange = TargetExchange(dispatch, outgoing, self._settings, finish)
-        self.running += 1
+        self._exchanges.add(exchange)
         exchange.start()
         return exchange
 
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -1,6 +1,5 @@
 """Performs the actions that the dispatch of one request decides on."""
 
-import asyncio
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
@@ -20,6 +19,7 @@
 )
 from almonddock_core.model import Clock
 from almonddock_core.routing import KnownTarget
+from almonddock_gateway.entry._timer import WakeTimer
 from almonddock_gateway.http import CallerRequest, HttpReply, ReplyMatch
 from almonddock_gateway.relays import (
     MessageLink,
@@ -83,8 +83,7 @@
         self._relays: list[Relay] = []
         #: Services with an attempt in some relay query.
         self._relayed_services: set[str] = set()
-        self._timer: asyncio.TimerHandle | None = None
-        self._timer_at = timedelta()
+        self._timer = WakeTimer(settings.clock, self._tick)
 
     def start(self) -> None:
         """Sends the first attempts."""
@@ -96,14 +95,18 @@
         if self.dispatch.answer is not None:
             return
         self._run(self.dispatch.abandon(self._settings.clock.now()))
-        self._stop_timer()
+        self._timer.stop()
         self._end_relays()
         self._finish(self, None)
 
+    def give_up(self) -> None:
+        """Answers with what is known, because the process ends."""
+        self._run(self.dispatch.give_up(self._settings.clock.now()))
+
     def _run(self, actions: list[Action]) -> None:
         for action in actions:
             if isinstance(action, Finish):
-                self._stop_timer()
+                self._timer.stop()
                 self._end_relays()
                 self._finish(self, action.answer)
                 return
@@ -111,7 +114,7 @@
         for relay in self._relays:
             relay.send_cancelled()
         if self.dispatch.answer is None:
-            self._set_timer()
+            self._timer.set(self.dispatch.wake_at)
 
     def _execute(self, action: Send | Cancel | Withdraw) -> None:
         if isinstance(action, Send):
@@ -248,29 +251,10 @@
         now = self._settings.clock.now()
         self._run(self.dispatch.fail(number, failure, now))
 
-    def _set_timer(self) -> None:
-        wake_at = self.dispatch.wake_at
-        if self._timer is not None:
-            if self._timer_at == wake_at:
-                return
-            self._timer.cancel()
-        wait = wake_at - self._settings.clock.now()
-        self._timer_at = wake_at
-        self._timer = asyncio.get_running_loop().call_later(
-            max(0, wait.total_seconds()),
-            self._tick,
-        )
-
     def _tick(self) -> None:
-        self._timer = None
         actions = self.dispatch.tick(self._settings.clock.now())
         self._run(self._relay_sends(actions, HEDGE_FLUSH_SHARE))
 
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
 
 def _find_threshold(dispatch: Dispatch) -> bytes:
     """Returns the record that further records must exceed to count."""
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/entry/_timer.py
@@ -0,0 +1,40 @@
+"""The timer of one request."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from almonddock_core.model import Clock
+
+
+class WakeTimer:
+    """Calls back at one time, which can be moved."""
+
+    def __init__(self, clock: Clock, wake: Callable[[], None]) -> None:
+        self._clock = clock
+        self._wake = wake
+        self._handle: asyncio.TimerHandle | None = None
+        self._wake_at = timedelta()
+
+    def set(self, wake_at: timedelta) -> None:
+        """Replaces the time of the call."""
+        if self._handle is not None:
+            if self._wake_at == wake_at:
+                return
+            self._handle.cancel()
+        wait = wake_at - self._clock.now()
+        self._wake_at = wake_at
+        self._handle = asyncio.get_running_loop().call_later(
+            max(0, wait.total_seconds()),
+            self._fire,
+        )
+
+    def stop(self) -> None:
+        """Cancels the call."""
+        if self._handle is not None:
+            self._handle.cancel()
+            self._handle = None
+
+    def _fire(self) -> None:
+        self._handle = None
+        self._wake()
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -1,7 +1,6 @@
 """One gateway process, from start to shutdown."""
 
 import asyncio
-import contextlib
 import gc
 import signal
 from collections.abc import Callable
@@ -36,6 +35,7 @@
 from almonddock_gateway.relays import CostExchange, RelayRouter, RelaySettings
 from almonddock_gateway.serving import START_LIMITS, CallerServers
 from almonddock_gateway.settings import GatewaySettings
+from almonddock_gateway.shutdown import ShutdownSteps, finish_requests
 from almonddock_gateway.store import Store
 from almonddock_gateway.supervision import (
     keep_running,
@@ -59,25 +59,6 @@
 #: The pause between writes of log lines.
 LOG_FLUSH = timedelta(milliseconds=100)
 
-#: A stopping host accepts new requests for this share of the shutdown time,
-#: because the balancer detects the stop with a delay.
-SERVE_SHARE = 0.5
-
-#: Idle connections are closed after this share of the shutdown time.
-CLOSE_IDLE_SHARE = 0.42
-
-#: How long a stopping host waits for its registration to be removed.
-DEREGISTRATION_TIMEOUT_MS = 200
-DEREGISTRATION_TIMEOUT = timedelta(milliseconds=DEREGISTRATION_TIMEOUT_MS)
-
-#: A host that refuses new requests does so for this share of the shutdown time
-#: at least: requests are on their way on connections that are open, and on
-#: those that the kernel has accepted.
-REFUSE_SHARE = 0.1
-
-#: The host stops waiting for requests at this share of the shutdown time.
-END_SHARE = 0.95
-
 #: The allocations after which the youngest generation is collected.
 GC_THRESHOLD = 50_000
 
@@ -253,11 +234,6 @@
         await self._stop()
         await self._shut_down(tasks)
 
-    @property
-    def _is_busy(self) -> bool:
-        """Whether requests run, or are read or answered on a connection."""
-        return self._entry.running > 0 or self._servers.busy
-
     async def _shut_down(self, tasks: list[asyncio.Task[None]]) -> None:
         for task in tasks:
             task.cancel()
@@ -383,28 +359,23 @@
             self._links.record_alive()
             self.telemetry.flush()
 
+    def _is_busy(self) -> bool:
+        """Whether requests run, or are read or answered on a connection."""
+        if self._entry.running:
+            return True
+        return self._servers.busy or self._links.busy
+
     async def _stop(self) -> None:
         """Waits until the balancer detects the stop and requests have ended."""
-        total = self.settings.shutdown_time
-        asked = self._clock.now()
         self.telemetry.log_event('stopping', running=self._entry.running)
         self.telemetry.flush()
         self._links.announce_stop()
-        await self._sleep_until(asked + total * CLOSE_IDLE_SHARE)
-        self._servers.close_idle()
-        await self._sleep_until(asked + total * SERVE_SHARE)
-        self._state.closing = True
-        await self._sleep_until(asked + total * (SERVE_SHARE + REFUSE_SHARE))
-        end = asked + total * END_SHARE
-        while self._is_busy and self._clock.now() < end:
-            await asyncio.sleep(LOG_FLUSH.total_seconds())
-        with contextlib.suppress(TimeoutError):
-            # The registration expires by itself if the store does not answer.
-            await asyncio.wait_for(
-                self._hosts.deregister(),
-                DEREGISTRATION_TIMEOUT.total_seconds(),
-            )
-
-    async def _sleep_until(self, moment: timedelta) -> None:
-        wait = moment - self._clock.now()
-        await asyncio.sleep(max(0, wait.total_seconds()))
+        steps = ShutdownSteps(
+            close_idle=self._servers.close_idle,
+            refuse_new=self._state.refuse_new,
+            withdraw_waiting=self._pools.withdraw_waiting,
+            give_up=self._entry.give_up,
+            is_busy=self._is_busy,
+        )
+        await finish_requests(steps, self.settings.shutdown_time, self._clock)
+        await self._hosts.deregister()
--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -43,6 +43,11 @@
         self._server: asyncio.Server | None = None
         self._peers: PeerLinks | None = None
 
+    @property
+    def busy(self) -> bool:
+        """Whether a query of another host is in progress."""
+        return self._relay_server.busy
+
     async def open(self) -> 'PeerLinks':
         """Listens for links; returns this host's own, which :meth:`run` keeps.
 
--- a/packages/gateway/almonddock_gateway/relays/_server.py
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -77,7 +77,8 @@
         if outcome is None:
             health.observe_cancellation(slowness, now)
         elif isinstance(outcome, Failure):
-            health.observe_connection_failure(now)
+            if outcome is not Failure.WITHDRAWN:
+                health.observe_connection_failure(now)
         elif outcome.kind is ReplyKind.SUCCESS:
             health.observe_reply(slowness, now)
         else:
@@ -127,6 +128,11 @@
         #: The costs that were last sent over each link.
         self._sent_costs: dict[MessageLink, Costs] = {}
 
+    @property
+    def busy(self) -> bool:
+        """Whether a query of another host is in progress."""
+        return bool(self._running)
+
     def record_alive(self) -> None:
         """Records that this host runs; called a few times within a stall."""
         self._alive_at = self._settings.clock.now()
@@ -239,7 +245,9 @@
         sub_query = relayed.pending.pop(part, None)
         if sub_query is not None:
             sub_query.end(failure, self._settings.clock.now())
-            relayed.failures.append((part, PartFailure[failure.name]))
+            is_lost = failure is Failure.LOST
+            part_failure = PartFailure.LOST if is_lost else PartFailure.UNSENT
+            relayed.failures.append((part, part_failure))
             self._send_if_due(relayed)
 
     def _cancel(self, relayed: _RelayedQuery, parts: tuple[int, ...]) -> None:
--- a/packages/gateway/almonddock_gateway/targets/_pool.py
+++ b/packages/gateway/almonddock_gateway/targets/_pool.py
@@ -47,6 +47,8 @@
     get_limit: Callable[[], int]
     #: Called when the target becomes reachable or unreachable.
     report_reachability: Callable[[KnownTarget], None]
+    #: Whether attempts may wait for a connection.
+    may_wait: Callable[[], bool] = lambda: True
     #: Bounds the incomplete replies of all targets.
     memory: ReplyMemory = field(default_factory=ReplyMemory)
 
@@ -78,6 +80,10 @@
         if connection is not None:
             self._send(connection, attempt)
             return
+        if not self._settings.may_wait():
+            # The caller expects no outcome before it returns.
+            self._loop.call_soon(_fail_unsent, attempt, Failure.WITHDRAWN)
+            return
         ranked = (attempt.priority, next(self._order), attempt)
         heapq.heappush(self._waiting, ranked)
         self._dial_if_needed()
@@ -88,6 +94,13 @@
         if attempt.connection is not None:
             attempt.connection.close()
 
+    def fail_waiting(self, failure: Failure) -> None:
+        """Fails the attempts that wait for a connection."""
+        waiting = self._waiting
+        self._waiting = []
+        for _, _, attempt in waiting:
+            _fail_unsent(attempt, failure)
+
     def close_idle(self) -> None:
         """Closes connections that have exceeded their idle timeout."""
         now = self._loop.time()
@@ -222,7 +235,7 @@
         if not target.health.unreachable:
             target.health.unreachable = True
             self._settings.report_reachability(target)
-        self._fail_waiting()
+        self.fail_waiting(Failure.UNSENT)
         if self._redial is None and not target.dropped:
             self._redial = self._loop.call_later(
                 self._redial_wait_s,
@@ -245,13 +258,11 @@
         self._dialling.add(task)
         task.add_done_callback(self._dialling.discard)
 
-    def _fail_waiting(self) -> None:
-        waiting = self._waiting
-        self._waiting = []
-        for _, _, attempt in waiting:
-            if not attempt.ended:
-                attempt.ended = True
-                attempt.fail(Failure.UNSENT)
+
+def _fail_unsent(attempt: TargetAttempt, failure: Failure) -> None:
+    if not attempt.ended:
+        attempt.ended = True
+        attempt.fail(failure)
 
 
 def _is_stale(connection: ClientConnection, now: float) -> bool:
--- a/packages/gateway/almonddock_gateway/targets/_pools.py
+++ b/packages/gateway/almonddock_gateway/targets/_pools.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from almonddock_core.dispatch import Failure
 from almonddock_core.routing import KnownTarget
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.targets._pool import PoolSettings, TargetPool
@@ -24,6 +25,7 @@
         self._get_limit = get_limit
         self._report_reachability = report_reachability
         self._memory = ReplyMemory()
+        self._may_wait = True
         self._pools: dict[int, TargetPool] = {}
 
     def get(self, target: KnownTarget) -> TargetPool:
@@ -36,12 +38,19 @@
                     target,
                     lambda: self._get_limit(service),
                     self._report_reachability,
+                    lambda: self._may_wait,
                     self._memory,
                 ),
             )
             self._pools[id(target)] = pool
         return pool
 
+    def withdraw_waiting(self) -> None:
+        """Fails attempts that wait for a connection, or would have to."""
+        self._may_wait = False
+        for pool in tuple(self._pools.values()):
+            pool.fail_waiting(Failure.WITHDRAWN)
+
     def close_idle(self) -> None:
         """Closes stale idle connections and removes unused pools."""
         for key, pool in tuple(self._pools.items()):
--- a/packages/gateway/almonddock_gateway/tests/test_pool.py
+++ b/packages/gateway/almonddock_gateway/tests/test_pool.py
@@ -40,6 +40,10 @@
         self.timers.append(work)
         return work
 
+    def call_soon(self, work: Callable[..., None], *arguments: object) -> None:
+        """Calls back on the real loop."""
+        self._loop.call_soon(work, *arguments)
+
     def create_task(self, work: object) -> object:
         """Runs a task on the real loop."""
         return self._loop.create_task(work)  # type: ignore[arg-type]
@@ -70,10 +74,14 @@
         self.reported: list[bool] = []
         self.failures: list[Failure] = []
         self.limit = 2
+        self.may_wait = True
         self.loop = FakeLoop()
         self.pool = TargetPool(
             PoolSettings(
-                self.target, lambda: self.limit, self.report_reachability
+                self.target,
+                lambda: self.limit,
+                self.report_reachability,
+                lambda: self.may_wait,
             ),
         )
         self.pool._loop = self.loop  # type: ignore[assignment]
@@ -142,6 +150,21 @@
         self.assertEqual(self.failures, [Failure.UNSENT])
         self.assertEqual(self.reported, [True])
 
+    async def test_no_attempt_waits_once_waiting_ones_are_withdrawn(
+        self,
+    ) -> None:
+        """A host that stops would exit while they wait."""
+        for name in (b'a', b'b', b'c'):
+            await self.submit(name)
+        self.may_wait = False
+        self.pool.fail_waiting(Failure.WITHDRAWN)
+        self.assertEqual(self.failures, [Failure.WITHDRAWN])
+        await self.submit(b'd')
+        self.assertEqual(self.failures, [Failure.WITHDRAWN, Failure.WITHDRAWN])
+        self.loop.connections[0].data_received(REPLY)
+        await self.submit(b'e')
+        self.assertEqual(self.list_written(), [b'ae', b'b'])
+
     async def test_refused_dial_is_ignored_while_a_connection_is_open(
         self,
     ) -> None:
--- a/packages/gateway/almonddock_gateway/tests/test_relays.py
+++ b/packages/gateway/almonddock_gateway/tests/test_relays.py
@@ -153,6 +153,21 @@
             ((0, PartFailure.LOST),),
         )
 
+    async def test_withdrawn_attempt_is_reported_as_unsent(self) -> None:
+        """The other host may send the sub-query to another target."""
+        self.start('t0', 't1')
+        self.pool.attempts[0].fail(Failure.WITHDRAWN)
+        self.assertEqual(
+            self.get_replies()[0].failures,
+            ((0, PartFailure.UNSENT),),
+        )
+        target = self.targets.find('t0')
+        assert target is not None
+        self.assertEqual(target.health.connection_failures, 0)
+        self.assertTrue(self.server.busy)
+        self.pool.reply(1, b'a' * 16)
+        self.assertFalse(self.server.busy)
+
     async def test_cancelled_part_is_left_out(self) -> None:
         self.start('t0', 't1', 't2')
         self.pool.reply(0, b'a' * 16)
