Answer requests in line before a stop closes their connection

Cause: a stopping host closed each connection after its next answer. Ruled out: requests in line without a stop.

Why it works: the answer that closes the connection now is the last one that is owed on it. A request that is half read counts as owed too; the limit on the time to read a head, and the end of the shutdown, bound the wait.

--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -115,7 +115,12 @@
         transport = self._transport
         if request is None or transport is None:
             return
-        close = not request.keep_alive or self._settings.is_stopping()
+        is_last = not (
+            self._waiting or self._reading_head or self._reading_body
+        )
+        close = not request.keep_alive or (
+            is_last and self._settings.is_stopping()
+        )
         encoded = format_response(
             status,
             headers,
--- a/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
@@ -169,6 +169,31 @@
             self.connection.send(status, (), b'')
         self.assertEqual(self.read_statuses(), [200, 404, 503])
 
+    async def test_stopping_host_answers_requests_behind_the_current_one(
+        self,
+    ) -> None:
+        """The first answer closed the connection, and the rest got none."""
+        for behind, rest in (
+            (GET + POST, b''),
+            (GET + POST[:9], POST[9:]),
+            (POST[:-1], POST[-1:]),
+        ):
+            with self.subTest(behind=behind):
+                self.setUp()
+                self.stopping = True
+                self.connection.data_received(GET + behind)
+                self.connection.send(200, (), b'')
+                self.assertFalse(self.transport.ended)
+                self.connection.data_received(rest)
+                while not self.transport.ended:
+                    answered = self.read_statuses()
+                    self.connection.send(200, (), b'')
+                    self.assertNotEqual(self.read_statuses(), answered)
+                self.assertEqual(len(self.requests), len(self.read_statuses()))
+                closing = self.transport.written.split(b'connection: close')
+                self.assertEqual(len(closing), 2)
+                self.assertNotIn(b'HTTP/1.1', closing[1])
+
     async def test_request_before_malformed_bytes_is_answered(
         self,
     ) -> None:
