Withdraw the attempts that wait for a target which leaves

Cause: a target's state was looked at when an attempt was made, not when a connection became free. Ruled out: new attempts, which avoid such targets.

Why it works: nothing is sent to a target that may not get new work; as no byte was sent, another target may be asked without a retry from the budget.

The queue of a pool moved to a class of its own.

--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -121,18 +121,22 @@
     ) -> KnownTarget | None:
         """Returns a target that may get new work, by its id."""
         target = self._targets.get(target_id)
-        if target is None or not target.is_usable(now):
+        if target is None or not self.is_usable(target, now):
             return None
-        drained = target.entry.data_centre in self.drained
-        return None if drained else target
+        return target
+
+    def is_usable(self, target: KnownTarget, now: timedelta) -> bool:
+        """Whether a target may get new work, also once it is not listed."""
+        if target.dropped or target.entry.data_centre in self.drained:
+            return False
+        return target.is_usable(now)
 
     def list_usable(self, service: str, now: timedelta) -> list[KnownTarget]:
         """Returns the targets of a service that may get new work."""
         return [
             target
             for target in self._services.get(service, ())
-            if target.is_usable(now)
-            and target.entry.data_centre not in self.drained
+            if self.is_usable(target, now)
         ]
 
     def record_store_recovery(self, now: timedelta) -> None:
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -3,6 +3,7 @@
 A watcher is a host that reads the store for others of its data centre.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -49,6 +50,8 @@
     hosts: HostController
     clock: Clock
     telemetry: Telemetry
+    #: Called after the targets, or the drained data centres, were updated.
+    targets_updated: Callable[[], None]
 
 
 class StoreFollowing:
@@ -92,12 +95,14 @@
         deps = self._deps
         for controller in (deps.configuration, deps.targets, deps.hosts):
             controller.apply_snapshot(view)
+        deps.targets_updated()
         self._cache.apply_snapshot(view)
 
     def _apply_changes(self, view: StoreView) -> None:
         deps = self._deps
         for controller in (deps.configuration, deps.targets, deps.hosts):
             controller.apply_changes(view)
+        deps.targets_updated()
         self._cache.apply_changes(view, deps.targets.confirmed)
 
     def _is_reading_directly(self) -> bool:
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -112,6 +112,7 @@
         self._pools = TargetPools(
             self._get_connection_limit,
             self._report_reachability,
+            lambda target: self._targets.is_usable(target, self._clock.now()),
         )
         self._relays = RelayRouter(
             settings.data_centre,
@@ -164,6 +165,7 @@
                 hosts=self._hosts,
                 clock=self._clock,
                 telemetry=self.telemetry,
+                targets_updated=self._pools.check_waiting,
             ),
         )
         self._warmth = WarmthController(
@@ -350,6 +352,7 @@
             self._context.hedges.drop_idle(now)
             self._target_controller.drop_lapsed()
             self._isolation.check()
+            self._pools.check_waiting()
             self._pools.close_idle()
             self._servers.enforce_timeouts()
 
--- a/packages/gateway/almonddock_gateway/targets/_pool.py
+++ b/packages/gateway/almonddock_gateway/targets/_pool.py
@@ -1,8 +1,6 @@
 """The pool of connections from this host to one target."""
 
 import asyncio
-import heapq
-import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -16,6 +14,7 @@
     ReplyMemory,
 )
 from almonddock_gateway.targets._attempts import TargetAttempt
+from almonddock_gateway.targets._waiting import WaitingAttempts, fail_unsent
 
 #: The timeout for opening a connection, in seconds. Targets accept within a
 #: few milliseconds; a machine that is down never answers.
@@ -47,7 +46,8 @@
     get_limit: Callable[[], int]
     #: Called when the target becomes reachable or unreachable.
     report_reachability: Callable[[KnownTarget], None]
-    #: Whether attempts may wait for a connection.
+    #: Whether attempts may wait for a connection: the target may leave, or the
+    #: host may stop, before one is free.
     may_wait: Callable[[], bool] = lambda: True
     #: Bounds the incomplete replies of all targets.
     memory: ReplyMemory = field(default_factory=ReplyMemory)
@@ -63,8 +63,7 @@
         self._idle: list[ClientConnection] = []
         self._open: set[ClientConnection] = set()
         self._dialling: set[asyncio.Task[None]] = set()
-        self._waiting: list[tuple[int, int, TargetAttempt]] = []
-        self._order = itertools.count()
+        self._waiting = WaitingAttempts()
         self._redial: asyncio.TimerHandle | None = None
         self._redial_wait_s = MIN_REDIAL_PAUSE_S
 
@@ -82,10 +81,9 @@
             return
         if not self._settings.may_wait():
             # The caller expects no outcome before it returns.
-            self._loop.call_soon(_fail_unsent, attempt, Failure.WITHDRAWN)
+            self._loop.call_soon(fail_unsent, attempt, Failure.WITHDRAWN)
             return
-        ranked = (attempt.priority, next(self._order), attempt)
-        heapq.heappush(self._waiting, ranked)
+        self._waiting.push(attempt)
         self._dial_if_needed()
 
     def cancel(self, attempt: TargetAttempt) -> None:
@@ -94,12 +92,10 @@
         if attempt.connection is not None:
             attempt.connection.close()
 
-    def fail_waiting(self, failure: Failure) -> None:
-        """Fails the attempts that wait for a connection."""
-        waiting = self._waiting
-        self._waiting = []
-        for _, _, attempt in waiting:
-            _fail_unsent(attempt, failure)
+    def check_waiting(self) -> None:
+        """Withdraws the attempts that wait, once they may not any more."""
+        if self._waiting and not self._settings.may_wait():
+            self._waiting.fail_all(Failure.WITHDRAWN)
 
     def close_idle(self) -> None:
         """Closes connections that have exceeded their idle timeout."""
@@ -162,19 +158,13 @@
     def _release(self, connection: ClientConnection) -> None:
         """Reuses a connection whose reply is complete."""
         connection.idle_since = self._loop.time()
-        attempt = self._pop_waiting()
+        self.check_waiting()
+        attempt = self._waiting.pop()
         if attempt is None:
             self._idle.append(connection)
         else:
             self._send(connection, attempt)
 
-    def _pop_waiting(self) -> TargetAttempt | None:
-        while self._waiting:
-            attempt = heapq.heappop(self._waiting)[-1]
-            if not attempt.ended:
-                return attempt
-        return None
-
     def _forget(self, connection: ClientConnection) -> None:
         self._open.discard(connection)
         if connection in self._idle:
@@ -235,7 +225,7 @@
         if not target.health.unreachable:
             target.health.unreachable = True
             self._settings.report_reachability(target)
-        self.fail_waiting(Failure.UNSENT)
+        self._waiting.fail_all(Failure.UNSENT)
         if self._redial is None and not target.dropped:
             self._redial = self._loop.call_later(
                 self._redial_wait_s,
@@ -259,12 +249,6 @@
         task.add_done_callback(self._dialling.discard)
 
 
-def _fail_unsent(attempt: TargetAttempt, failure: Failure) -> None:
-    if not attempt.ended:
-        attempt.ended = True
-        attempt.fail(failure)
-
-
 def _is_stale(connection: ClientConnection, now: float) -> bool:
     kept = connection.keep_alive or DEFAULT_IDLE_S
     return now - connection.idle_since > kept - KEEP_ALIVE_MARGIN_S
--- a/packages/gateway/almonddock_gateway/targets/_pools.py
+++ b/packages/gateway/almonddock_gateway/targets/_pools.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-from almonddock_core.dispatch import Failure
 from almonddock_core.routing import KnownTarget
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.targets._pool import PoolSettings, TargetPool
@@ -15,13 +14,15 @@
         self,
         get_limit: Callable[[str], int],
         report_reachability: Callable[[KnownTarget], None],
+        is_usable: Callable[[KnownTarget], bool] = lambda target: True,
     ) -> None:
         """Initialises without pools.
 
         ``get_limit`` returns the connection limit for a target of a service;
         ``report_reachability`` is called when a target becomes reachable or
-        unreachable.
+        unreachable; ``is_usable`` says whether it may get new work.
         """
+        self._is_usable = is_usable
         self._get_limit = get_limit
         self._report_reachability = report_reachability
         self._memory = ReplyMemory()
@@ -38,7 +39,7 @@
                     target,
                     lambda: self._get_limit(service),
                     self._report_reachability,
-                    lambda: self._may_wait,
+                    lambda: self._may_wait and self._is_usable(target),
                     self._memory,
                 ),
             )
@@ -48,8 +49,15 @@
     def withdraw_waiting(self) -> None:
         """Fails attempts that wait for a connection, or would have to."""
         self._may_wait = False
+        self.check_waiting()
+
+    def check_waiting(self) -> None:
+        """Withdraws the attempts that wait for targets which leave.
+
+        Call this after a change of the targets.
+        """
         for pool in tuple(self._pools.values()):
-            pool.fail_waiting(Failure.WITHDRAWN)
+            pool.check_waiting()
 
     def close_idle(self) -> None:
         """Closes stale idle connections and removes unused pools."""
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/targets/_waiting.py
@@ -0,0 +1,46 @@
+"""The attempts that wait for a connection to one target."""
+
+import heapq
+import itertools
+
+from almonddock_core.dispatch import Failure
+from almonddock_gateway.targets._attempts import TargetAttempt
+
+
+class WaitingAttempts:
+    """A queue by priority; attempts that have ended are skipped."""
+
+    def __init__(self) -> None:
+        self._ranked: list[tuple[int, int, TargetAttempt]] = []
+        self._order = itertools.count()
+
+    def __len__(self) -> int:
+        """The number of attempts, with those that have ended."""
+        return len(self._ranked)
+
+    def push(self, attempt: TargetAttempt) -> None:
+        """Adds an attempt behind those of its priority."""
+        ranked = (attempt.priority, next(self._order), attempt)
+        heapq.heappush(self._ranked, ranked)
+
+    def pop(self) -> TargetAttempt | None:
+        """Removes and returns the next attempt, None without one."""
+        while self._ranked:
+            attempt = heapq.heappop(self._ranked)[-1]
+            if not attempt.ended:
+                return attempt
+        return None
+
+    def fail_all(self, failure: Failure) -> None:
+        """Removes all attempts and reports their failure."""
+        ranked = self._ranked
+        self._ranked = []
+        for _, _, attempt in ranked:
+            fail_unsent(attempt, failure)
+
+
+def fail_unsent(attempt: TargetAttempt, failure: Failure) -> None:
+    """Reports the failure of an attempt, unless it has ended."""
+    if not attempt.ended:
+        attempt.ended = True
+        attempt.fail(failure)
--- a/packages/gateway/almonddock_gateway/tests/test_pool.py
+++ b/packages/gateway/almonddock_gateway/tests/test_pool.py
@@ -157,7 +157,7 @@
         for name in (b'a', b'b', b'c'):
             await self.submit(name)
         self.may_wait = False
-        self.pool.fail_waiting(Failure.WITHDRAWN)
+        self.pool.check_waiting()
         self.assertEqual(self.failures, [Failure.WITHDRAWN])
         await self.submit(b'd')
         self.assertEqual(self.failures, [Failure.WITHDRAWN, Failure.WITHDRAWN])
@@ -165,6 +165,20 @@
         await self.submit(b'e')
         self.assertEqual(self.list_written(), [b'ae', b'b'])
 
+    async def test_attempt_does_not_wait_for_a_target_that_leaves(
+        self,
+    ) -> None:
+        """Attempts were sent to a leaving target until it ended.
+
+        A connection that becomes free may be the first to notice.
+        """
+        for name in (b'a', b'b', b'c'):
+            await self.submit(name)
+        self.may_wait = False
+        self.loop.connections[0].data_received(REPLY)
+        self.assertEqual(self.failures, [Failure.WITHDRAWN])
+        self.assertEqual(self.list_written(), [b'a', b'b'])
+
     async def test_refused_dial_is_ignored_while_a_connection_is_open(
         self,
     ) -> None:
