--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -48,6 +48,9 @@
     Telemetry,
 )
 
+#: The signals that a host handles from the start of :meth:`GatewayHost.run`.
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
+
 #: How long a host serves callers before it opens links: the import of pycapnp
 #: for them blocks the event loop for about a tenth of a second.
 LINK_DELAY = timedelta(seconds=2)
@@ -220,6 +223,8 @@
         log_unexpected_errors(loop, self.telemetry)
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
+        # Delivers the signals that a program has held back until here.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         settings = self.settings
         self.telemetry.log_event('started', callers=settings.callers)
         await self._servers.listen(settings.callers, self._entry.handle)
