Wait for a port that is in use instead of ending

Cause: listening was tried once, and its error ended the program. A platform that starts a process again meets this while the earlier process, or a connection, still holds the port. Ruled out: the port for links, whose loop is run again after an error.

Why it works: an error in listening is logged and tried again every 200 ms, while the host reads its state; it is ready once callers can reach it.

--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -93,6 +93,7 @@
         #: The settings in force.
         self.settings = settings
         self._reload = reload
+        self._callers = settings.callers
         self._clock = MonotonicClock()
         self.telemetry = Telemetry(
             LineWriter(
@@ -186,6 +187,7 @@
             self._get_limits,
             self._stopping.is_set,
             self._clock,
+            self.telemetry,
         )
         self._links = HostLinks(
             settings,
@@ -209,10 +211,14 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers to this host."""
-        return (
-            not self._stopping.is_set()
-            and self._state.table is not None
+        has_state = (
+            self._state.table is not None
             and self._target_controller.has_snapshot
+        )
+        return (
+            has_state
+            and self._servers.is_listening(self._callers)
+            and not self._stopping.is_set()
             and not self._isolation.isolated
         )
 
@@ -227,15 +233,6 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         settings = self.settings
         self.telemetry.log_event('started', callers=settings.callers)
-        await self._servers.listen(settings.callers, self._entry.handle)
-        answer_admin = build_admin_handler(
-            settings,
-            lambda: self.is_ready,
-            self._count_state,
-            self.telemetry.metrics,
-        )
-        for address in (settings.readiness, settings.metrics):
-            await self._servers.listen(address, answer_admin)
         tasks = self._start_tasks()
         await self._stopping.wait()
         await self._stop()
@@ -252,18 +249,32 @@
 
     def _start_tasks(self) -> list[asyncio.Task[None]]:
         loop = asyncio.get_running_loop()
-        loops = {
-            'following': self._following.run,
-            'registration': self._hosts.run,
-            'links': self._run_links,
-            'warmth': self._warmth.run,
-            'sweep': self._sweep,
-            'log': self._flush_logs,
-        }
-        return [
-            loop.create_task(keep_running(name, run, self.telemetry))
-            for name, run in loops.items()
+        answer_admin = build_admin_handler(
+            self.settings,
+            lambda: self.is_ready,
+            self._count_state,
+            self.telemetry.metrics,
+        )
+        listening = [
+            self._servers.listen(address, handle)
+            for address, handle in (
+                (self._callers, self._entry.handle),
+                (self.settings.readiness, answer_admin),
+                (self.settings.metrics, answer_admin),
+            )
+        ]
+        running = [
+            keep_running(name, run, self.telemetry)
+            for name, run in (
+                ('following', self._following.run),
+                ('registration', self._hosts.run),
+                ('links', self._run_links),
+                ('warmth', self._warmth.run),
+                ('sweep', self._sweep),
+                ('log', self._flush_logs),
+            )
         ]
+        return [loop.create_task(work) for work in (*listening, *running)]
 
     def _build_cost_exchange(self) -> CostExchange:
         reports = CostReports(self._targets, self.settings.data_centre)
--- a/packages/gateway/almonddock_gateway/serving.py
+++ b/packages/gateway/almonddock_gateway/serving.py
@@ -13,10 +13,15 @@
     Exchange,
 )
 from almonddock_gateway.settings import Address
+from almonddock_gateway.telemetry import Telemetry
 
 #: The most connections that the kernel queues until they are accepted.
 BACKLOG = 1024
 
+#: The pause between two tries to listen at an address.
+LISTEN_PAUSE_MS = 200
+LISTEN_PAUSE = timedelta(milliseconds=LISTEN_PAUSE_MS)
+
 #: Common limits of HTTP servers, until the configuration is known.
 START_HEADER_BYTES = 16_384
 START_BODY_BYTES = 262_144
@@ -40,11 +45,13 @@
         get_limits: Callable[[], CallerLimits],
         is_stopping: Callable[[], bool],
         clock: Clock,
+        telemetry: Telemetry,
     ) -> None:
+        self._telemetry = telemetry
         self._get_limits = get_limits
         self._is_stopping = is_stopping
         self._clock = clock
-        self._servers: list[asyncio.Server] = []
+        self._servers: dict[Address, asyncio.Server] = {}
         self._connections: set[CallerConnection] = set()
 
     @property
@@ -52,8 +59,16 @@
         """Whether a connection has an unfinished request or answer."""
         return any(not connection.idle for connection in self._connections)
 
+    def is_listening(self, address: Address) -> bool:
+        """Whether connections are accepted at an address."""
+        return address in self._servers
+
     async def listen(self, address: Address, handle: Handle) -> None:
-        """Accepts connections at an address; ``handle`` gets requests."""
+        """Accepts connections at an address; ``handle`` gets requests.
+
+        Returns once it does. Another process, or a connection, may still hold
+        the port, so it tries again until the address is free.
+        """
         shared = ConnectionSettings(
             handle=handle,
             get_limits=self._get_limits,
@@ -62,14 +77,16 @@
             closed=self._connections.discard,
             clock=self._clock,
         )
-        server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(shared),
-            address.host,
-            address.port,
-            backlog=BACKLOG,
-            reuse_address=True,
+        fault = await self._try_to_listen(address, shared)
+        if fault is None:
+            return
+        self._telemetry.log_event(
+            'address_unavailable', address=address, reason=repr(fault)
         )
-        self._servers.append(server)
+        while fault is not None:
+            await asyncio.sleep(LISTEN_PAUSE.total_seconds())
+            fault = await self._try_to_listen(address, shared)
+        self._telemetry.log_event('address_available', address=address)
 
     def enforce_timeouts(self) -> None:
         """Ends connections whose header or idle timeout has passed."""
@@ -83,5 +100,22 @@
 
     def close(self) -> None:
         """Stops listening."""
-        for server in self._servers:
+        for server in self._servers.values():
             server.close()
+
+    async def _try_to_listen(
+        self, address: Address, shared: ConnectionSettings
+    ) -> OSError | None:
+        """Returns the error if the address cannot be used now."""
+        try:
+            server = await asyncio.get_running_loop().create_server(
+                lambda: CallerConnection(shared),
+                address.host,
+                address.port,
+                backlog=BACKLOG,
+                reuse_address=True,
+            )
+        except OSError as fault:
+            return fault
+        self._servers[address] = server
+        return None
