Refuse odd entries before they break the loop that reads them

What callers saw: nothing here; operators of similar systems reported that one odd entry stopped machines from following the list of replicas. It could happen here.

Registrations of hosts were not checked: a list or an object as a field raised a TypeError in the same loop, a port out of range one in the loop of the links.

Ruled out: deep nesting, numbers beyond 64 bits and ports out of range in an entry of a target, which were refused before.

--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import ipaddress
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -43,6 +44,8 @@
 HOST_COUNT_WINDOW_S = 20
 HOST_COUNT_WINDOW = timedelta(seconds=HOST_COUNT_WINDOW_S)
 
+MAX_PORT = 65_535
+
 #: The pause after a call that failed, or a registration that ended.
 RETRY_PAUSE = timedelta(seconds=1)
 
@@ -182,11 +185,27 @@
             if item.content is None or name == self._settings.host:
                 continue
             try:
-                yield Peer(name=name, **orjson.loads(item.content))
-            except (orjson.JSONDecodeError, TypeError) as fault:
+                yield _decode_peer(name, item.content)
+            except (ValueError, TypeError) as fault:
                 self._telemetry.log_event(
                     'host_unreadable',
                     peer=name,
                     store_revision=item.revision,
                     reason=str(fault),
                 )
+
+
+def _decode_peer(name: str, content: bytes) -> Peer:
+    """Returns the host that a registration describes.
+
+    Raises:
+        ValueError: the registration is not JSON, or a value is not valid.
+        TypeError: a field is missing or unknown, or has the wrong type.
+    """
+    peer = Peer(name=name, **orjson.loads(content))
+    if peer.port.__class__ is not int or not isinstance(peer.data_centre, str):
+        raise TypeError('expected a port and the name of a data centre')
+    ipaddress.IPv4Address(peer.host)
+    if not 0 < peer.port <= MAX_PORT:
+        raise ValueError(f'{peer.port} is not a valid port')
+    return peer
