Respect what replies say of targets that leave or rest

Now the first reply of either kind takes the target out of choice on that host, waiting attempts included; the replies to health checks count too, a 421 does not, as another target sent it. The flag ends with the incarnation of the target. If all targets of a service rest, the caller is refused at once and told when the first of them has rested.

Not covered: a host that gets a target's reply through another host does not learn of the header; the host that read it does.

--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -1,5 +1,6 @@
 """State that all dispatches of a host share."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -79,6 +80,13 @@
         ]
         return reachable, len(usable) - len(reachable)
 
+    def measure_rest(
+        self, services: Iterable[str], now: timedelta
+    ) -> timedelta:
+        """Returns the time until a target of each service has rested."""
+        ends = [self.targets.find_rest_end(name, now) for name in services]
+        return max(ends, default=now) - now
+
     def can_accept(self, target: KnownTarget, now: timedelta) -> bool:
         """Whether a target that may be cold can take one more request."""
         if target.cold_until <= now:
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -93,7 +93,8 @@
             if target is not None
         ]
         if len(chosen) < count_needed(self.request.route):
-            return self._finish(build_no_target_refusal())
+            wait = self._context.measure_rest(self.request.services, now)
+            return self._finish(build_no_target_refusal(wait))
         actions: list[Action] = []
         for branch, target in chosen:
             self._context.record_sent(target, now)
--- a/packages/core/almonddock_core/dispatch/_outcome.py
+++ b/packages/core/almonddock_core/dispatch/_outcome.py
@@ -38,12 +38,15 @@
     return max(1, math.ceil(exact - ROUNDING_TOLERANCE))
 
 
-def build_no_target_refusal() -> Refusal:
-    """Returns the refusal of a request that no target can serve now."""
+def build_no_target_refusal(wait: timedelta) -> Refusal:
+    """Returns the refusal of a request that no target can serve now.
+
+    ``wait`` is how long the targets want no requests; zero if unknown.
+    """
     return Refusal(
         RefusalReason.NO_TARGET,
         not_run=True,
-        retry_after=RETRY_AFTER,
+        retry_after=max(wait, RETRY_AFTER),
     )
 
 
--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -61,10 +61,16 @@
     replaced: bool = False
     #: Set once the table no longer lists the target.
     dropped: bool = False
+    #: Set once a reply said that the target leaves.
+    leaving: bool = False
+    #: Until when the target wants no requests of this host.
+    rests_until: timedelta = timedelta()
 
     def is_usable(self, now: timedelta) -> bool:
         """Whether new work may be sent to the target."""
-        if self.replaced or self.entry.state is not TargetState.READY:
+        if self.replaced or self.leaving or now < self.rests_until:
+            return False
+        if self.entry.state is not TargetState.READY:
             return False
         return self.lapse_ends is None or now < self.lapse_ends
 
@@ -139,6 +145,18 @@
             if self.is_usable(target, now)
         ]
 
+    def find_rest_end(self, service: str, now: timedelta) -> timedelta:
+        """Returns when the first target of a service has rested.
+
+        Returns ``now`` if none of them rests.
+        """
+        ends = (
+            target.rests_until
+            for target in self._services.get(service, ())
+            if target.rests_until > now
+        )
+        return min(ends, default=now)
+
     def record_store_recovery(self, now: timedelta) -> None:
         """Records that the store answers again after an outage."""
         self._store_recovered_at = now
--- a/packages/core/almonddock_core/tests/test_dispatch.py
+++ b/packages/core/almonddock_core/tests/test_dispatch.py
@@ -121,6 +121,22 @@
         self.assertTrue(answer.not_run)
         self.assertIsNotNone(answer.retry_after)
 
+    def test_caller_comes_back_when_the_first_target_has_rested(self) -> None:
+        case = DispatchCase(make_route())
+        for target, seconds in zip(
+            case.targets.list_all(), (3, 2), strict=True
+        ):
+            target.rests_until = seconds * SECOND
+        case.start()
+        self.assertEqual(
+            case.dispatch.answer,
+            Refusal(
+                RefusalReason.NO_TARGET,
+                not_run=True,
+                retry_after=2 * SECOND,
+            ),
+        )
+
     def test_no_target_is_refused_at_once(self) -> None:
         case = DispatchCase(make_route(), replicas=0).start()
         answer = case.dispatch.answer
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -41,7 +41,7 @@
     keep_running,
     log_unexpected_errors,
 )
-from almonddock_gateway.targets import TargetPools
+from almonddock_gateway.targets import TargetPools, build_observer
 from almonddock_gateway.telemetry import (
     GatewayMetrics,
     LineWriter,
@@ -117,6 +117,7 @@
             self._get_connection_limit,
             self._report_reachability,
             lambda target: self._targets.is_usable(target, self._clock.now()),
+            build_observer(settings.headers, self._clock, self.telemetry),
         )
         self._relays = RelayRouter(
             settings.data_centre,
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -39,6 +39,8 @@
     health_target: bytes
     #: In the reply to a health check: the milliseconds that it stays cold.
     cold_for: bytes
+    #: ``1`` in each reply of a target that leaves.
+    leaving: bytes
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/almonddock_gateway/targets/_pool.py
+++ b/packages/gateway/almonddock_gateway/targets/_pool.py
@@ -49,6 +49,8 @@
     #: Whether attempts may wait for a connection: the target may leave, or the
     #: host may stop, before one is free.
     may_wait: Callable[[], bool] = lambda: True
+    #: Records what a reply says of the target.
+    observe: Callable[[HttpReply], None] = lambda reply: None
     #: Bounds the incomplete replies of all targets.
     memory: ReplyMemory = field(default_factory=ReplyMemory)
 
@@ -147,6 +149,8 @@
                 return ReplyMatch.ACCEPTED
             match = attempt.receive(reply)
             attempt.ended = match is ReplyMatch.ACCEPTED
+            if attempt.ended:
+                self._settings.observe(reply)
             return match
 
         connection.request(
--- a/packages/gateway/almonddock_gateway/targets/_pools.py
+++ b/packages/gateway/almonddock_gateway/targets/_pools.py
@@ -4,6 +4,7 @@
 
 from almonddock_core.routing import KnownTarget
 from almonddock_gateway.http import ReplyMemory
+from almonddock_gateway.targets._availability import ObserveReply
 from almonddock_gateway.targets._pool import PoolSettings, TargetPool
 
 
@@ -15,13 +16,16 @@
         get_limit: Callable[[str], int],
         report_reachability: Callable[[KnownTarget], None],
         is_usable: Callable[[KnownTarget], bool] = lambda target: True,
+        observe: ObserveReply = lambda target, reply: None,
     ) -> None:
         """Initialises without pools.
 
         ``get_limit`` returns the connection limit for a target of a service;
         ``report_reachability`` is called when a target becomes reachable or
-        unreachable; ``is_usable`` says whether it may get new work.
+        unreachable; ``is_usable`` says whether it may get new work; ``observe``
+        records what a reply says of its target.
         """
+        self._observe = observe
         self._is_usable = is_usable
         self._get_limit = get_limit
         self._report_reachability = report_reachability
@@ -40,6 +44,7 @@
                     lambda: self._get_limit(service),
                     self._report_reachability,
                     lambda: self._may_wait and self._is_usable(target),
+                    lambda reply: self._observe(target, reply),
                     self._memory,
                 ),
             )
--- a/packages/gateway/almonddock_gateway/tests/fakes.py
+++ b/packages/gateway/almonddock_gateway/tests/fakes.py
@@ -20,6 +20,7 @@
     missing_parts=b'x-missing',
     health_target=b'x-target',
     cold_for=b'x-cold',
+    leaving=b'x-leaving',
 )
 
 LIMITS = CallerLimits(
