Refuse replies whose head is made of two

Cause: the copy's head and the reply behind it were read as one head, and the first of its two stamps was taken. Evidence: such a head has two stamps, two attempt ids, or a status line inside a header. Ruled out: complete copies, which name another attempt.

The new test cuts the copy at each place of its head: either no reply is read, or the one with its own stamp.

--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -33,6 +33,7 @@
     TargetPool,
     TargetPools,
     format_attempt,
+    match_reply,
     read_reply,
 )
 
@@ -238,9 +239,10 @@
 
     def _receive(self, number: int, raw: HttpReply) -> ReplyMatch:
         names = self._settings.names
-        reply = read_reply(raw, self._outgoing.attempt_id, names)
-        if reply is None:
-            return ReplyMatch.FOREIGN
+        match = match_reply(raw, self._outgoing.attempt_id, names)
+        if match is not ReplyMatch.ACCEPTED:
+            return match
+        reply = read_reply(raw, names)
         self._attempts.pop(number, None)
         now = self._settings.clock.now()
         self._run(self.dispatch.receive(number, reply, now))
--- a/packages/gateway/almonddock_gateway/http/_client_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_client_connection.py
@@ -45,6 +45,8 @@
     ACCEPTED = 'accepted'
     #: The reply answers another request; the right one may follow.
     FOREIGN = 'foreign'
+    #: What was read is no reply: bytes of several replies may be mixed in it.
+    BROKEN = 'broken'
 
 
 #: Handles a reply, or None if the connection ended without one.
@@ -198,8 +200,9 @@
         )
         keep = read.has_length and self._parser.should_keep_alive()
         self._reply = IncompleteReply()
-        if handle(reply) is ReplyMatch.FOREIGN:
-            if not keep:
+        match = handle(reply)
+        if match is not ReplyMatch.ACCEPTED:
+            if match is ReplyMatch.BROKEN or not keep:
                 self.abort()
             return
         self._handle = None
--- a/packages/gateway/almonddock_gateway/relays/_server.py
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -29,6 +29,7 @@
     TargetPool,
     TargetPools,
     format_attempt,
+    match_reply,
     read_reply,
 )
 
@@ -198,11 +199,11 @@
             return head + query.body
 
         def receive(raw: HttpReply) -> ReplyMatch:
-            reply = read_reply(raw, query.attempt_id, settings.names)
-            if reply is None:
-                return ReplyMatch.FOREIGN
-            self._record_reply(relayed, part, reply)
-            return ReplyMatch.ACCEPTED
+            match = match_reply(raw, query.attempt_id, settings.names)
+            if match is ReplyMatch.ACCEPTED:
+                reply = read_reply(raw, settings.names)
+                self._record_reply(relayed, part, reply)
+            return match
 
         def fail(failure: Failure) -> None:
             self._record_failure(relayed, part, failure)
--- a/packages/gateway/almonddock_gateway/targets/__init__.py
+++ b/packages/gateway/almonddock_gateway/targets/__init__.py
@@ -2,7 +2,11 @@
 
 from almonddock_gateway.targets._attempts import TargetAttempt
 from almonddock_gateway.targets._availability import build_observer
-from almonddock_gateway.targets._messages import format_attempt, read_reply
+from almonddock_gateway.targets._messages import (
+    format_attempt,
+    match_reply,
+    read_reply,
+)
 from almonddock_gateway.targets._pool import PoolSettings, TargetPool
 from almonddock_gateway.targets._pools import TargetPools
 
@@ -13,5 +17,6 @@
     'TargetPools',
     'build_observer',
     'format_attempt',
+    'match_reply',
     'read_reply',
 ]
--- a/packages/gateway/almonddock_gateway/targets/_messages.py
+++ b/packages/gateway/almonddock_gateway/targets/_messages.py
@@ -1,9 +1,14 @@
 """Formats requests to targets and interprets their replies."""
 
+import re
 from datetime import timedelta
 
 from almonddock_core.dispatch import ReplyKind, TargetReply
-from almonddock_gateway.http import HttpReply, drop_hop_by_hop_headers
+from almonddock_gateway.http import (
+    HttpReply,
+    ReplyMatch,
+    drop_hop_by_hop_headers,
+)
 from almonddock_gateway.settings import HeaderNames
 
 FIRST_SUCCESS = 200
@@ -14,6 +19,8 @@
 MIN_DEADLINE_MS = 1
 MS = timedelta(milliseconds=1)
 
+STATUS_LINE = re.compile(rb'HTTP/1\.[01] \d{3}')
+
 
 def format_attempt(
     head: bytes,
@@ -35,20 +42,26 @@
     )
 
 
-def read_reply(
+def match_reply(
     reply: HttpReply,
     request_id: bytes,
     names: HeaderNames,
-) -> TargetReply | None:
-    """Returns the classified reply; None if it answers another request.
+) -> ReplyMatch:
+    """Returns whether a reply answers the request with this attempt id."""
+    if _is_mixed(reply, names):
+        return ReplyMatch.BROKEN
+    echoed = reply.find(names.attempt_id)
+    if echoed in {None, request_id}:
+        return ReplyMatch.ACCEPTED
+    return ReplyMatch.FOREIGN
+
+
+def read_reply(reply: HttpReply, names: HeaderNames) -> TargetReply:
+    """Returns the classified reply.
 
-    ``request_id`` is the attempt id of the request.
     A success counts only with a stamp and without a content coding, because
     callers never request one.
     """
-    echoed = reply.find(names.attempt_id)
-    if echoed is not None and echoed != request_id:
-        return None
     stamp = reply.find(names.stamp)
     return TargetReply(
         kind=_classify(reply, stamp, names),
@@ -59,6 +72,17 @@
     )
 
 
+def _is_mixed(reply: HttpReply, names: HeaderNames) -> bool:
+    """Whether the head is made of the heads of several replies.
+
+    A copy of a reply may break off in its head, and the next reply follow.
+    """
+    fields = [field for field, _ in reply.headers]
+    if any(fields.count(name) > 1 for name in (names.attempt_id, names.stamp)):
+        return True
+    return any(STATUS_LINE.search(content) for _, content in reply.headers)
+
+
 def _classify(
     reply: HttpReply,
     stamp: bytes | None,
--- a/packages/gateway/almonddock_gateway/tests/test_answers.py
+++ b/packages/gateway/almonddock_gateway/tests/test_answers.py
@@ -16,8 +16,8 @@
 from almonddock_core.tests.dispatch_cases import make_reply, make_route
 from almonddock_gateway.entry._answers import build_answer
 from almonddock_gateway.entry._requests import format_head
-from almonddock_gateway.http import CallerRequest, HttpReply
-from almonddock_gateway.targets import format_attempt, read_reply
+from almonddock_gateway.http import CallerRequest, HttpReply, ReplyMatch
+from almonddock_gateway.targets import format_attempt, match_reply, read_reply
 from almonddock_gateway.tests.fakes import NAMES
 
 ID = (b'x-attempt', b'a1')
@@ -43,17 +43,26 @@
             (421, [], ReplyKind.MISDIRECTED),
         ):
             with self.subTest(status=status, headers=headers):
-                reply = read_reply(
-                    HttpReply(status, headers, b''),
-                    b'a1',
-                    NAMES,
+                raw = HttpReply(status, headers, b'')
+                self.assertIs(
+                    match_reply(raw, b'a1', NAMES), ReplyMatch.ACCEPTED
                 )
-                assert reply is not None
-                self.assertIs(reply.kind, expected)
+                self.assertIs(read_reply(raw, NAMES).kind, expected)
 
-    def test_reply_to_another_request_is_none(self) -> None:
+    def test_reply_to_another_request_is_foreign(self) -> None:
         reply = HttpReply(200, [(b'x-attempt', b'a2'), STAMP], b'')
-        self.assertIsNone(read_reply(reply, b'a1', NAMES))
+        self.assertIs(match_reply(reply, b'a1', NAMES), ReplyMatch.FOREIGN)
+
+    def test_reply_with_the_parts_of_two_is_broken(self) -> None:
+        for headers in (
+            [ID, STAMP, STAMP],
+            [ID, ID, STAMP],
+            [ID, STAMP, (b'date', b'MonHTTP/1.1 200 OK')],
+        ):
+            with self.subTest(headers=headers):
+                reply = HttpReply(200, headers, b'')
+                match = match_reply(reply, b'a1', NAMES)
+                self.assertIs(match, ReplyMatch.BROKEN)
 
 
 class AnswerTest(unittest.TestCase):
--- a/packages/gateway/almonddock_gateway/tests/test_client_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_client_connection.py
@@ -9,7 +9,7 @@
     ReplyMatch,
     ReplyMemory,
 )
-from almonddock_gateway.targets import read_reply
+from almonddock_gateway.targets import match_reply
 from almonddock_gateway.tests.fakes import (
     NAMES,
     FakeTransport,
@@ -43,10 +43,12 @@
         self.closed += 1
 
     def receive(self, reply: HttpReply | None) -> ReplyMatch:
-        if reply is not None and read_reply(reply, b'a1', NAMES) is None:
-            return ReplyMatch.FOREIGN
-        self.replies.append(reply)
-        return ReplyMatch.ACCEPTED
+        match = ReplyMatch.ACCEPTED
+        if reply is not None:
+            match = match_reply(reply, b'a1', NAMES)
+        if match is ReplyMatch.ACCEPTED:
+            self.replies.append(reply)
+        return match
 
     def request(self, *parts: bytes) -> None:
         self.connection.request(b'GET', self.receive)
@@ -138,6 +140,23 @@
                 self.assertEqual(self.list_bodies(), [b'body'])
                 self.assertTrue(self.transport.closed)
 
+    def test_head_mixed_with_that_of_a_broken_copy_is_none(self) -> None:
+        """A copy broke off in its head, and the next reply followed.
+
+        The two were read as one reply, under the stamp of the copy.
+        """
+        copy = WHOLE.replace(b'a1', b'a0').replace(b'x-stamp: s', b'x-stamp: t')
+        end = copy.index(b'\r\n\r\n')
+        for length in range(1, end + 2):
+            with self.subTest(part=copy[:length]):
+                self.setUp()
+                self.request(copy[:length] + WHOLE)
+                self.end(clean=False)
+                stamps = [
+                    reply.find(b'x-stamp') for reply in self.replies if reply
+                ]
+                self.assertIn(stamps, ([], [b's']))
+
     def test_next_request_waits_for_the_end_of_the_received_bytes(
         self,
     ) -> None:
