Let only a reply with its id settle an unrepeatable request

Cause: replies to health checks have no attempt id and come on the connections that carry requests. A late copy of a rejected check was taken as the refusal of the next request. Ruled out: copies of replies to requests, which name another attempt.

--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -239,7 +239,12 @@
 
     def _receive(self, number: int, raw: HttpReply) -> ReplyMatch:
         names = self._settings.names
-        match = match_reply(raw, self._outgoing.attempt_id, names)
+        match = match_reply(
+            raw,
+            self._outgoing.attempt_id,
+            names,
+            needs_id=not self.dispatch.request.route.idempotent,
+        )
         if match is not ReplyMatch.ACCEPTED:
             return match
         reply = read_reply(raw, names)
--- a/packages/gateway/almonddock_gateway/targets/_messages.py
+++ b/packages/gateway/almonddock_gateway/targets/_messages.py
@@ -46,14 +46,21 @@
     reply: HttpReply,
     request_id: bytes,
     names: HeaderNames,
+    *,
+    needs_id: bool = False,
 ) -> ReplyMatch:
-    """Returns whether a reply answers the request with this attempt id."""
+    """Returns whether a reply answers the request with this attempt id.
+
+    Targets echo the id of a request that has one. A reply without it may be a
+    late copy of the reply to a health check: with ``needs_id`` it counts as
+    the reply to another request.
+    """
     if _is_mixed(reply, names):
         return ReplyMatch.BROKEN
     echoed = reply.find(names.attempt_id)
-    if echoed in {None, request_id}:
-        return ReplyMatch.ACCEPTED
-    return ReplyMatch.FOREIGN
+    if echoed is None:
+        return ReplyMatch.FOREIGN if needs_id else ReplyMatch.ACCEPTED
+    return ReplyMatch.ACCEPTED if echoed == request_id else ReplyMatch.FOREIGN
 
 
 def read_reply(reply: HttpReply, names: HeaderNames) -> TargetReply:
--- a/packages/gateway/almonddock_gateway/tests/test_answers.py
+++ b/packages/gateway/almonddock_gateway/tests/test_answers.py
@@ -53,6 +53,21 @@
         reply = HttpReply(200, [(b'x-attempt', b'a2'), STAMP], b'')
         self.assertIs(match_reply(reply, b'a1', NAMES), ReplyMatch.FOREIGN)
 
+    def test_reply_without_an_id_settles_no_unrepeatable_request(self) -> None:
+        """A late copy of a rejected health check has no id.
+
+        It was taken as the refusal of a request, which ran all the same.
+        """
+        for headers, expected in (
+            ([NOT_EXECUTED], ReplyMatch.FOREIGN),
+            ([STAMP], ReplyMatch.FOREIGN),
+            ([ID, NOT_EXECUTED], ReplyMatch.ACCEPTED),
+        ):
+            with self.subTest(headers=headers):
+                reply = HttpReply(503, headers, b'')
+                match = match_reply(reply, b'a1', NAMES, needs_id=True)
+                self.assertIs(match, expected)
+
     def test_reply_with_the_parts_of_two_is_broken(self) -> None:
         for headers in (
             [ID, STAMP, STAMP],
