Stop serving a caller that reads no answers

Cause: answers to requests in line were written whether or not the caller read them, and each started the next request. Evidence: the new test, in which the connection read on before the change (assertTrue(False)). Ruled out: callers with one request at a time.

Why it works: asyncio tells a protocol when more than 64 KB wait to be read. The connection then reads nothing and starts no request until the caller has read.

--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -11,6 +11,7 @@
 from almonddock_core.model import Clock
 from almonddock_core.routing import CallerLimits
 from almonddock_gateway.http._errors import report_error
+from almonddock_gateway.http._flow import FlowControlledProtocol
 from almonddock_gateway.http._messages import (
     Headers,
     format_response,
@@ -82,15 +83,15 @@
     clock: Clock
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(FlowControlledProtocol):
     """Reads requests, handles them one by one, and writes the answers."""
 
     def __init__(self, settings: ConnectionSettings) -> None:
         #: When the first bytes of a request arrived, or the connection became
         #: idle.
         self.since = settings.clock.now()
+        super().__init__()
         self._settings = settings
-        self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._request = CallerRequest()
         self._body = bytearray()
@@ -134,7 +135,7 @@
         self.since = self._settings.clock.now()
         if close:
             self._linger()
-        elif self._waiting:
+        else:
             self._start_next()
 
     def abort(self) -> None:
@@ -249,12 +250,15 @@
         request.body = bytes(self._body)
         request.keep_alive = self._parser.should_keep_alive()
         self._waiting.append(request)
-        if self._current is None:
-            self._start_next()
-        elif len(self._waiting) > MAX_PIPELINED:
+        self._start_next()
+        if len(self._waiting) > MAX_PIPELINED:
             self._reject(BAD_REQUEST)
 
     def _start_next(self) -> None:
+        """Starts the next request, unless one runs or answers are unread."""
+        is_held = self._current is not None or self._is_paused
+        if is_held or self._ended or not self._waiting:
+            return
         request = self._waiting.popleft()
         self._current = request
         exchange = self._settings.handle(request, self)
--- a/packages/gateway/almonddock_gateway/tests/fakes.py
+++ b/packages/gateway/almonddock_gateway/tests/fakes.py
@@ -52,6 +52,7 @@
         self.written = b''
         self.closed = False
         self.ended = False
+        self.reading_paused = False
         #: Whether the peer has reset the connection without a callback yet.
         self.reset = False
 
@@ -70,6 +71,14 @@
             raise OSError(errno.ENOTCONN, 'not connected')
         self.ended = True
 
+    def pause_reading(self) -> None:
+        """Receives nothing for now."""
+        self.reading_paused = True
+
+    def resume_reading(self) -> None:
+        """Receives again."""
+        self.reading_paused = False
+
     def is_closing(self) -> bool:
         """Whether the transport is closed."""
         return self.closed
--- a/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
@@ -194,6 +194,20 @@
                 self.assertEqual(len(closing), 2)
                 self.assertNotIn(b'HTTP/1.1', closing[1])
 
+    async def test_caller_that_reads_no_answers_gets_no_more(self) -> None:
+        """Answers to requests in line were buffered without a bound."""
+        self.connection.data_received(GET + GET + GET)
+        self.connection.pause_writing()
+        self.assertTrue(self.transport.reading_paused)
+        self.connection.send(200, (), b'')
+        self.assertEqual(len(self.requests), 1)
+        self.connection.resume_writing()
+        self.assertFalse(self.transport.reading_paused)
+        self.assertEqual(len(self.requests), 2)
+        self.connection.send(200, (), b'')
+        self.assertEqual(len(self.requests), 3)
+        self.assertEqual(self.read_statuses(), [200, 200])
+
     async def test_request_before_malformed_bytes_is_answered(
         self,
     ) -> None:
