Log what a host waits for before it is ready

A host now logs ready and not_ready, with the time since the first line of the program, what it waits for and why the store could not be read: at each change, and every 5 s while it is not ready.

The time does not include the start of the interpreter itself.

--- a/packages/gateway/almonddock_gateway/controllers/_follower.py
+++ b/packages/gateway/almonddock_gateway/controllers/_follower.py
@@ -60,6 +60,8 @@
     ) -> None:
         #: When the store last answered; None before the first answer.
         self.fresh_at: timedelta | None = None
+        #: Why the last call failed; empty if it did not.
+        self.fault = ''
         self._settings = settings
         self._store = store
         self._clock = clock
@@ -142,6 +144,7 @@
 
     async def _wait_for_store(self, lost: StoreLostError) -> None:
         now = self._clock.now()
+        self.fault = lost.message
         if self._lost_since is None:
             self._lost_since = now
             self._telemetry.log_event(
@@ -161,6 +164,7 @@
         if self.fresh_at is None or self._lost_since is not None:
             self._recovered_at = now
         self.fresh_at = now
+        self.fault = ''
         self._retry_pause = MIN_RETRY_PAUSE
         if self._lost_since is None:
             return
--- a/packages/gateway/almonddock_gateway/entry/__init__.py
+++ b/packages/gateway/almonddock_gateway/entry/__init__.py
@@ -1,8 +1,10 @@
 """Routes callers' requests, dispatches them and sends the answers."""
 
 from almonddock_gateway.entry._entry import Entry, EntryState
+from almonddock_gateway.entry._exchange import ExchangeSettings
 
 __all__ = [
     'Entry',
     'EntryState',
+    'ExchangeSettings',
 ]
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -87,6 +87,11 @@
         """When the store's entries were last read; None before."""
         return self._follower.fresh_at
 
+    @property
+    def fault(self) -> str:
+        """Why the last read of the store failed; empty if it did not."""
+        return self._follower.fault
+
     async def run(self) -> None:
         """Follows the store until cancelled."""
         await self._follower.run()
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -28,10 +28,10 @@
     WarmthController,
     WarmthDependencies,
 )
-from almonddock_gateway.entry import Entry, EntryState
-from almonddock_gateway.entry._exchange import ExchangeSettings
+from almonddock_gateway.entry import Entry, EntryState, ExchangeSettings
 from almonddock_gateway.following import FollowingDependencies, StoreFollowing
 from almonddock_gateway.linking import HostLinks
+from almonddock_gateway.readiness import Readiness
 from almonddock_gateway.relays import CostExchange, RelayRouter, RelaySettings
 from almonddock_gateway.serving import START_LIMITS, CallerServers
 from almonddock_gateway.settings import GatewaySettings
@@ -190,6 +190,7 @@
             self._clock,
             self.telemetry,
         )
+        self._readiness = self._build_readiness()
         self._links = HostLinks(
             settings,
             RelaySettings(
@@ -212,19 +213,15 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer may send callers to this host."""
-        has_state = (
-            self._state.table is not None
-            and self._target_controller.has_snapshot
-        )
-        return (
-            has_state
-            and self._servers.is_listening(self._callers)
-            and not self._stopping.is_set()
-            and not self._isolation.isolated
-        )
+        return self._readiness.is_ready
+
+    async def run(self, started: timedelta | None = None) -> None:
+        """Serves until SIGTERM, then shuts down gracefully.
 
-    async def run(self) -> None:
-        """Serves until SIGTERM, then shuts down gracefully."""
+        ``started`` is when the process started, by the monotonic clock.
+        """
+        if started is not None:
+            self._readiness.started = started
         gc.set_threshold(GC_THRESHOLD)
         loop = asyncio.get_running_loop()
         log_unexpected_errors(loop, self.telemetry)
@@ -277,6 +274,21 @@
         ]
         return [loop.create_task(work) for work in (*listening, *running)]
 
+    def _build_readiness(self) -> Readiness:
+        conditions: dict[str, Callable[[], bool]] = {
+            'configuration': lambda: self._state.table is not None,
+            'targets': lambda: self._target_controller.has_snapshot,
+            'address': lambda: self._servers.is_listening(self._callers),
+            'end_of_stop': lambda: not self._stopping.is_set(),
+            'end_of_isolation': lambda: not self._isolation.isolated,
+        }
+        return Readiness(
+            conditions,
+            lambda: self._following.fault,
+            self._clock,
+            self.telemetry,
+        )
+
     def _build_cost_exchange(self) -> CostExchange:
         reports = CostReports(self._targets, self.settings.data_centre)
         clock = self._clock
@@ -377,6 +389,7 @@
         while True:
             await asyncio.sleep(LOG_FLUSH.total_seconds())
             self._links.record_alive()
+            self._readiness.log_change()
             self.telemetry.flush()
 
     def _is_busy(self) -> bool:
