Run a host's tasks again after any unexpected error

A host could run and never be ready, or go on without the store's changes, and say nothing: a loop that awaits something which another one cancels got CancelledError, which is no Exception, and ended for good; the tasks that listen and the probe of a lost store were not supervised at all; an error in the first step of a stop ended the process with its requests unanswered.

One supervision now covers them all. It tells the task's own cancellation from that of something inside, so a stop still ends every task. Ruled out: tasks that end with one connection or query (dials, answers to store queries), whose errors are logged.

--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -33,13 +33,15 @@
 from almonddock_gateway.linking import HostLinks
 from almonddock_gateway.readiness import Readiness
 from almonddock_gateway.relays import CostExchange, RelayRouter, RelaySettings
-from almonddock_gateway.serving import START_LIMITS, CallerServers
-from almonddock_gateway.settings import GatewaySettings
+from almonddock_gateway.serving import START_LIMITS, CallerServers, Handle
+from almonddock_gateway.settings import Address, GatewaySettings
 from almonddock_gateway.shutdown import ShutdownSteps, finish_requests
 from almonddock_gateway.store import Store
 from almonddock_gateway.supervision import (
     keep_running,
     log_unexpected_errors,
+    run_once,
+    run_until_done,
 )
 from almonddock_gateway.targets import TargetPools, build_observer
 from almonddock_gateway.telemetry import (
@@ -253,8 +255,16 @@
             self._count_state,
             self.telemetry.metrics,
         )
+
+        async def listen(address: Address, handle: Handle) -> None:
+            await run_until_done(
+                f'listening at {address.host}:{address.port}',
+                lambda: self._servers.listen(address, handle),
+                self.telemetry,
+            )
+
         listening = [
-            self._servers.listen(address, handle)
+            listen(address, handle)
             for address, handle in (
                 (self._callers, self._entry.handle),
                 (self.settings.readiness, answer_admin),
@@ -402,7 +412,11 @@
         """Waits until the balancer detects the stop and requests have ended."""
         self.telemetry.log_event('stopping', running=self._entry.running)
         self.telemetry.flush()
-        self._links.announce_stop()
+
+        async def announce() -> None:
+            self._links.announce_stop()
+
+        await run_once('announcing the stop', announce, self.telemetry)
         steps = ShutdownSteps(
             close_idle=self._servers.close_idle,
             refuse_new=self._state.refuse_new,
@@ -410,5 +424,11 @@
             give_up=self._entry.give_up,
             is_busy=self._is_busy,
         )
-        await finish_requests(steps, self.settings.shutdown_time, self._clock)
-        await self._hosts.deregister()
+        await run_once(
+            'finishing requests',
+            lambda: finish_requests(
+                steps, self.settings.shutdown_time, self._clock
+            ),
+            self.telemetry,
+        )
+        await run_once('deregistration', self._hosts.deregister, self.telemetry)
--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -31,6 +31,7 @@
     StoreLostError,
     StoreView,
 )
+from almonddock_gateway.supervision import run_until_done
 from almonddock_gateway.telemetry import Telemetry
 
 #: The timeout of a peer, counted from the end of the query's wait, in seconds.
@@ -138,7 +139,9 @@
             raise lost
         if self._probing is None:
             self._telemetry.log_event('store_shared', reason=lost.message)
-            self._probing = asyncio.create_task(self._probe())
+            self._probing = asyncio.create_task(
+                run_until_done('probing', self._probe, self._telemetry)
+            )
 
     async def _probe(self) -> None:
         """Probes the store until it answers this host again."""
--- a/packages/gateway/almonddock_gateway/supervision.py
+++ b/packages/gateway/almonddock_gateway/supervision.py
@@ -1,4 +1,4 @@
-"""Keeps the loops of a host running after unexpected errors."""
+"""Keeps the tasks of a host running after unexpected errors."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -11,9 +11,12 @@
 RESTART_PAUSE = timedelta(seconds=1)
 
 
+Run = Callable[[], Awaitable[None]]
+
+
 async def keep_running(
     name: str,
-    run: Callable[[], Awaitable[None]],
+    run: Run,
     telemetry: Telemetry,
     pause: timedelta = RESTART_PAUSE,
 ) -> None:
@@ -23,13 +26,38 @@
     configuration or a lapsed registration.
     """
     while True:
-        try:
-            await run()
-        except Exception as fault:
-            telemetry.log_event('loop_failed', loop=name, reason=repr(fault))
+        await run_once(name, run, telemetry)
         await asyncio.sleep(pause.total_seconds())
 
 
+async def run_until_done(
+    name: str,
+    run: Run,
+    telemetry: Telemetry,
+    pause: timedelta = RESTART_PAUSE,
+) -> None:
+    """Runs work that ends, and again after each unexpected error."""
+    while not await run_once(name, run, telemetry):
+        await asyncio.sleep(pause.total_seconds())
+
+
+async def run_once(name: str, run: Run, telemetry: Telemetry) -> bool:
+    """Returns whether the work ended without an unexpected error.
+
+    A cancellation of something that the work awaits is such an error; the
+    errors of a task that is being cancelled itself are raised.
+    """
+    task = asyncio.current_task()
+    try:
+        await run()
+    except (Exception, asyncio.CancelledError) as fault:
+        if task is None or task.cancelling():
+            raise
+        telemetry.log_event('loop_failed', loop=name, reason=repr(fault))
+        return False
+    return True
+
+
 def log_unexpected_errors(
     loop: asyncio.AbstractEventLoop, telemetry: Telemetry
 ) -> None:
--- a/packages/gateway/almonddock_gateway/tests/test_store_following.py
+++ b/packages/gateway/almonddock_gateway/tests/test_store_following.py
@@ -4,6 +4,7 @@
 import unittest
 from dataclasses import replace
 from datetime import timedelta
+from unittest.mock import patch
 
 from almonddock_core.model import ManualClock
 from almonddock_core.news import ReadSource
@@ -15,6 +16,7 @@
     StoreQuery,
     StoreReply,
     StoreServer,
+    _fallback_store,
 )
 from almonddock_gateway.store import (
     HistoryLostError,
@@ -170,6 +172,18 @@
         )
         self.assertIs(fallback.source, ReadSource.PEER)
 
+    async def test_store_is_probed_again_after_an_unexpected_error(
+        self,
+    ) -> None:
+        """A host whose probe ended never read the store directly again."""
+        fallback = self.make(StoreLostError('x'), KeyError('x'), TWO, ONE)
+        self.connect()
+        reply = StoreReply(7, StoreOutcome.ANSWERED, TWO)
+        with patch.object(_fallback_store, 'PROBE_PAUSE_S', 0):
+            await self.ask_other_host(fallback, reply)
+            await self.settle(lambda: self.store.calls.count('stale') == 2)
+        self.assertEqual(await fallback.read_prefix('p/'), ONE)
+
     async def test_failure_of_the_peer_is_raised(self) -> None:
         nothing = StoreView((), 0)
         for outcome, expected in (
