Drop what a connection has read once it has ended

A store that answered with a body without end took a host from 29 MB to 839 MB within 8 s; the platform kills a process above its limit (300 MB on the smallest machine).

Cause: the limit of 16 MiB on a reply held and its connection was closed, but a connection and its parser refer to each other. What had been read was freed by the garbage collector only, after 50,000 allocations, while each of ten retries a second left up to 16 MiB. Partial replies of targets and partial bodies of callers stayed in the same way.

Ruled out: a missing limit on one reply.

The fix frees the buffers and the parser as the connection ends, so the limits, which count open connections, count all that is held.

--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -169,10 +169,15 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Abandons the request of a caller that has disconnected."""
         self._transport = None
-        self._waiting.clear()
         exchange = self._exchange
         self._exchange = None
         self._current = None
+        # Frees what was read: the parser and the connection refer to each
+        # other, and the garbage collector runs late.
+        self._waiting.clear()
+        self._request = CallerRequest()
+        self._body = bytearray()
+        del self._parser
         self._settings.closed(self)
         if exchange is not None:
             exchange.abandon()
--- a/packages/gateway/almonddock_gateway/http/_client_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_client_connection.py
@@ -145,6 +145,7 @@
         self._transport = None
         handle = self._handle
         self._handle = None
+        self._release_buffers()
         self._memory.release(self)
         self._closed(self)
         if handle is not None:
@@ -235,6 +236,14 @@
         else:
             self._memory.hold(self, self._received_bytes)
 
+    def _release_buffers(self) -> None:
+        """Frees what was read, without the garbage collector.
+
+        The parser and the connection refer to each other.
+        """
+        self._reply = IncompleteReply()
+        del self._parser
+
     def _release_if_usable(self) -> None:
         """Releases the connection, unless bytes follow the reply on it.
 
--- a/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
@@ -153,6 +153,22 @@
                 _, peak = measure_memory(self.connection.data_received, encoded)
                 self.assertLess(peak, 2 * len(encoded))
 
+    async def test_closed_connection_keeps_no_part_of_its_request(
+        self,
+    ) -> None:
+        """Callers that break off a body filled the memory of hosts."""
+        self.limits = replace(LIMITS, body_bytes=0x80000)
+        body = b'x' * 0x40000
+        head = POST.replace(b' 4\r\n\r\nbody', b' 500000\r\n\r\n')
+        self.connection.data_received(head)
+
+        def receive_and_lose(part: bytes) -> None:
+            self.connection.data_received(part)
+            self.connection.connection_lost(None)
+
+        held, _ = measure_memory(receive_and_lose, body)
+        self.assertLess(held, len(body) // 8)
+
     async def test_conflicting_lengths_are_rejected(self) -> None:
         smuggled = (
             b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n'
--- a/packages/gateway/almonddock_gateway/tests/test_client_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_client_connection.py
@@ -1,7 +1,9 @@
 """Tests of connections to targets."""
 
+import gc
 import itertools
 import unittest
+import weakref
 
 from almonddock_gateway.http import (
     ClientConnection,
@@ -241,6 +243,28 @@
         self.connection.data_received(b'0\r\n\r\n')
         self.assertEqual(self.list_bodies(), [b'xx' * 0x4000 * 9])
 
+    def test_closed_connection_keeps_no_part_of_its_reply(self) -> None:
+        """Retries of endless replies filled the memory of hosts."""
+        self.request(b'%bcontent-length: 999999\r\n\r\n' % OK)
+        body = b'x' * 0x40000
+
+        def receive_and_lose(part: bytes) -> None:
+            self.connection.data_received(part)
+            self.connection.connection_lost(None)
+
+        held, _ = measure_memory(receive_and_lose, body)
+        self.assertLess(held, len(body) // 8)
+
+    def test_closed_connection_is_freed_without_the_collector(self) -> None:
+        connection = ClientConnection(self.release, self.close)
+        connection.connection_made(FakeTransport())
+        freed = weakref.ref(connection)
+        gc.disable()
+        self.addCleanup(gc.enable)
+        connection.connection_lost(None)
+        del connection
+        self.assertIsNone(freed())
+
     def test_short_header_lines_in_one_read_take_little_memory(self) -> None:
         """A read of 256 KB was parsed whole before the limit of a head."""
         for start in (b'', b'transfer-encoding: chunked\r\n\r\n0\r\n'):
