Bound what replies of the store take

A store whose pages each say that more follow took a host to 690 MB within 16 s, and to 726 MB with the same page over and over; the read never ended.

Cause: pages were gathered without a bound on their sum and without a check that they advance. One reply could take 16 MiB, the bound of a target's answer, for each of several calls, and over twenty times that when decoded.

--- a/packages/core/almonddock_core/framing/__init__.py
+++ b/packages/core/almonddock_core/framing/__init__.py
@@ -6,10 +6,11 @@
     FrameReader,
     add_length_prefix,
 )
-from almonddock_core.framing._replies import is_oversized
+from almonddock_core.framing._replies import MAX_REPLY_BYTES, is_oversized
 
 __all__ = [
     'MAX_FRAME_BYTES',
+    'MAX_REPLY_BYTES',
     'BadFrameError',
     'FrameReader',
     'OversizedFrameError',
--- a/packages/core/almonddock_core/framing/_replies.py
+++ b/packages/core/almonddock_core/framing/_replies.py
@@ -14,12 +14,16 @@
 CHUNK_OVERHEAD = 6
 
 
-def is_oversized(received_bytes: int, body_bytes: int) -> bool:
-    """Whether a target has sent more than any reply takes.
+def is_oversized(
+    received_bytes: int,
+    body_bytes: int,
+    max_bytes: int = MAX_REPLY_BYTES,
+) -> bool:
+    """Whether a server has sent more than any reply takes.
 
     ``received_bytes`` are all since the request was sent, ``body_bytes`` those
-    of bodies.
+    of bodies; ``max_bytes`` bounds the former.
     """
     overhead = received_bytes - body_bytes
     allowed = MAX_OVERHEAD_BYTES + CHUNK_OVERHEAD * body_bytes
-    return overhead > allowed or received_bytes > MAX_REPLY_BYTES
+    return overhead > allowed or received_bytes > max_bytes
--- a/packages/gateway/almonddock_gateway/http/_client_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_client_connection.py
@@ -71,6 +71,8 @@
         self.idle_since: float = 0
         #: The server's idle timeout in seconds; None if it sent none.
         self.keep_alive: float | None = None
+        #: Whether a reply exceeded its size limit, which ends the connection.
+        self.exceeded = False
         self._released = released
         self._closed = closed
         self._memory = ReplyMemory() if memory is None else memory
@@ -231,7 +233,12 @@
             self.abort()
         if self._handle is None:
             self._memory.release(self)
-        elif is_oversized(self._received_bytes, self._body_bytes):
+        elif is_oversized(
+            self._received_bytes,
+            self._body_bytes,
+            self._memory.max_reply_bytes,
+        ):
+            self.exceeded = True
             self.abort()
         else:
             self._memory.hold(self, self._received_bytes)
--- a/packages/gateway/almonddock_gateway/http/_reply_memory.py
+++ b/packages/gateway/almonddock_gateway/http/_reply_memory.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+from almonddock_core.framing import MAX_REPLY_BYTES
+
 #: The most bytes of incomplete replies on all connections together.
 MAX_HELD_BYTES = 0x4000000
 
@@ -21,9 +23,15 @@
     The largest reply is the least likely to be an honest one.
     """
 
-    def __init__(self, max_bytes: int = MAX_HELD_BYTES) -> None:
+    def __init__(
+        self,
+        max_bytes: int = MAX_HELD_BYTES,
+        max_reply_bytes: int = MAX_REPLY_BYTES,
+    ) -> None:
         #: The bytes that all connections hold now.
         self.held = 0
+        #: The most bytes that a server may send for one request.
+        self.max_reply_bytes = max_reply_bytes
         self._max_bytes = max_bytes
         self._holders: dict[ReplyHolder, int] = {}
 
