Send messages between gateways unpacked

The native decoder of packed messages throws from a destructor when a message is cut short, where `except KjException` cannot catch it.

The unpacked encoding is read from an array, whose bounds are checked. Limits are explicit: each word of a frame is read once, and pointers nest four deep.

A rolling change: the two versions reject each other's first frame and close the link. No query is sent before an answer to that frame, so none is lost; targets are asked directly meanwhile.

The round trip keeps its messages, in a file that the child process reads too.

--- a/packages/gateway/almonddock_gateway/links/_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_codec.py
@@ -38,19 +38,36 @@
 US = timedelta(microseconds=1)
 MAX_UINT32 = 0xFFFFFFFF
 
+#: The bytes of a word, of which encoded messages are made up.
+WORD_BYTES = 8
+
+#: The deepest pointers: frame, message, list, text.
+MAX_NESTING = 4
+
 
 def encode(message: LinkMessage) -> bytes:
-    """Returns one encoded message, without the length prefix."""
+    """Returns one encoded message, without the length prefix.
+
+    The encoding is not packed: the packed decoder of pycapnp ends the process
+    when a message is cut short.
+    """
     frame = _SCHEMA.Frame.new_message()
     _WRITERS[type(message)](frame, message)
-    encoded: bytes = frame.to_bytes_packed()
+    encoded: bytes = frame.to_bytes()
     return encoded
 
 
 def decode(encoded: bytes) -> LinkMessage:
     """Returns a message; raises :class:`BadFrameError` if malformed."""
+    opened = _SCHEMA.Frame.from_bytes(
+        encoded,
+        # Each word may be read once, so lists that overlap are rejected.
+        traversal_limit_in_words=len(encoded) // WORD_BYTES,
+        nesting_limit=MAX_NESTING,
+    )
     try:
-        return _read(_SCHEMA.Frame.from_bytes_packed(encoded))
+        with opened as frame:
+            return _read(frame)
     except (capnp.KjException, ValueError, ArithmeticError) as fault:
         raise BadFrameError(f'a frame cannot be decoded: {fault}') from fault
 
--- a/packages/gateway/almonddock_gateway/tests/test_link_codec.py
+++ b/packages/gateway/almonddock_gateway/tests/test_link_codec.py
@@ -1,60 +1,17 @@
 """Tests of encoding and decoding link messages."""
 
 import unittest
-from dataclasses import replace
-from datetime import timedelta
 
 from almonddock_core.framing import BadFrameError
+from almonddock_core.tests.mutations import run_module
 from almonddock_gateway.links import decode, encode
-from almonddock_gateway.relays import (
-    Leaving,
-    PartFailure,
-    Ping,
-    Pong,
-    RelayCancel,
-    RelayReply,
-    StoreOutcome,
-    StoreQuery,
-    StoreReply,
-)
-from almonddock_gateway.store import StoreItem, StoreView
-from almonddock_gateway.tests.relay_cases import (
-    MS,
-    make_query,
-)
+from almonddock_gateway.tests.link_messages import MESSAGES, PACKED, main
+from almonddock_gateway.tests.relay_cases import make_query
 
 
 class CodecTest(unittest.TestCase):
     def test_every_message_round_trips(self) -> None:
-        for message in (
-            Ping(3),
-            Pong(4),
-            Leaving(),
-            make_query('t1', 't2', threshold=b'x' * 16),
-            RelayCancel(7, (1, 2)),
-            RelayReply(
-                7,
-                (0, 2),
-                (b's0', b's2'),
-                (3 * MS, 4 * MS),
-                b'records',
-                ((1, PartFailure.REFUSED),),
-                costs=(('t1', 1.5), ('t2', 12.0)),
-            ),
-            replace(make_query('t1'), typical_latency=25 * MS),
-            StoreQuery(1, 'prefix/', None, timedelta()),
-            StoreQuery(1, 'prefix/', 0, 3000 * MS, costs=(('t1', 3.0),)),
-            StoreReply(
-                1,
-                StoreOutcome.ANSWERED,
-                StoreView(
-                    [StoreItem('a', b'x', 1), StoreItem('b', None, 2)],
-                    9,
-                    has_more=True,
-                ),
-                costs=(('t1', 3.0),),
-            ),
-        ):
+        for message in MESSAGES:
             with self.subTest(message=message):
                 self.assertEqual(decode(encode(message)), message)
 
@@ -64,6 +21,31 @@
                 with self.assertRaises(BadFrameError):
                     decode(encoded)
 
+    def test_damaged_frames_do_not_end_the_process(self) -> None:
+        """The packed decoder aborted on a message that was cut short."""
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                code, output = run_module(main.__module__, str(seed), '20000')
+                self.assertEqual(code, 0, output)
+
+    def test_packed_frames_are_rejected(self) -> None:
+        """Hosts of an earlier version send them during a rolling restart."""
+        for encoded in PACKED:
+            with self.subTest(encoded=encoded):
+                with self.assertRaises(BadFrameError):
+                    decode(encoded)
+
+    def test_fields_that_share_their_bytes_are_rejected(self) -> None:
+        """Many pointers to the same bytes made a short frame a long message."""
+        query = make_query('t1')
+        encoded = encode(query)
+        start = encoded.index(bytes.fromhex('11000000 82000000'))
+        shared = bytes.fromhex('11000000 82000000 0d000000 82000000')
+        twice = encoded[:start] + shared + encoded[start + len(shared) :]
+        self.assertEqual(len(twice), len(encoded))
+        with self.assertRaises(BadFrameError):
+            decode(twice)
+
 
 if __name__ == '__main__':
     unittest.main()
