Answer 502 for a success that is spoilt

Cause: a reply that is found to be no success keeps its status, and any reply with a stamp header, even an empty one, was passed on unchanged.

Evidence: test_spoilt_success_is_not_passed_on failed before for both kinds (200 instead of 502). Ruled out: merged answers, which take successes only.

The status is now passed on only if it says what the reply was found to be. A 502 promises nothing, so a caller that may retry does.

--- a/packages/gateway/almonddock_gateway/entry/_answers.py
+++ b/packages/gateway/almonddock_gateway/entry/_answers.py
@@ -7,6 +7,7 @@
     Refusal,
     RefusalReason,
     ReplyKind,
+    TargetReply,
     merge_replies,
 )
 from almonddock_core.routing import Route
@@ -18,6 +19,9 @@
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 
+FIRST_SUCCESS = 200
+FIRST_AFTER_SUCCESS = 300
+
 RawAnswer = tuple[int, Headers, bytes]
 
 
@@ -29,7 +33,7 @@
     """Returns the status, headers and body for the caller."""
     if isinstance(answer, ForwardedAnswer):
         reply = answer.reply
-        if reply.kind is ReplyKind.SUCCESS or reply.stamp is not None:
+        if _is_passed_on(reply):
             return reply.status, reply.headers, reply.body
         return BAD_GATEWAY, (), b''
     if isinstance(answer, MergedAnswer):
@@ -37,6 +41,14 @@
     return build_refusal(answer)
 
 
+def _is_passed_on(reply: TargetReply) -> bool:
+    """Whether a caller may rely on what the status of the reply says."""
+    if reply.kind is ReplyKind.SUCCESS:
+        return True
+    is_spoilt = FIRST_SUCCESS <= reply.status < FIRST_AFTER_SUCCESS
+    return reply.stamp is not None and not is_spoilt
+
+
 def build_refusal(refusal: Refusal) -> RawAnswer:
     """Returns the answer to a request that ended without a reply."""
     headers = []
--- a/packages/gateway/almonddock_gateway/tests/test_answers.py
+++ b/packages/gateway/almonddock_gateway/tests/test_answers.py
@@ -120,6 +120,17 @@
                 self.assertEqual(got, status)
                 self.assertEqual(headers.get(b'retry-after'), retry_after)
 
+    def test_spoilt_success_is_not_passed_on(self) -> None:
+        """An empty stamp or a content coding makes a success worthless."""
+        for headers in (
+            [ID, (b'x-stamp', b'')],
+            [ID, STAMP, (b'content-encoding', b'gzip')],
+        ):
+            with self.subTest(headers=headers):
+                raw = HttpReply(200, headers, b'spoilt')
+                answer = self.build(ForwardedAnswer(read_reply(raw, NAMES)))
+                self.assertEqual(answer, (502, {}, b''))
+
     def test_merged_answer_lists_its_stamps(self) -> None:
         group = ReplyGroup(b'c' * 16 + b'a' * 16)
         grouped = [
