Answer 502 for a failure that would promise too much

Cause: a target that fails with 503, 429, 421 or 408 without saying that it did not run the request counts as failed, and its status was passed on. Callers take these statuses as the promise that nothing has run.

Evidence: test_failure_of_a_target_promises_nothing failed before for each of the four. Ruled out: replies with the header that says so; they are refusals.

502 promises nothing. The target's stamp is left out, because it would vouch for another status.

--- a/packages/gateway/almonddock_gateway/entry/_answers.py
+++ b/packages/gateway/almonddock_gateway/entry/_answers.py
@@ -19,6 +19,9 @@
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 
+#: A caller takes these as the promise that its request has not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, UNAVAILABLE))
+
 FIRST_SUCCESS = 200
 FIRST_AFTER_SUCCESS = 300
 
@@ -46,7 +49,9 @@
     if reply.kind is ReplyKind.SUCCESS:
         return True
     is_spoilt = FIRST_SUCCESS <= reply.status < FIRST_AFTER_SUCCESS
-    return reply.stamp is not None and not is_spoilt
+    # A failed request may have run.
+    is_promise = reply.status in NOT_RUN_STATUSES
+    return reply.stamp is not None and not (is_spoilt or is_promise)
 
 
 def build_refusal(refusal: Refusal) -> RawAnswer:
