Dial an unreachable target again after a refusal

Cause: a refused dial is taken for the target's limit on connections while others are open, and schedules no redial. A redial of a target that counts as unreachable was treated the same while a request hung on an old connection.

Evidence: test_refused_redial_does_not_leave_a_target_unreachable failed before (no timer was left). Ruled out: refusals while the target counts as reachable; a connection that is released carries the attempts that wait.

Any failed dial of an unreachable target now schedules the next.

--- a/packages/gateway/almonddock_gateway/targets/_pool.py
+++ b/packages/gateway/almonddock_gateway/targets/_pool.py
@@ -204,7 +204,8 @@
             self._note_unreachable()
             return
         except OSError:
-            if not self._open:
+            # One that counts as unreachable already needs the next redial.
+            if not self._open or self._settings.target.health.unreachable:
                 self._note_unreachable()
             return
         self._note_reachable()
--- a/packages/gateway/almonddock_gateway/tests/test_pool.py
+++ b/packages/gateway/almonddock_gateway/tests/test_pool.py
@@ -212,6 +212,21 @@
         self.assertEqual(self.reported, [True, False])
         self.assertEqual(self.list_written(), [b''])
 
+    async def test_refused_redial_does_not_leave_a_target_unreachable(
+        self,
+    ) -> None:
+        """No further redial came while a request hung on a connection."""
+        await self.submit(b'a')
+        self.loop.fault = TimeoutError()
+        await self.submit(b'b')
+        self.loop.fault = ConnectionRefusedError()
+        self.loop.timers.pop()()
+        await self.run_tasks()
+        self.loop.fault = None
+        self.loop.timers.pop()()
+        await self.run_tasks()
+        self.assertEqual(self.reported, [True, False])
+
     async def test_dropped_target_is_not_dialled_again(self) -> None:
         self.loop.fault = TimeoutError()
         await self.submit()
