Wait longer for a slow store instead of starting again

A host whose store takes over a second for an answer was never ready: each call ended after a fixed second and the next try began anew; its registration was lost likewise.

--- a/packages/core/almonddock_core/news/__init__.py
+++ b/packages/core/almonddock_core/news/__init__.py
@@ -15,6 +15,7 @@
     ReadSource,
     choose_pause,
 )
+from almonddock_core.news._timeouts import ReplyTimeout
 from almonddock_core.news._watchers import (
     WATCHERS_PER_DATA_CENTRE,
     choose_watchers,
@@ -26,6 +27,7 @@
     'LoggedItem',
     'PauseInputs',
     'ReadSource',
+    'ReplyTimeout',
     'choose_pause',
     'choose_watchers',
 ]
--- a/packages/core/almonddock_core/tests/test_news.py
+++ b/packages/core/almonddock_core/tests/test_news.py
@@ -14,6 +14,7 @@
     ChangeLog,
     PauseInputs,
     ReadSource,
+    ReplyTimeout,
     choose_pause,
     choose_watchers,
 )
@@ -34,6 +35,35 @@
     ]
 
 
+class ReplyTimeoutTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.second = timedelta(seconds=1)
+        self.timeout = ReplyTimeout(self.second, self.second * 4)
+
+    def test_timeout_grows_up_to_its_bound(self) -> None:
+        seen = []
+        for _ in range(4):
+            self.timeout.record_timeout(self.timeout.current)
+            seen.append(self.timeout.current / self.second)
+        self.assertEqual(seen, [2, 4, 4, 4])
+
+    def test_calls_side_by_side_let_it_grow_once(self) -> None:
+        for _ in range(3):
+            self.timeout.record_timeout(self.second)
+        self.assertEqual(self.timeout.current, self.second * 2)
+
+    def test_slow_replies_keep_it_long(self) -> None:
+        self.timeout.record_timeout(self.second)
+        for _ in range(3):
+            self.timeout.record_reply(self.second * 1.5)
+        self.assertEqual(self.timeout.current, self.second * 3)
+
+    def test_quick_reply_shortens_it_at_once(self) -> None:
+        self.timeout.record_timeout(self.second * 2)
+        self.timeout.record_reply(self.second / 100)
+        self.assertEqual(self.timeout.current, self.second)
+
+
 class WatchersTest(unittest.TestCase):
     """Calls to the store must not grow with the number of hosts."""
 
