Play faults that may end a process in the soak

Users saw processes that ended by themselves, or did not start. The soak played no fault of that kind but stops, kills and a silent store.

New kinds, drawn apart from the others so that old seeds keep their faults: series of SIGHUP, SIGTERM and SIGKILL to a host that starts, runs or ends; output that nobody reads; a store that is slower than hosts wait, whose answers go on without end or are rubbish; callers that stop in the middle of a body or read no long answers; junk, half frames and idle connections on the port for links; targets that leave or rest by their replies only.

New checks: a host is ready again within the time of recovery after it was disturbed; a host heeds what the replies of a target say. "processes" reads the peak of the memory instead of samples, and a host has as many descriptors as the smallest machine. SIGHUP is sent only once a process can handle it: the interpreter's own start is the open part of postmortem 014. Signals go through a descriptor of the process, because Process.send_signal may reap it and lose the exit code.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -62,22 +62,36 @@
 
 
 def print_report(report: RunReport) -> None:
-    """Prints a summary line and the first findings of a run."""
+    """Prints a summary line and the first findings of a run.
+
+    A file beside the logs gets all findings, and the delays of the soak itself,
+    which may explain some.
+    """
     statuses = ' '.join(
         f'{status}:{count}' for status, count in sorted(report.statuses.items())
     )
+    lengths = (one.length for one in report.delays)
+    delay = max(lengths, default=timedelta())
     typer.echo(
         f'seed {report.settings.seed}: {len(report.faults)} faults, '
         f'{report.calls} requests, {report.arrivals} sub-queries, '
         f'{statuses}, peak memory of a host {report.memory >> 20} MiB, '
-        f'largest delay of the soak itself {report.delay // MILLISECOND} ms, '
+        f'largest delay of the soak itself {delay // MILLISECOND} ms, '
         f'{len(report.findings)} findings, logs in {report.folder}',
     )
-    for finding in report.findings[:MAX_PRINTED_FINDINGS]:
-        typer.echo(
-            f'  {finding.promise}: {finding.subject} at '
-            f'{finding.at.total_seconds():.3f} s: {finding.detail}',
-        )
+    lines = [
+        f'{finding.promise}: {finding.subject} at '
+        f'{finding.at.total_seconds():.3f} s: {finding.detail}'
+        for finding in report.findings
+    ]
+    for line in lines[:MAX_PRINTED_FINDINGS]:
+        typer.echo(f'  {line}')
+    lines.extend(
+        f'delay of the soak itself: {one.length // MILLISECOND} ms until '
+        f'{one.until.total_seconds():.3f} s'
+        for one in report.delays
+    )
+    (report.folder / 'findings.txt').write_text('\n'.join(lines))
 
 
 def _run_all(all_settings: Iterator[SoakSettings]) -> None:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
@@ -17,7 +17,7 @@
     encode_request,
     read_answer,
 )
-from soak.observations import Call
+from soak.observations import Call, ReadinessSample
 
 #: The pause between two readiness checks of a host, in seconds.
 READINESS_PAUSE_S = 0.5
@@ -180,22 +180,28 @@
 class Balancer:
     """Assigns callers to hosts that pass readiness checks."""
 
-    def __init__(self, endpoints: Sequence[HostEndpoint]) -> None:
-        self._endpoints = endpoints
+    def __init__(
+        self,
+        endpoints: list[HostEndpoint],
+        now: Callable[[], timedelta],
+    ) -> None:
+        #: The hosts that are checked.
+        self.endpoints = endpoints
+        #: What the readiness checks have found, ordered by time.
+        self.samples: list[ReadinessSample] = []
+        self._now = now
 
     @property
     def ready_count(self) -> int:
         """The number of hosts in rotation."""
         return sum(
-            endpoint.misses < READINESS_MISSES for endpoint in self._endpoints
+            endpoint.misses < READINESS_MISSES for endpoint in self.endpoints
         )
 
     def choose(self, rng: random.Random) -> HostEndpoint:
         """Draws a host in rotation, or any host if there is none."""
-        ready = [
-            one for one in self._endpoints if one.misses < READINESS_MISSES
-        ]
-        return rng.choice(ready or list(self._endpoints))
+        ready = [one for one in self.endpoints if one.misses < READINESS_MISSES]
+        return rng.choice(ready or list(self.endpoints))
 
     async def run(self) -> None:
         """Checks the readiness of all hosts until cancelled."""
@@ -203,9 +209,14 @@
             await asyncio.gather(
                 *(
                     self._check_readiness(endpoint)
-                    for endpoint in self._endpoints
+                    for endpoint in self.endpoints
                 )
             )
+            now = self._now()
+            self.samples.extend(
+                ReadinessSample(one.number, now, one.misses < READINESS_MISSES)
+                for one in self.endpoints
+            )
             await asyncio.sleep(READINESS_PAUSE_S)
 
     async def _check_readiness(self, endpoint: HostEndpoint) -> None:
--- a/soak/injector.py
+++ b/soak/injector.py
@@ -1,7 +1,9 @@
 """Injects the faults of a schedule, and reverts them when they end."""
 
 import asyncio
+import random
 import signal
+import sys
 from collections.abc import Callable, Mapping
 from datetime import timedelta
 from types import MappingProxyType
@@ -12,11 +14,16 @@
 from soak.proxy import SILENT, UNIMPAIRED, PathImpairment, Proxy
 from soak.schedule import Fault, FaultKind
 from soak.settings import DATA_CENTRES
+from soak.signals import kill_in_series, reload_in_series, stop_in_series
+from soak.strangers import StrangerKind
 from soak.targets import SoakTarget
 
 #: The time that a fault allows for the restart of a host's process.
 RESTART_TIME = timedelta(seconds=1)
 
+#: The time that strangers have to open their connections, in seconds.
+DIAL_TIME_S = 2.0
+
 #: Delays that the proxies add on impaired paths, in seconds.
 CALLER_DELAY_S = 0.15
 LINK_DELAY_S = 0.1
@@ -41,13 +48,35 @@
         FaultKind.STORE_SILENT: StoreFault.SILENT,
         FaultKind.STORE_SLOW: StoreFault.SLOW,
         FaultKind.STORE_LOSSY: StoreFault.LOSSY,
+        FaultKind.STORE_STALLED: StoreFault.STALLED,
     },
 )
 
+#: Replies that are no answers of a store: documents of other kinds, nesting
+#: that is too deep, and no HTTP.
+RUBBISH = (
+    *(
+        b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b' % (len(body), body)
+        for body in (
+            b'{}',
+            b'[]',
+            b'[' * 100_000,
+            b'{"items": 1, "truncated": [], "current_rev": "x"}',
+            b'{"events": [{}], "current_rev": 1e400}',
+            b'\xff\x00',
+        )
+    ),
+    b'HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\n',
+    b'HTTP/1.1 two OK\r\n\r\n',
+    b'\x00' * 100,
+)
+
 PATH_IMPAIRMENTS: Mapping[FaultKind, PathImpairment] = MappingProxyType(
     {
         FaultKind.STORE_PATH_REFUSED: PathImpairment(refused=True),
         FaultKind.STORE_PATH_SILENT: SILENT,
+        FaultKind.STORE_PATH_ENDLESS: PathImpairment(endless_body=True),
+        FaultKind.STORE_PATH_RUBBISH: PathImpairment(replies=RUBBISH),
         FaultKind.CALLER_PATH_RESET: UNIMPAIRED,
         FaultKind.CALLER_PATH_DELAY: PathImpairment(delay_s=CALLER_DELAY_S),
         FaultKind.CALLER_PATH_ONE_WAY: PathImpairment(drops_downstream=True),
@@ -79,6 +108,32 @@
 )
 
 
+#: The strangers of a kind of fault.
+STRANGERS: Mapping[FaultKind, StrangerKind] = MappingProxyType(
+    {
+        FaultKind.CALLER_HALF_BODY: StrangerKind.HALF_BODY,
+        FaultKind.CALLER_UNREAD: StrangerKind.UNREAD,
+        FaultKind.LINK_JUNK: StrangerKind.JUNK,
+        FaultKind.LINK_HALF_FRAME: StrangerKind.HALF_FRAME,
+        FaultKind.LINK_IDLE: StrangerKind.IDLE,
+    },
+)
+
+#: Kinds of faults of targets that answer requests by themselves, not parts.
+SINGLE_TARGET_KINDS = frozenset(
+    (FaultKind.TARGET_LEAVE_UNLISTED, FaultKind.TARGET_REST),
+)
+
+#: Kinds of faults that send signals in series.
+SERIES = frozenset(
+    (
+        FaultKind.HOST_RELOAD_SERIES,
+        FaultKind.HOST_STOP_SERIES,
+        FaultKind.HOST_KILL_SERIES,
+    ),
+)
+
+
 class Injector:
     """Injects each kind of fault, and records when faults were active."""
 
@@ -101,6 +156,10 @@
             return self._disrupt_store
         if fault.kind in PATH_IMPAIRMENTS:
             return self._impair_path
+        if fault.kind in STRANGERS:
+            return self._send_strangers
+        if fault.kind in SERIES:
+            return self._signal_in_series
         prefix = fault.kind.name.split('_')[0]
         return {
             'HOST': self._signal_host,
@@ -115,6 +174,9 @@
         store = self._installation.store
         store_fault = STORE_FAULTS[fault.kind]
         store.fault = store_fault
+        if fault.kind is FaultKind.STORE_STALLED:
+            host = self._installation.hosts[fault.subject]
+            host.process.send(signal.SIGKILL)
         if fault.kind is FaultKind.STORE_LAPSE:
             store.expire_leases(include_running=True)
             for target in self._installation.targets:
@@ -150,6 +212,47 @@
             host.caller_proxy if name.startswith('CALLER_') else host.link_proxy
         )
 
+    async def _send_strangers(self, fault: Fault) -> None:
+        """Runs a process that misuses a port of a host for a time."""
+        host = self._installation.hosts[fault.subject]
+        kind = STRANGERS[fault.kind]
+        port = (
+            host.machine.link_port
+            if fault.kind.name.startswith('LINK_')
+            else host.machine.caller_port
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'soak.strangers',
+            kind.name,
+            host.machine.host,
+            str(port),
+            str(fault.at),
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        try:
+            await asyncio.sleep(fault.duration.total_seconds() + DIAL_TIME_S)
+        finally:
+            process.kill()
+            await process.wait()
+
+    async def _signal_in_series(self, fault: Fault) -> None:
+        installation = self._installation
+        host = installation.hosts[fault.subject]
+        rng = random.Random(str(fault.at))
+        if fault.kind is FaultKind.HOST_KILL_SERIES:
+            await kill_in_series(host.process, rng)
+        elif fault.kind is FaultKind.HOST_STOP_SERIES:
+            grace = installation.settings.promises.grace
+            self.stops.append((fault.subject, installation.now()))
+            await stop_in_series(host.process, rng, grace)
+        else:
+            await reload_in_series(
+                host.process, rng, lambda: installation.write_settings(host)
+            )
+        await asyncio.sleep(RESTART_TIME.total_seconds())
+
     async def _signal_host(self, fault: Fault) -> None:
         host = self._installation.hosts[fault.subject]
         process = host.process
@@ -162,6 +265,11 @@
             process.send(signal.SIGSTOP)
             await asyncio.sleep(fault.duration.total_seconds())
             process.send(signal.SIGCONT)
+        elif fault.kind is FaultKind.HOST_OUTPUT_UNREAD:
+            process.unread_output = True
+            await self._stop_host(fault.subject)
+            await asyncio.sleep(fault.duration.total_seconds())
+            process.unread_output = False
         else:
             await self._stop_host(fault.subject)
 
@@ -198,6 +306,10 @@
                 self._installation.settings.promises.drain,
                 silently=kind is FaultKind.TARGET_VANISH,
             )
+        elif kind is FaultKind.TARGET_LEAVE_UNLISTED:
+            await target.leave_unlisted(
+                self._installation.settings.promises.drain
+            )
         else:
             await self._disrupt_requests(fault, target)
 
@@ -205,11 +317,14 @@
         working = target.working
         if working is None:
             return
-        if fault.kind is FaultKind.TARGET_FAULTY:
+        if fault.kind is FaultKind.TARGET_REST:
+            working.rests_until = self._installation.now() + fault.duration
+        elif fault.kind is FaultKind.TARGET_FAULTY:
             working.sample_failure = target.sample_failure
         else:
             working.drops_replies = True
         await asyncio.sleep(fault.duration.total_seconds())
+        working.rests_until = None
         working.sample_failure = bool
         working.drops_replies = False
 
@@ -236,4 +351,10 @@
         self._installation.undrain(name)
 
     def _get_target(self, fault: Fault) -> SoakTarget:
-        return self._installation.targets[fault.subject]
+        targets = self._installation.targets
+        if fault.kind in SINGLE_TARGET_KINDS:
+            # Their checks need to know the host that sent a request, and a
+            # query over shards may travel by another one.
+            targets = [one for one in targets if one.is_single]
+            return targets[fault.subject % len(targets)]
+        return targets[fault.subject]
--- a/soak/installation.py
+++ b/soak/installation.py
@@ -8,6 +8,8 @@
 import signal
 from dataclasses import dataclass
 from datetime import timedelta
+from types import MappingProxyType
+from typing import Any
 
 from almonddock_core.dispatch import BudgetLimits
 from almonddock_core.routing import Route, Service, WeightedService
@@ -24,9 +26,14 @@
 )
 from soak.callers import HostEndpoint
 from soak.observations import OutOfService, Version
-from soak.processes import HostProcess
+from soak.processes import MAX_DESCRIPTORS, HostProcess
 from soak.proxy import Proxy
-from soak.settings import DATA_CENTRES, Promises, SoakSettings
+from soak.settings import (
+    DATA_CENTRES,
+    MEMORY_LIMIT,
+    Promises,
+    SoakSettings,
+)
 from soak.targets import (
     COLD_RATE,
     NO_WRITES,
@@ -52,6 +59,14 @@
 ARCHIVE_TARGETS = 2
 STORE_PAGE_SIZE = 100
 
+MEGABYTE = 1_000_000
+LIMITS = MappingProxyType(
+    {
+        'memory_mb': MEMORY_LIMIT // MEGABYTE,
+        'max_fds': MAX_DESCRIPTORS,
+    },
+)
+
 
 @dataclass(slots=True)
 class SoakHost:
@@ -190,9 +205,13 @@
 
     def reload(self, host: SoakHost) -> None:
         """Rewrites the settings file of a host and sends SIGHUP."""
-        host.process.write_settings(describe_settings(host.machine))
+        self.write_settings(host)
         host.process.send(signal.SIGHUP)
 
+    def write_settings(self, host: SoakHost) -> None:
+        """Rewrites the settings file of a host."""
+        host.process.write_settings(describe_machine(host.machine))
+
     async def _build_host(self, number: int, store: Address) -> SoakHost:
         host_address = f'{self._network}.{FIRST_HOST_OCTET + number}'
         name = f'host-{number}'
@@ -212,7 +231,7 @@
         )
         process = HostProcess(
             number,
-            describe_settings(machine),
+            describe_machine(machine),
             self._folder,
             self.now,
         )
@@ -237,6 +256,11 @@
         return json.dumps(registered).encode()
 
 
+def describe_machine(machine: StandinHost) -> dict[str, Any]:
+    """Returns the contents of a settings file, with the machine's limits."""
+    return {**describe_settings(machine), 'limits': dict(LIMITS)}
+
+
 def list_target_specs(settings: SoakSettings) -> list[TargetSpec]:
     """Returns the specs of all targets.
 
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -5,7 +5,11 @@
 from datetime import timedelta
 
 from almonddock_core.routing import Route
-from almonddock_platform.tests.standins import Arrival, CallerAnswer
+from almonddock_platform.tests.standins import (
+    Arrival,
+    CallerAnswer,
+    RestRefusal,
+)
 from soak.processes import ProcessEnd
 from soak.schedule import FaultKind
 
@@ -79,6 +83,15 @@
     per_second: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReadinessSample:
+    """Whether a host counted as ready at some time."""
+
+    host: int
+    at: timedelta
+    ready: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Evidence:
     """All records of a run that the checks read."""
@@ -92,6 +105,11 @@
     #: Drained data centres.
     drained: Sequence[OutOfService]
     cold: Sequence[ColdSpan]
+    #: Targets that said that they leave in their replies only.
+    unlisted: Sequence[OutOfService]
+    rest_refusals: Sequence[RestRefusal]
+    #: Ordered by time.
+    readiness: Sequence[ReadinessSample]
     #: The number of each host that got SIGTERM, with the time.
     stops: Sequence[tuple[int, timedelta]]
     ends: Sequence[ProcessEnd]
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -1,9 +1,12 @@
 """Runs the hosts of the system as local processes."""
 
 import asyncio
+import contextlib
+import itertools
 import json
 import os
 import pathlib
+import resource
 import signal
 import sys
 from collections.abc import Callable, Mapping
@@ -21,6 +24,18 @@
 
 KIB = 1024
 
+#: The most descriptors of a host's process: the users' smallest machine has
+#: as many.
+MAX_DESCRIPTORS = 4100
+
+#: The sets of signals in the status of a process of which none ends it:
+#: blocked, ignored and caught.
+HELD_SIGNALS = frozenset(('SigBlk:', 'SigIgn:', 'SigCgt:'))
+HEXADECIMAL = 16
+
+#: The most that is read of a pipe that nobody has read, in bytes.
+PIPE_BYTES = 0x100000
+
 
 @dataclass(frozen=True, slots=True)
 class ProcessEnd:
@@ -56,8 +71,11 @@
         self._log = folder / f'host-{number}.log'
         self._errors = folder / f'host-{number}.err'
         self._process: asyncio.subprocess.Process | None = None
+        self._pidfd = -1
         self._stop_requested = False
         self._closing = False
+        #: Whether the next process gets pipes that nobody reads as its output.
+        self.unread_output = False
         self.write_settings(settings)
 
     @property
@@ -76,15 +94,8 @@
         while not self._closing:
             self.incarnation += 1
             self._stop_requested = False
-            with self._log.open('ab') as log, self._errors.open('ab') as errors:
-                self._process = await asyncio.create_subprocess_exec(
-                    sys.executable,
-                    str(PROGRAM),
-                    stdout=log,
-                    stderr=errors,
-                    env={**os.environ, SETTINGS_VARIABLE: str(self._path)},
-                )
-                code = await self._process.wait()
+            run = self._run_unread if self.unread_output else self._run_logged
+            code = await run()
             self.ends.append(
                 ProcessEnd(
                     self._number,
@@ -97,30 +108,88 @@
             await asyncio.sleep(RESTART_PAUSE_S)
 
     def send(self, number: signal.Signals) -> None:
-        """Sends a signal to the process, if it is running."""
-        process = self._process
-        if process is None or process.returncode is not None:
+        """Sends a signal to the process, if it is running.
+
+        Until the interpreter runs its first line, SIGHUP is not sent: no
+        program can handle it so early (docs/incidents/014).
+        """
+        if self._pidfd < 0:
+            return
+        if number == signal.SIGHUP and not self._holds(number):
             return
         if number in {signal.SIGTERM, signal.SIGKILL}:
             self._stop_requested = True
-        process.send_signal(number)
+        # Process.send_signal would reap the process, and lose its exit code.
+        with contextlib.suppress(ProcessLookupError):
+            signal.pidfd_send_signal(self._pidfd, number)
 
     def sample_memory(self) -> None:
-        """Samples the resident memory of the process and keeps the peak."""
+        """Keeps the peak of the resident memory of the process."""
+        peak = self._read_status().get('VmHWM:')
+        if peak is not None:
+            self.memory = max(self.memory, int(peak) * KIB)
+
+    def close(self) -> None:
+        """Kills the process and prevents its restart."""
+        self._closing = True
+        self.send(signal.SIGKILL)
+
+    async def _run_logged(self) -> int:
+        with self._log.open('ab') as log, self._errors.open('ab') as errors:
+            return await self._run_process(log.fileno(), errors.fileno())
+
+    async def _run_unread(self) -> int:
+        """Runs a process whose output nobody reads before its end."""
+        pipes = [os.pipe(), os.pipe()]
+        try:
+            code = await self._run_process(*(write for _, write in pipes))
+            for path, (read, _) in zip(
+                (self._log, self._errors), pipes, strict=True
+            ):
+                os.set_blocking(read, False)
+                with path.open('ab') as output, contextlib.suppress(OSError):
+                    output.write(os.read(read, PIPE_BYTES))
+        finally:
+            for descriptor in itertools.chain(*pipes):
+                os.close(descriptor)
+        return code
+
+    async def _run_process(self, output: int, errors: int) -> int:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(PROGRAM),
+            stdout=output,
+            stderr=errors,
+            env={**os.environ, SETTINGS_VARIABLE: str(self._path)},
+        )
+        limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
+        resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+        self._pidfd = os.pidfd_open(process.pid)
+        self._process = process
+        try:
+            return await process.wait()
+        finally:
+            os.close(self._pidfd)
+            self._pidfd = -1
+
+    def _holds(self, number: signal.Signals) -> bool:
+        """Whether the process blocks, ignores or handles a signal."""
+        status = self._read_status()
+        held = 0
+        for name in HELD_SIGNALS:
+            held |= int(status.get(name, '0'), HEXADECIMAL)
+        return bool(held >> number - 1 & 1)
+
+    def _read_status(self) -> dict[str, str]:
+        """Returns the first word of each line of its status; empty if none."""
         process = self._process
         if process is None or process.returncode is not None:
-            return
+            return {}
         status = pathlib.Path(f'/proc/{process.pid}/status')
         try:
             lines = status.read_text().splitlines()
         except OSError:
             # The process ended after its return code was checked.
-            return
-        for line in lines:
-            if line.startswith('VmRSS:'):
-                self.memory = max(self.memory, int(line.split()[1]) * KIB)
-
-    def close(self) -> None:
-        """Kills the process and prevents its restart."""
-        self._closing = True
-        self.send(signal.SIGKILL)
+            return {}
+        rows = (line.split(maxsplit=2)[:2] for line in lines)
+        return {row[0]: row[1] for row in rows if len(row) == 2}
--- a/soak/promises/__init__.py
+++ b/soak/promises/__init__.py
@@ -19,6 +19,7 @@
 from soak.promises._findings import Check, Finding
 from soak.promises._hosts import (
     check_processes,
+    check_readiness,
     check_recovery,
     check_stops,
 )
@@ -30,6 +31,7 @@
     check_once,
     check_refusals,
 )
+from soak.promises._replies import check_rests, check_unlisted
 from soak.promises._versions import check_versions
 from soak.settings import Promises
 
@@ -52,6 +54,9 @@
     check_gone_callers,
     check_processes,
     check_recovery,
+    check_readiness,
+    check_unlisted,
+    check_rests,
 )
 
 
--- a/soak/promises/_disturbances.py
+++ b/soak/promises/_disturbances.py
@@ -17,6 +17,7 @@
         FaultKind.STORE_LAPSE,
         FaultKind.STORE_SILENT,
         FaultKind.STORE_SLOW,
+        FaultKind.STORE_STALLED,
         FaultKind.STORE_LOSSY,
         FaultKind.STORE_COMPACT,
         FaultKind.HERD_KILL,
@@ -34,10 +35,13 @@
     (
         FaultKind.HOST_STOP,
         FaultKind.HOST_RELOAD,
+        FaultKind.HOST_RELOAD_SERIES,
+        FaultKind.HOST_STOP_SERIES,
         FaultKind.CONFIGURATION,
         FaultKind.CONFIGURATION_SERIES,
         FaultKind.DATA_CENTRE_OUT,
         FaultKind.TARGET_LEAVE,
+        FaultKind.TARGET_LEAVE_UNLISTED,
     ),
 )
 
@@ -56,6 +60,20 @@
     )
 
 
+def must_be_ready(
+    evidence: Evidence, promises: Promises, host: int, at: timedelta
+) -> bool:
+    """Whether a host has had the time to recover since it was disturbed.
+
+    The start of the run counts as a disturbance.
+    """
+    since = at - promises.recovery
+    return since > timedelta() and not any(
+        span.kind in STORE_FAULTS or _affects(span, host)
+        for span in _list_overlapping(evidence, since, at)
+    )
+
+
 def is_undisturbed(
     evidence: Evidence,
     promises: Promises,
--- a/soak/promises/_hosts.py
+++ b/soak/promises/_hosts.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from soak.observations import Evidence
-from soak.promises._disturbances import list_unplanned
+from soak.promises._disturbances import list_unplanned, must_be_ready
 from soak.promises._findings import Finding, report_call
 from soak.settings import MEMORY_LIMIT, Promises
 
@@ -62,3 +62,20 @@
     if not later or served < promises.recovered_share * len(later):
         detail = f'{served} of {len(later)} served'
         yield Finding('recovery', 'all', since, detail)
+
+
+def check_readiness(
+    evidence: Evidence,
+    promises: Promises,
+) -> Iterator[Finding]:
+    """A host is ready again some time after it was disturbed."""
+    overdue: set[int] = set()
+    for sample in evidence.readiness:
+        host = sample.host
+        if sample.ready:
+            overdue.discard(host)
+        elif host not in overdue and must_be_ready(
+            evidence, promises, host, sample.at
+        ):
+            overdue.add(host)
+            yield Finding('readiness', f'host {host}', sample.at, 'not ready')
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -17,6 +17,11 @@
 FILLER = b'x' * 65_536
 FILLER_INTERVAL_S = 0.02
 
+#: The head of a reply whose body does not end, and how much of it is sent at
+#: once, in writes of filler.
+ENDLESS_HEAD = b'HTTP/1.1 200 OK\r\ncontent-length: 100000000000000\r\n\r\n'
+ENDLESS_WRITES = 32
+
 
 @dataclass(frozen=True, slots=True)
 class PathImpairment:
@@ -43,6 +48,12 @@
     copy_after_s: float = 0
     #: Whether the head of a reply goes on with bytes without end.
     endless: bool = False
+    #: Whether each chunk that the server sends is replaced by a reply with a
+    #: body without end.
+    endless_body: bool = False
+    #: What each chunk that the server sends is replaced by, in turn; empty to
+    #: forward the chunks.
+    replies: tuple[bytes, ...] = ()
 
 
 UNIMPAIRED = PathImpairment()
@@ -101,15 +112,15 @@
         if self._transport is not None:
             self._transport.write(sent)
 
-    def send_endlessly(self) -> None:
+    def send_endlessly(self, writes: int = 1) -> None:
         """Writes filler as fast as this end reads, until it closes."""
         transport = self._transport
         if transport is None or transport.is_closing():
             return
         if transport.get_write_buffer_size() < len(FILLER):
-            transport.write(FILLER)
+            transport.write(FILLER * writes)
         loop = asyncio.get_running_loop()
-        loop.call_later(FILLER_INTERVAL_S, self.send_endlessly)
+        loop.call_later(FILLER_INTERVAL_S, self.send_endlessly, writes)
 
     def reset(self) -> None:
         """Closes this end with a reset."""
@@ -139,6 +150,12 @@
         if self._is_server and (impairment.half_head or impairment.endless):
             self._break_head(peer, received)
             return
+        if self._is_server and impairment.endless_body:
+            peer.write(ENDLESS_HEAD)
+            peer.send_endlessly(ENDLESS_WRITES)
+            return
+        if self._is_server and impairment.replies:
+            received = self._proxy.next_reply()
         if self._is_server and impairment.doubled:
             received += received
         self._call_in_order(lambda: peer.write(received))
@@ -176,6 +193,7 @@
         self._sides: set[_Side] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
+        self._replaced = 0
 
     async def start(self, host: str) -> Address:
         """Listens on a free port and returns the address."""
@@ -187,6 +205,12 @@
         port: int = self._server.sockets[0].getsockname()[1]
         return Address(host, port)
 
+    def next_reply(self) -> bytes:
+        """Returns the next of the replies that replace the server's."""
+        self._replaced += 1
+        replies = self.impairment.replies
+        return replies[self._replaced % len(replies)]
+
     def reset_all(self) -> None:
         """Resets every open connection."""
         for side in tuple(self._sides):
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -31,6 +31,18 @@
 DELAY_INTERVAL_S = 0.05
 
 
+#: Shorter delays are not recorded.
+MIN_DELAY = timedelta(milliseconds=50)
+
+
+@dataclass(frozen=True, slots=True)
+class Delay:
+    """A time in which the process of the soak itself did not go on."""
+
+    until: timedelta
+    length: timedelta
+
+
 @dataclass(frozen=True, slots=True)
 class RunReport:
     """A summary of one run and its findings."""
@@ -44,9 +56,9 @@
     arrivals: int
     #: The largest resident memory of any host, in bytes.
     memory: int
-    #: The largest delay of the process that plays callers, targets and store:
-    #: what it saw may be late by as much.
-    delay: timedelta
+    #: Long delays of the process that plays callers, targets and store: what it
+    #: saw may be late by as much. Ordered by time.
+    delays: Sequence[Delay]
     findings: Sequence[Finding]
     #: The folder that holds the logs of the hosts.
     folder: pathlib.Path
@@ -70,7 +82,7 @@
         ),
         arrivals=len(evidence.arrivals),
         memory=evidence.memory,
-        delay=run.delay,
+        delays=run.delays,
         findings=check_all(evidence, settings.promises),
         folder=folder,
     )
@@ -86,10 +98,11 @@
     ) -> None:
         self.faults: Sequence[Fault] = ()
         self.calls: list[Call] = []
-        self.delay = timedelta()
+        self.delays: list[Delay] = []
         self._settings = settings
         self._installation = installation
         self._injector = Injector(installation)
+        self._balancer = Balancer([], installation.now)
         self._tasks: list[asyncio.Task[None]] = []
         self._last_fault_end = timedelta()
 
@@ -98,11 +111,14 @@
         settings = self._settings
         installation = self._installation
         await installation.start()
-        balancer = Balancer([host.endpoint for host in installation.hosts])
+        balancer = self._balancer
+        balancer.endpoints.extend(host.endpoint for host in installation.hosts)
         self._start_task(balancer.run())
         self._start_task(self._watch_memory())
         self._start_task(self._watch_delay())
-        await _wait_for_hosts(balancer, settings.hosts)
+        if not await _wait_for_hosts(balancer, settings.hosts):
+            # The samples of the balancer show which host did not start.
+            return
         self._start_callers(balancer)
         self.faults = draw_schedule(
             settings,
@@ -134,6 +150,9 @@
             leaving=installation.records.leaving,
             drained=installation.drained,
             cold=installation.records.cold,
+            unlisted=installation.records.unlisted,
+            rest_refusals=installation.records.rest_refusals,
+            readiness=self._balancer.samples,
             stops=self._injector.stops,
             ends=[end for process in processes for end in process.ends],
             target_data_centres=installation.records.data_centres,
@@ -170,10 +189,17 @@
         while True:
             due = self._installation.now() + timedelta(seconds=DELAY_INTERVAL_S)
             await asyncio.sleep(DELAY_INTERVAL_S)
-            self.delay = max(self.delay, self._installation.now() - due)
+            now = self._installation.now()
+            if now - due > MIN_DELAY:
+                self.delays.append(Delay(now, now - due))
 
 
-async def _wait_for_hosts(balancer: Balancer, hosts: int) -> None:
-    async with asyncio.timeout(START_TIMEOUT_S):
-        while balancer.ready_count < hosts:
-            await asyncio.sleep(POLL_INTERVAL_S)
+async def _wait_for_hosts(balancer: Balancer, hosts: int) -> bool:
+    """Waits until all hosts are ready; returns whether they became so."""
+    try:
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while balancer.ready_count < hosts:
+                await asyncio.sleep(POLL_INTERVAL_S)
+    except TimeoutError:
+        return False
+    return True
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -1,6 +1,7 @@
 """Draws the faults of a run from its seed."""
 
 import enum
+import itertools
 import random
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
@@ -51,6 +52,20 @@
     CONFIGURATION = 'configuration changed'
     CONFIGURATION_SERIES = 'configurations in quick succession'
     DATA_CENTRE_OUT = 'data centre taken out'
+    HOST_RELOAD_SERIES = 'host told many times to read its settings'
+    HOST_STOP_SERIES = 'host asked many times to stop and to read its settings'
+    HOST_KILL_SERIES = 'host killed again soon after each start'
+    HOST_OUTPUT_UNREAD = 'host started again with output that nobody reads'
+    STORE_STALLED = 'store slower than hosts wait, and a host killed'
+    STORE_PATH_ENDLESS = 'answers of the store to a host go on without end'
+    STORE_PATH_RUBBISH = 'answers of the store to a host are rubbish'
+    CALLER_HALF_BODY = 'callers that stop in the middle of a body'
+    CALLER_UNREAD = 'callers that do not read their answers'
+    LINK_JUNK = 'junk on the port for links'
+    LINK_HALF_FRAME = 'frames without end on the port for links'
+    LINK_IDLE = 'idle connections to the port for links'
+    TARGET_LEAVE_UNLISTED = 'target leaves, and only its replies say so'
+    TARGET_REST = 'target refuses requests and states for how long'
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,15 +95,39 @@
     },
 )
 
-#: Kinds that are drawn apart from the others, so that the faults of seeds that
-#: once found something stay the same.
-LATER_KINDS = frozenset(
-    (
-        FaultKind.TARGET_HALF_HEAD,
-        FaultKind.TARGET_LATE_COPY,
-        FaultKind.TARGET_ENDLESS,
-    ),
+#: Kinds that are drawn apart from the others, each group by itself, so that
+#: the faults of seeds that once found something stay the same. The groups are
+#: in the order in which they were added; their names are part of the seed.
+LATER_GROUPS: Mapping[str, frozenset[FaultKind]] = MappingProxyType(
+    {
+        'later kinds': frozenset(
+            (
+                FaultKind.TARGET_HALF_HEAD,
+                FaultKind.TARGET_LATE_COPY,
+                FaultKind.TARGET_ENDLESS,
+            ),
+        ),
+        'ends of processes': frozenset(
+            (
+                FaultKind.HOST_RELOAD_SERIES,
+                FaultKind.HOST_STOP_SERIES,
+                FaultKind.HOST_KILL_SERIES,
+                FaultKind.HOST_OUTPUT_UNREAD,
+                FaultKind.STORE_STALLED,
+                FaultKind.STORE_PATH_ENDLESS,
+                FaultKind.STORE_PATH_RUBBISH,
+                FaultKind.CALLER_HALF_BODY,
+                FaultKind.CALLER_UNREAD,
+                FaultKind.LINK_JUNK,
+                FaultKind.LINK_HALF_FRAME,
+                FaultKind.LINK_IDLE,
+                FaultKind.TARGET_LEAVE_UNLISTED,
+                FaultKind.TARGET_REST,
+            ),
+        ),
+    },
 )
+LATER_KINDS = frozenset(itertools.chain(*LATER_GROUPS.values()))
 
 #: The longest duration that is drawn for a fault, in seconds. It is then
 #: shortened to the rest of the fault time.
@@ -130,18 +169,20 @@
     )
     named = [FaultKind[name] for name in settings.kinds]
     kinds = named or tuple(FaultKind)
-    first = [kind for kind in kinds if kind not in LATER_KINDS]
-    later = [kind for kind in kinds if kind in LATER_KINDS]
     total = settings.fault_time.total_seconds()
+    first = [kind for kind in kinds if kind not in LATER_KINDS]
+    # A kind of a later group is drawn as often as one of the first kinds.
+    base = len(first) or len(kinds)
     count = round(total * settings.fault_rate)
     faults: list[Fault] = []
     if first:
         rng = random.Random(settings.seed)
         faults.extend(_draw(first, count, total, subject_counts, rng))
-        count = round(count * len(later) / len(first))
-    if later:
-        rng = random.Random(f'{settings.seed} later kinds')
-        faults.extend(_draw(later, count, total, subject_counts, rng))
+    for name, group in LATER_GROUPS.items():
+        later = [kind for kind in kinds if kind in group]
+        rng = random.Random(f'{settings.seed} {name}')
+        share = round(count * len(later) / base)
+        faults.extend(_draw(later, share, total, subject_counts, rng))
     moved = (replace(fault, at=start + fault.at) for fault in faults)
     return sorted(moved, key=lambda fault: fault.at)
 
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -37,7 +37,12 @@
     #: its stated rate, plus the slack.
     cold_factor: float = 1.5
     cold_slack: float = 5
-    #: How long after the last fault requests may still fail.
+    #: Requests that a host may send to a target that has told it for how long
+    #: it wants none: at most so many, from so long after it was told.
+    rest_requests: int = 2
+    rest_notice: timedelta = timedelta(milliseconds=500)
+    #: How long after the last fault requests may still fail, and how long
+    #: after a fault a host may still be not ready.
     recovery: timedelta = timedelta(seconds=12)
     #: The share of requests that must then succeed. The requirements ask for
     #: 0.25, but with every component healthy again nothing justifies more
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -11,6 +11,7 @@
     KEYS,
     Arrival,
     HttpServer,
+    RestRefusal,
     StoreFault,
     StoreStandin,
     WorkingTarget,
@@ -18,6 +19,7 @@
 )
 from soak.observations import ColdSpan, OutOfService
 from soak.proxy import Proxy
+from soak.strangers import ID_PREFIX
 
 #: The interval between two heartbeats of a target, in seconds, from the
 #: users' requirements.
@@ -41,6 +43,10 @@
 #: late work is observed.
 LINGER_S = 1.0
 
+#: The same for one whose replies alone say that it leaves: each host hears so
+#: at another time.
+UNLISTED_LINGER_S = 4.0
+
 #: How long a restarted target stays cold.
 COLD_TIME = timedelta(seconds=2)
 
@@ -54,6 +60,10 @@
 NO_WRITES = frozenset((StoreFault.DOWN, StoreFault.SILENT))
 
 
+#: Services that answer requests by themselves; the others answer in parts.
+SINGLE_SERVICES = frozenset(('ledger', 'archive'))
+
+
 @dataclass(slots=True)
 class TargetRecords:
     """Records of the targets of a run."""
@@ -61,8 +71,16 @@
     arrivals: list[Arrival] = field(default_factory=list)
     leaving: list[OutOfService] = field(default_factory=list)
     cold: list[ColdSpan] = field(default_factory=list)
+    #: Targets whose replies alone say that they leave.
+    unlisted: list[OutOfService] = field(default_factory=list)
+    rest_refusals: list[RestRefusal] = field(default_factory=list)
     data_centres: dict[str, str] = field(default_factory=dict)
 
+    def add_arrival(self, arrival: Arrival) -> None:
+        """Keeps an arrival, unless strangers have sent the request."""
+        if not arrival.attempt_id.startswith(ID_PREFIX):
+            self.arrivals.append(arrival)
+
 
 @dataclass(frozen=True, slots=True)
 class TargetSpec:
@@ -101,6 +119,11 @@
         self._host = ''
         self._cold_until = timedelta()
 
+    @property
+    def is_single(self) -> bool:
+        """Whether it answers requests by itself, not in parts."""
+        return self.spec.service in SINGLE_SERVICES
+
     @property
     def working(self) -> WorkingTarget | None:
         """The serving incarnation; None while the target is down."""
@@ -117,9 +140,10 @@
             service=spec.service,
             slots=spec.slots,
             sample_service_time=self._sample_service_time,
-            on_start=self._records.arrivals.append,
+            on_start=self._records.add_arrival,
             now=self._now,
             get_cold_time=self._get_cold_time,
+            rest_refusals=self._records.rest_refusals,
         )
         self._server = HttpServer(self._working.handle)
         self.proxy = Proxy(await self._server.start(host))
@@ -193,6 +217,8 @@
         entry = self._entry
         if entry is None or entry.state is TargetState.DRAINING:
             return
+        if self._working is not None and self._working.leaving:
+            return
         self._entry = replace(entry, state=TargetState.DRAINING)
         if silently:
             self._entry = None
@@ -206,6 +232,24 @@
         self._store.remove(f'{KEYS.target_prefix}{entry.target_id}')
         await self.start(self._host, COLD_TIME)
 
+    async def leave_unlisted(self, drain: timedelta) -> None:
+        """Leaves, and says so in its replies only; restarts as cold."""
+        entry = self._entry
+        working = self._working
+        if entry is None or working is None:
+            return
+        if entry.state is TargetState.DRAINING or working.leaving:
+            return
+        working.leaving = True
+        since = self._now()
+        self._records.unlisted.append(OutOfService(entry.target_id, since))
+        await asyncio.sleep(drain.total_seconds() + UNLISTED_LINGER_S)
+        if self._working is not working:
+            return
+        self._end_serving()
+        self._store.remove(f'{KEYS.target_prefix}{entry.target_id}')
+        await self.start(self._host, COLD_TIME)
+
     def close(self) -> None:
         """Stops serving without a restart."""
         self._end_serving()
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -4,7 +4,14 @@
 from dataclasses import replace
 from typing import Any
 
-from soak.observations import ColdSpan, Evidence, FaultSpan, OutOfService
+from almonddock_platform.tests.standins import RestRefusal
+from soak.observations import (
+    ColdSpan,
+    Evidence,
+    FaultSpan,
+    OutOfService,
+    ReadinessSample,
+)
 from soak.processes import ProcessEnd
 from soak.promises import check_all
 from soak.schedule import FaultKind
@@ -244,6 +251,85 @@
                 self.assertEqual(list_broken(changed), promises)
 
 
+#: A target to which only the requests of a test go.
+OTHER_TARGET = 't1-1'
+
+
+def add_told_call(*times: float, **changes: Any) -> Evidence:
+    """Adds an answer of a target that leaves, and later requests to it.
+
+    The host learns at 30.05 s that the target leaves. ``changes`` are those of
+    the later calls.
+    """
+    evidence = build_evidence(target_data_centres={'t0-1': 'a', 't1-1': 'b'})
+    answer = replace(
+        answer_single('told', 'ledger'), stamp=f'{OTHER_TARGET}.ledger.told'
+    )
+    calls = [build_call('told', '/one/x', 30, answer=answer)]
+    for index, at in enumerate(times):
+        calls.append(build_call(f'n{index}', '/one/x', at, **changes))
+    arrivals = [
+        build_arrival(
+            one.attempt_id,
+            'ledger',
+            one.sent.total_seconds(),
+            target=OTHER_TARGET,
+        )
+        for one in calls
+    ]
+    return replace(
+        evidence,
+        calls=[*evidence.calls, *calls],
+        arrivals=[*evidence.arrivals, *arrivals],
+        unlisted=[OutOfService(OTHER_TARGET, seconds(29))],
+    )
+
+
+class ReplyTest(unittest.TestCase):
+    def test_requests_after_a_reply_said_leaving_are_found(self) -> None:
+        for at, changes, broken in (
+            (33, {}, set()),
+            (33.1, {}, {'leaving targets'}),
+            (33.1, {'incarnation': 2}, set()),
+            (33.1, {'host': 1}, set()),
+        ):
+            evidence = add_told_call(at, **changes)
+            with self.subTest(at=at, changes=changes):
+                self.assertEqual(list_broken(evidence), broken)
+
+    def test_a_frozen_host_is_excused_from_what_a_reply_said(self) -> None:
+        pause = FaultSpan(FaultKind.HOST_PAUSE, 0, seconds(31), seconds(32))
+        evidence = replace(add_told_call(34), spans=(pause,))
+        self.assertEqual(list_broken(evidence), set())
+
+    def test_requests_to_a_resting_target_are_found(self) -> None:
+        first = RestRefusal(OTHER_TARGET, 'told', seconds(30), seconds(3))
+        for times, broken in (
+            ((30.2, 30.3, 30.4, 30.6, 30.7), set()),
+            ((30.6, 30.7, 30.8), {'resting targets'}),
+            ((30.6, 30.7, 33.1), set()),
+        ):
+            evidence = add_told_call(*times)
+            evidence = replace(evidence, unlisted=(), rest_refusals=[first])
+            with self.subTest(times=times):
+                self.assertEqual(list_broken(evidence), broken)
+
+    def test_refusals_count_as_requests_to_a_resting_target(self) -> None:
+        evidence = add_told_call(30.6, 30.7, 30.8)
+        refused = [
+            RestRefusal(OTHER_TARGET, one.attempt_id, one.at, seconds(2))
+            for one in evidence.arrivals
+            if one.target == OTHER_TARGET
+        ]
+        arrivals = [
+            one for one in evidence.arrivals if one.target != OTHER_TARGET
+        ]
+        evidence = replace(
+            evidence, unlisted=(), arrivals=arrivals, rest_refusals=refused
+        )
+        self.assertEqual(list_broken(evidence), {'resting targets'})
+
+
 class HostTest(unittest.TestCase):
     def test_requests_cut_by_a_stop_are_found(self) -> None:
         cut = add_call('c', 30, answer=None, ended=seconds(30.3))
@@ -270,6 +356,22 @@
         asked = build_evidence(ends=[replace(end, requested=True)])
         self.assertEqual(list_broken(asked), set())
 
+    def test_hosts_that_stay_unready_are_found(self) -> None:
+        start = FaultSpan(FaultKind.HOST_KILL, 0, seconds(14), seconds(15))
+        for at, host, broken in (
+            (12, 0, set()),
+            (26.9, 0, set()),
+            (27.1, 0, {'readiness'}),
+            (20, 1, {'readiness'}),
+        ):
+            samples = [
+                ReadinessSample(host, seconds(at), ready=False),
+                ReadinessSample(host, seconds(at + 20), ready=True),
+            ]
+            evidence = build_evidence(spans=(start,), readiness=samples)
+            with self.subTest(at=at, host=host):
+                self.assertEqual(list_broken(evidence), broken)
+
     def test_missing_recovery_is_found(self) -> None:
         evidence = replace_answer('late', build_refusal(502))
         self.assertEqual(list_broken(evidence), {'recovery'})
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -5,7 +5,14 @@
 
 from almonddock_gateway.settings import Address
 from almonddock_platform.tests.standins import LOOPBACK
-from soak.proxy import FILLER, SILENT, UNIMPAIRED, PathImpairment, Proxy
+from soak.proxy import (
+    ENDLESS_HEAD,
+    FILLER,
+    SILENT,
+    UNIMPAIRED,
+    PathImpairment,
+    Proxy,
+)
 
 #: A timeout that also holds on a busy machine.
 TIMEOUT_S = 10
@@ -83,6 +90,17 @@
         received = await self.ask(PathImpairment(endless=True), length)
         self.assertEqual(received, b'x' * length)
 
+    async def test_bodies_of_replies_go_on_without_end(self) -> None:
+        length = len(ENDLESS_HEAD) + 40 * len(FILLER)
+        received = await self.ask(PathImpairment(endless_body=True), length)
+        filler = b'x' * (40 * len(FILLER))
+        self.assertEqual(received, ENDLESS_HEAD + filler)
+
+    async def test_replies_are_replaced_in_turn(self) -> None:
+        impairment = PathImpairment(replies=(b'one.', b'two.'))
+        self.assertEqual(await self.ask(impairment), b'two.')
+        self.assertEqual(await self.ask(impairment), b'one.')
+
     async def test_silent_paths_pass_nothing_on(self) -> None:
         for impairment in (
             SILENT,
--- a/soak/tests/test_run.py
+++ b/soak/tests/test_run.py
@@ -1,23 +1,42 @@
-"""A short run with real processes has no findings."""
+"""Short runs with real processes have no findings."""
 
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 
 from soak.runs import run_soak
+from soak.schedule import LATER_GROUPS, FaultKind
 from soak.settings import Promises, SoakSettings
 
 #: The seed of the fault schedule; fixed so that CI always draws the same one.
 SEED = 4
 
+PROCESS_KINDS = LATER_GROUPS['ends of processes']
+
 SETTINGS = SoakSettings(
     seed=SEED,
     fault_time=timedelta(seconds=8),
     hosts=3,
     shards=4,
     callers=6,
+    kinds=tuple(kind.name for kind in FaultKind if kind not in PROCESS_KINDS),
     promises=Promises(),
 )
 
+#: Draws nearly all kinds of faults that may end a process.
+PROCESS_SEED = 39
+
+PROCESS_SETTINGS = replace(
+    SETTINGS,
+    seed=PROCESS_SEED,
+    fault_time=timedelta(seconds=4),
+    fault_rate=3.5,
+    kinds=tuple(kind.name for kind in FaultKind if kind in PROCESS_KINDS),
+)
+
+#: What this run checks; the run above checks all promises.
+PROCESS_PROMISES = frozenset(('processes', 'readiness', 'recovery'))
+
 
 class ShortRunTest(unittest.IsolatedAsyncioTestCase):
     async def test_promises_hold(self) -> None:
@@ -25,6 +44,15 @@
         self.assertEqual(list(report.findings), [])
         self.assertGreater(report.calls, 100)
 
+    async def test_processes_run_on_within_their_memory(self) -> None:
+        """Hosts ended, or outgrew their memory, by what others sent to them."""
+        report = await run_soak(PROCESS_SETTINGS)
+        findings = [
+            one for one in report.findings if one.promise in PROCESS_PROMISES
+        ]
+        self.assertEqual(findings, [])
+        self.assertGreater(report.calls, 100)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/soak/tests/test_schedule.py
+++ b/soak/tests/test_schedule.py
@@ -4,7 +4,12 @@
 from datetime import timedelta
 
 from soak.regressions import load_cases
-from soak.schedule import LATER_KINDS, FaultKind, draw_schedule
+from soak.schedule import (
+    LATER_GROUPS,
+    LATER_KINDS,
+    FaultKind,
+    draw_schedule,
+)
 from soak.settings import SoakSettings
 
 TARGETS = 20
@@ -45,6 +50,15 @@
         alone = SoakSettings(seed=502, kinds=kinds)
         self.assertEqual(draw_schedule(alone, TARGETS, START), others)
 
+    def test_a_later_group_leaves_the_groups_before_it_alone(self) -> None:
+        newest = list(LATER_GROUPS.values())[-1]
+        faults = draw_schedule(SoakSettings(seed=502), TARGETS, START)
+        before = [one for one in faults if one.kind not in newest]
+        self.assertLess(len(before), len(faults))
+        kinds = tuple(kind.name for kind in FaultKind if kind not in newest)
+        alone = SoakSettings(seed=502, kinds=kinds)
+        self.assertEqual(draw_schedule(alone, TARGETS, START), before)
+
     def test_regressions_name_their_causes(self) -> None:
         cases = load_cases()
         self.assertTrue(cases)
