Bound what the requests of all callers take together

Callers that each stayed within the operator's limits took a host above the 300 MB of the smallest machine, where the platform kills it: 1,500 with 250 KB of a body of 262 KB, 3,000 with 15.5 KB of short header lines, or 300 with eight bodies in line.

Cause: one head or body was bounded, all together were not; a short header line takes over twenty times its size; and a body that stops arriving was kept for the whole idle timeout. The ports for readiness and metrics had the same fault.

Ruled out: idle connections (48 MB with 3,787 descriptors in use).

All requests together have 48 MiB. At the bound those that are not served yet are refused with 503 and Retry-After: stalled ones first, then the largest, so that small requests pass. Requests in progress are not ended. A body of which nothing arrives within the header timeout gets 408, which promises as 503 does that it has not run. The reading of requests moves out of the connection into a class of its own.

--- a/packages/gateway/almonddock_gateway/admin.py
+++ b/packages/gateway/almonddock_gateway/admin.py
@@ -1,6 +1,7 @@
 """Answers readiness checks of the balancer and metrics scrapes."""
 
 from collections.abc import Callable, Mapping
+from resource import RUSAGE_SELF, getrusage
 
 from almonddock_gateway.http import CallerConnection, CallerRequest
 from almonddock_gateway.settings import GatewaySettings
@@ -24,7 +25,9 @@
         if path == settings.readiness_path:
             connection.send(OK if is_ready() else UNAVAILABLE, (), b'')
         elif path == settings.metrics_path:
-            for name, number in count_state().items():
+            peak_kb = getrusage(RUSAGE_SELF).ru_maxrss
+            state = {**count_state(), 'peak_memory_kb': peak_kb}
+            for name, number in state.items():
                 metrics.state.set({'name': name}, number)
             connection.send(OK, (), metrics.render())
         else:
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -256,20 +256,21 @@
             self.telemetry.metrics,
         )
 
-        async def listen(address: Address, handle: Handle) -> None:
+        async def listen(
+            address: Address, handle: Handle, *, admin: bool = False
+        ) -> None:
             await run_until_done(
                 f'listening at {address.host}:{address.port}',
-                lambda: self._servers.listen(address, handle),
+                lambda: self._servers.listen(address, handle, admin=admin),
                 self.telemetry,
             )
 
         listening = [
-            listen(address, handle)
-            for address, handle in (
-                (self._callers, self._entry.handle),
-                (self.settings.readiness, answer_admin),
-                (self.settings.metrics, answer_admin),
-            )
+            listen(self._callers, self._entry.handle),
+            *(
+                listen(address, answer_admin, admin=True)
+                for address in (self.settings.readiness, self.settings.metrics)
+            ),
         ]
         running = [
             keep_running(name, run, self.telemetry)
@@ -351,6 +352,8 @@
             'hosts': self._hosts.count,
             'connections_opened': self._pools.count_dials(),
             'requests_running': self._entry.running,
+            'reply_bytes_held': self._pools.held_bytes,
+            **self._servers.count_held_bytes(),
         }
 
     def _reload_settings(self) -> None:
--- a/packages/gateway/almonddock_gateway/http/__init__.py
+++ b/packages/gateway/almonddock_gateway/http/__init__.py
@@ -2,7 +2,6 @@
 
 from almonddock_gateway.http._caller_connection import (
     CallerConnection,
-    CallerRequest,
     ConnectionSettings,
     Exchange,
 )
@@ -18,6 +17,8 @@
     format_response,
 )
 from almonddock_gateway.http._reply_memory import ReplyMemory
+from almonddock_gateway.http._request_memory import RequestMemory
+from almonddock_gateway.http._request_reader import CallerRequest
 
 __all__ = [
     'CallerConnection',
@@ -29,6 +30,7 @@
     'HttpReply',
     'ReplyMatch',
     'ReplyMemory',
+    'RequestMemory',
     'drop_hop_by_hop_headers',
     'format_headers',
     'format_response',
--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 import httptools
@@ -17,6 +17,11 @@
     format_response,
     split_received,
 )
+from almonddock_gateway.http._request_memory import RequestMemory
+from almonddock_gateway.http._request_reader import (
+    CallerRequest,
+    RequestReader,
+)
 from almonddock_gateway.http._sockets import set_user_timeout
 
 #: The most requests that wait on one connection behind the current one.
@@ -31,34 +36,18 @@
 
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
-BODY_TOO_LARGE = 413
-HEADERS_TOO_LARGE = 431
 BAD_GATEWAY = 502
+UNAVAILABLE = 503
+#: The Retry-After of a host whose memory for requests is full; other hosts have
+#: room.
+FULL_RETRY_AFTER = b'0.1'
+
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 #: What the parser raises.
 ParserFault = httptools.HttpParserError, httptools.HttpParserUpgrade
 
 
-@dataclass(slots=True)
-class CallerRequest:
-    """A complete request of a caller."""
-
-    method: bytes = b''
-    #: The request target as received.
-    url: bytes = b''
-    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-    body: bytes = b''
-    keep_alive: bool = True
-
-    def find(self, name: bytes) -> bytes | None:
-        """Returns the first header with this name, None without one."""
-        for found, content in self.headers:
-            if found == name:
-                return content
-        return None
-
-
 class Exchange(Protocol):
     """A request in progress."""
 
@@ -81,6 +70,8 @@
     opened: 'Callable[[CallerConnection], None]'
     closed: 'Callable[[CallerConnection], None]'
     clock: Clock
+    #: Bounds the requests of all connections.
+    requests: RequestMemory
 
 
 class CallerConnection(FlowControlledProtocol):
@@ -90,15 +81,11 @@
         #: When the first bytes of a request arrived, or the connection became
         #: idle.
         self.since = settings.clock.now()
+        #: When bytes arrived last.
+        self.progress_at = self.since
         super().__init__()
         self._settings = settings
-        self._parser = httptools.HttpRequestParser(self)
-        self._request = CallerRequest()
-        self._body = bytearray()
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._reading_head = False
-        self._reading_body = False
+        self._reader = RequestReader(settings.get_limits, self)
         self._waiting: deque[CallerRequest] = deque()
         self._current: CallerRequest | None = None
         self._exchange: Exchange | None = None
@@ -108,7 +95,12 @@
     def idle(self) -> bool:
         """Whether no request is being read or handled, and no answer sent."""
         busy = self._current is not None or self._waiting or self._ended
-        return not (busy or self._reading_head or self._reading_body)
+        return not (busy or self._reader.reading)
+
+    @property
+    def serving(self) -> bool:
+        """Whether a request is being served."""
+        return self._current is not None
 
     def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Writes the answer to the current request."""
@@ -116,9 +108,7 @@
         transport = self._transport
         if request is None or transport is None:
             return
-        is_last = not (
-            self._waiting or self._reading_head or self._reading_body
-        )
+        is_last = not (self._waiting or self._reader.reading)
         close = not request.keep_alive or (
             is_last and self._settings.is_stopping()
         )
@@ -137,6 +127,7 @@
             self._linger()
         else:
             self._start_next()
+        self._settings.requests.update(self, self._estimate_memory())
 
     def abort(self) -> None:
         """Closes the connection immediately, even during a request."""
@@ -150,14 +141,19 @@
 
     def enforce_timeouts(self) -> None:
         """Ends the connection if a header or idle timeout has passed."""
+        if self._transport is None or self._current is not None:
+            return
         limits = self._settings.get_limits()
-        waited = self._settings.clock.now() - self.since
-        if self._reading_head and self._current is None:
-            if waited > limits.header_timeout:
-                self._reject(REQUEST_TIMEOUT)
-        elif self._current is None and waited > limits.idle_timeout:
-            if self._transport is not None:
-                self._transport.close()
+        now = self._settings.clock.now()
+        if self._is_paused:
+            # Nothing is read, so nothing can arrive.
+            self.progress_at = now
+        waited = now - self.since
+        silent = now - max(self.progress_at, self.since)
+        if self._reader.is_late(limits, waited, silent):
+            self.reject(REQUEST_TIMEOUT)
+        elif waited > limits.idle_timeout:
+            self._transport.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -172,12 +168,9 @@
         exchange = self._exchange
         self._exchange = None
         self._current = None
-        # Frees what was read: the parser and the connection refer to each
-        # other, and the garbage collector runs late.
         self._waiting.clear()
-        self._request = CallerRequest()
-        self._body = bytearray()
-        del self._parser
+        self._reader.close()
+        self._settings.requests.update(self, 0)
         self._settings.closed(self)
         if exchange is not None:
             exchange.abandon()
@@ -187,77 +180,51 @@
         for part in split_received(received):
             if self._ended:
                 return
+            self.progress_at = self._settings.clock.now()
             if self.idle:
-                self.since = self._settings.clock.now()
-                self._reading_head = True
-            if self._reading_head:
-                self._head_bytes += len(part)
+                self.since = self.progress_at
+                self._reader.reading_head = True
             try:
-                self._parser.feed_data(part)
+                self._reader.feed(part)
             except ParserFault as fault:
-                self._reject(_choose_status(fault))
+                self.reject(_choose_status(fault))
                 return
-            limits = self._settings.get_limits()
-            if self._reading_head and self._head_bytes > limits.header_bytes:
-                self._reject(HEADERS_TOO_LARGE)
-
-    def on_message_begin(self) -> None:
-        """Starts a request; called by the parser."""
-        self._request = CallerRequest()
-        self._body = bytearray()
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._reading_head = True
-
-    def on_url(self, url: bytes) -> None:
-        """Appends to the request target; called by the parser."""
-        self._request.url += url
-
-    def on_header(self, name: bytes, content: bytes) -> None:
-        """Stores a header; called by the parser."""
-        self._request.headers.append((name.lower(), content))
-
-    def on_headers_complete(self) -> None:
-        """Checks the limits; called by the parser."""
-        request = self._request
-        self._reading_head = False
-        self._reading_body = True
-        request.method = self._parser.get_method()
-        limits = self._settings.get_limits()
-        size = sum(
-            len(name) + len(content) + len(': \r\n')
-            for name, content in request.headers
-        )
-        if size + len(request.url) > limits.header_bytes:
-            self._reject(HEADERS_TOO_LARGE)
-            return
-        length = request.find(b'content-length')
-        if length is not None and int(length) > limits.body_bytes:
-            self._reject(BODY_TOO_LARGE)
-        elif request.find(b'expect') == b'100-continue':
-            if self._transport is not None and self._current is None:
-                self._transport.write(CONTINUE)
-
-    def on_body(self, part: bytes) -> None:
-        """Stores a part of the body; called by the parser."""
-        self._body_bytes += len(part)
-        if self._body_bytes > self._settings.get_limits().body_bytes:
-            self._reject(BODY_TOO_LARGE)
-        elif not self._ended:
-            self._body += part
-
-    def on_message_complete(self) -> None:
-        """Queues or starts the request; called by the parser."""
-        self._reading_body = False
-        if self._ended:
-            return
-        request = self._request
-        request.body = bytes(self._body)
-        request.keep_alive = self._parser.should_keep_alive()
+            self._settings.requests.hold(self, self._estimate_memory())
+
+    def expect_body(self) -> None:
+        """Tells a caller that waits for it to send its body."""
+        if self._transport is not None and self._current is None:
+            self._transport.write(CONTINUE)
+
+    def receive(self, request: CallerRequest) -> None:
+        """Queues or starts a complete request."""
         self._waiting.append(request)
         self._start_next()
         if len(self._waiting) > MAX_PIPELINED:
-            self._reject(BAD_REQUEST)
+            self.reject(BAD_REQUEST)
+
+    def refuse(self) -> None:
+        """Refuses the requests that are not served, for lack of memory."""
+        self.reject(UNAVAILABLE, ((b'retry-after', FULL_RETRY_AFTER),))
+
+    def reject(self, status: int, headers: Headers = ()) -> None:
+        """Answers an unacceptable request and ends the connection."""
+        if self._ended or self._transport is None:
+            return
+        self._waiting.clear()
+        self._reader.end()
+        if self._current is None:
+            encoded = format_response(status, headers, b'', close=True)
+            self._transport.write(encoded)
+            self._linger()
+        else:
+            # The answer to the current request is the last on the connection.
+            self._current.keep_alive = False
+            if self._exchange is None:
+                # Its handling failed, so no other answer comes.
+                self.send(status, headers, b'')
+            self._ended = True
+        self._settings.requests.update(self, self._estimate_memory())
 
     def _start_next(self) -> None:
         """Starts the next request, unless one runs or answers are unread."""
@@ -270,22 +237,13 @@
         if self._current is request:
             self._exchange = exchange
 
-    def _reject(self, status: int) -> None:
-        """Answers an unacceptable request and ends the connection."""
-        if self._ended or self._transport is None:
-            return
-        self._waiting.clear()
-        if self._current is None:
-            encoded = format_response(status, (), b'', close=True)
-            self._transport.write(encoded)
-            self._linger()
-            return
-        # The answer to the current request is the last on this connection.
-        self._current.keep_alive = False
-        if self._exchange is None:
-            # The handling of the request failed, so no other answer comes.
-            self.send(status, (), b'')
-        self._ended = True
+    def _estimate_memory(self) -> int:
+        """Returns about how many bytes the requests take."""
+        requests = list(self._waiting)
+        if self._current is not None:
+            requests.append(self._current)
+        whole = sum(request.estimate_memory() for request in requests)
+        return whole + self._reader.estimate_memory()
 
     def _linger(self) -> None:
         """Closes the connection after the caller has had time to read."""
--- a/packages/gateway/almonddock_gateway/serving.py
+++ b/packages/gateway/almonddock_gateway/serving.py
@@ -11,6 +11,7 @@
     CallerRequest,
     ConnectionSettings,
     Exchange,
+    RequestMemory,
 )
 from almonddock_gateway.settings import Address
 from almonddock_gateway.telemetry import Telemetry
@@ -22,6 +23,14 @@
 LISTEN_PAUSE_MS = 200
 LISTEN_PAUSE = timedelta(milliseconds=LISTEN_PAUSE_MS)
 
+#: The most bytes of the requests of callers. The sums of all bounds fit the
+#: smallest machine (300 MB); see docs/incidents/030-unread-bytes.md.
+CALLER_REQUEST_BYTES = 0x3000000
+
+#: The same for readiness checks and metrics scrapes, which need little and must
+#: be answered while callers take all of theirs.
+ADMIN_REQUEST_BYTES = 0x100000
+
 #: Common limits of HTTP servers, until the configuration is known.
 START_HEADER_BYTES = 16_384
 START_BODY_BYTES = 262_144
@@ -51,6 +60,10 @@
         self._get_limits = get_limits
         self._is_stopping = is_stopping
         self._clock = clock
+        self._requests = RequestMemory(clock, CALLER_REQUEST_BYTES)
+        self._admin_requests = RequestMemory(clock, ADMIN_REQUEST_BYTES)
+        #: The refused requests that were logged.
+        self._logged = 0
         self._servers: dict[Address, asyncio.Server] = {}
         self._connections: set[CallerConnection] = set()
 
@@ -63,11 +76,21 @@
         """Whether connections are accepted at an address."""
         return address in self._servers
 
-    async def listen(self, address: Address, handle: Handle) -> None:
+    def count_held_bytes(self) -> dict[str, float]:
+        """Returns the bytes held of callers' requests."""
+        return {
+            'request_bytes_held': self._requests.held,
+        }
+
+    async def listen(
+        self, address: Address, handle: Handle, *, admin: bool = False
+    ) -> None:
         """Accepts connections at an address; ``handle`` gets requests.
 
-        Returns once it does. Another process, or a connection, may still hold
-        the port, so it tries again until the address is free.
+        ``admin`` says that it is not for callers, whose requests may take all
+        of the memory for them. Returns once connections are accepted. Another
+        process, or a connection, may still hold the port, so it tries again
+        until the address is free.
         """
         shared = ConnectionSettings(
             handle=handle,
@@ -76,6 +99,7 @@
             opened=self._connections.add,
             closed=self._connections.discard,
             clock=self._clock,
+            requests=self._admin_requests if admin else self._requests,
         )
         fault = await self._try_to_listen(address, shared)
         if fault is None:
@@ -92,6 +116,7 @@
         """Ends connections whose header or idle timeout has passed."""
         for connection in tuple(self._connections):
             connection.enforce_timeouts()
+        self._log_refusals()
 
     def close_idle(self) -> None:
         """Closes connections without a request in progress."""
@@ -103,6 +128,19 @@
         for server in self._servers.values():
             server.close()
 
+    def _log_refusals(self) -> None:
+        """Logs what was refused for memory since the last call."""
+        refused = self._requests.refused + self._admin_requests.refused
+        if refused == self._logged:
+            return
+        self._telemetry.log_event(
+            'caller_memory_full',
+            requests_refused=refused - self._logged,
+            connections=len(self._connections),
+            **self.count_held_bytes(),
+        )
+        self._logged = refused
+
     async def _try_to_listen(
         self, address: Address, shared: ConnectionSettings
     ) -> OSError | None:
--- a/packages/gateway/almonddock_gateway/targets/_pools.py
+++ b/packages/gateway/almonddock_gateway/targets/_pools.py
@@ -33,6 +33,11 @@
         self._may_wait = True
         self._pools: dict[int, TargetPool] = {}
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes held of incomplete replies."""
+        return self._memory.held
+
     def get(self, target: KnownTarget) -> TargetPool:
         """Returns the pool of a target, a new one after a restart or move."""
         pool = self._pools.get(id(target))
--- a/packages/gateway/almonddock_gateway/tests/fakes.py
+++ b/packages/gateway/almonddock_gateway/tests/fakes.py
@@ -53,6 +53,8 @@
         self.closed = False
         self.ended = False
         self.reading_paused = False
+        #: The bytes that wait for the peer to read.
+        self.unread = 0
         #: Whether the peer has reset the connection without a callback yet.
         self.reset = False
 
@@ -71,6 +73,10 @@
             raise OSError(errno.ENOTCONN, 'not connected')
         self.ended = True
 
+    def get_write_buffer_size(self) -> int:
+        """Returns the bytes that the peer has not read."""
+        return self.unread
+
     def pause_reading(self) -> None:
         """Receives nothing for now."""
         self.reading_paused = True
--- a/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
@@ -11,6 +11,7 @@
     CallerRequest,
     ConnectionSettings,
     Exchange,
+    RequestMemory,
 )
 from almonddock_gateway.tests.fakes import (
     LIMITS,
@@ -25,6 +26,9 @@
     b'2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n'
 )
 
+#: The bound on what all connections hold of requests.
+MAX_REQUEST_BYTES = 0x100000
+
 
 class FakeExchange:
     """An exchange that records whether it was abandoned."""
@@ -42,22 +46,27 @@
         self.clock = ManualClock()
         self.requests: list[CallerRequest] = []
         self.exchanges: list[FakeExchange] = []
+        self.sent: list[FakeTransport] = []
         self.limits = LIMITS
         self.stopping = False
         #: Raised by the handling of a request; None handles it.
         self.fault: Exception | None = None
-        self.transport = FakeTransport()
-        self.connection = CallerConnection(
-            ConnectionSettings(
-                handle=self.handle,
-                get_limits=lambda: self.limits,
-                is_stopping=lambda: self.stopping,
-                opened=lambda connection: None,
-                closed=lambda connection: None,
-                clock=self.clock,
-            ),
+        self.settings = ConnectionSettings(
+            handle=self.handle,
+            get_limits=lambda: self.limits,
+            is_stopping=lambda: self.stopping,
+            opened=lambda connection: None,
+            closed=lambda connection: None,
+            clock=self.clock,
+            requests=RequestMemory(self.clock, MAX_REQUEST_BYTES),
         )
-        self.connection.connection_made(self.transport)
+        self.transport = FakeTransport()
+        self.connection = self.connect(self.transport)
+
+    def connect(self, transport: FakeTransport) -> CallerConnection:
+        connection = CallerConnection(self.settings)
+        connection.connection_made(transport)
+        return connection
 
     def handle(
         self,
@@ -281,6 +290,95 @@
                 self.assertEqual(self.read_statuses(), statuses)
                 self.assertEqual(self.transport.closed, closed)
 
+    async def test_body_that_stops_arriving_times_out(self) -> None:
+        """It was kept until the idle timeout, and ended without an answer."""
+        for seconds, steps, statuses in (
+            (2, 1, []),
+            (4, 1, [408]),
+            (2, 4, []),
+            (2, 8, [408]),
+        ):
+            with self.subTest(seconds=seconds, steps=steps):
+                self.setUp()
+                head = POST.replace(b' 4\r\n\r\nbody', b' 20\r\n\r\n')
+                self.connection.data_received(head)
+                for _ in range(steps):
+                    self.connection.data_received(b'b')
+                    self.clock.advance(timedelta(seconds=seconds))
+                    self.connection.enforce_timeouts()
+                self.assertEqual(self.read_statuses(), statuses)
+                self.assertEqual(self.requests, [])
+
+    async def test_body_behind_a_long_request_gets_its_time(self) -> None:
+        self.connection.data_received(GET + POST[:-1])
+        self.clock.advance(timedelta(seconds=10))
+        self.connection.enforce_timeouts()
+        self.connection.send(200, (), b'')
+        self.connection.enforce_timeouts()
+        self.connection.data_received(POST[-1:])
+        self.connection.send(200, (), b'')
+        self.assertEqual(self.read_statuses(), [200, 200])
+
+    def send_parts(self, encoded: bytes, count: int) -> list[FakeTransport]:
+        """Sends the same bytes on many connections."""
+        transports = []
+        for _ in range(count):
+            transport = FakeTransport()
+            connection = self.connect(transport)
+            connection.data_received(encoded)
+            transports.append(transport)
+        return transports
+
+    def send_to_many(self, encoded: bytes) -> None:
+        self.sent = self.send_parts(encoded, 60)
+
+    async def test_bodies_of_many_callers_take_bounded_memory(self) -> None:
+        """Each body was bounded, but all together filled the memory."""
+        self.limits = replace(LIMITS, body_bytes=0x40000)
+        body = b'b' * 0x30000
+        head = POST.replace(b' 4\r\n\r\nbody', b' 200000\r\n\r\n')
+        lines = GET[:-2] + b'x:y\r\n' * 0x200
+        for encoded in (head + body, (head + body + b'b' * 3392) * 9, lines):
+            with self.subTest(start=encoded[:20], size=len(encoded)):
+                self.setUp()
+                self.limits = replace(
+                    LIMITS, header_bytes=0x4000, body_bytes=0x40000
+                )
+                held, _ = measure_memory(self.send_to_many, encoded)
+                self.assertLess(held, 1.5 * MAX_REQUEST_BYTES)
+                refused = [one for one in self.sent if one.ended]
+                self.assertGreater(len(refused), 0)
+
+    async def test_refusal_for_memory_says_when_to_retry(self) -> None:
+        self.limits = replace(LIMITS, body_bytes=0x400000)
+        head = POST.replace(b' 4\r\n\r\nbody', b' 4000000\r\n\r\n')
+        self.connection.data_received(head + b'b' * 0x110000)
+        self.assertEqual(self.read_statuses(), [503])
+        self.assertIn(b'retry-after: 0.1\r\n', self.transport.written)
+        self.assertIn(b'connection: close\r\n', self.transport.written)
+        self.assertTrue(self.transport.ended)
+        self.assertEqual(self.requests, [])
+        self.assertEqual(self.settings.requests.held, 0)
+
+    async def test_requests_being_served_are_not_refused(self) -> None:
+        self.limits = replace(LIMITS, body_bytes=0x100000)
+        head = POST.replace(b' 4\r\n\r\nbody', b' 1000000\r\n\r\n')
+        self.connection.data_received(head + b'b' * 1_000_000)
+        others = self.send_parts(head + b'b' * 900_000, 1)
+        self.assertTrue(others[0].ended)
+        self.connection.data_received(head + b'b' * 900_000)
+        self.assertEqual(len(self.requests), 1)
+        self.connection.send(200, (), b'')
+        self.assertEqual(self.read_statuses(), [200])
+        self.assertEqual(self.settings.requests.held, 0)
+
+    async def test_small_requests_are_served_beside_large_bodies(self) -> None:
+        self.limits = replace(LIMITS, body_bytes=0x40000)
+        head = POST.replace(b' 4\r\n\r\nbody', b' 200000\r\n\r\n')
+        self.send_parts(head + b'b' * 0x30000, 20)
+        self.send_parts(GET, 30)
+        self.assertEqual(len(self.requests), 30)
+
     async def test_head_gets_no_body(self) -> None:
         self.connection.data_received(GET.replace(b'GET', b'HEAD'))
         self.connection.send(200, (), b'body')
