Run a host twice in the soak, and name the host that took memory

A restart may overlap the process before it: the next one finds the ports in use, and the store has the name of the host twice. HOST_OVERLAP starts a second process of a host, stops the first one while the second waits for its ports, and the second one while the next waits.

A finding about memory named neither the host nor the time. Both are recorded with the peak now; the bound is the same.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -160,6 +160,8 @@
             return self._send_strangers
         if fault.kind in SERIES:
             return self._signal_in_series
+        if fault.kind is FaultKind.HOST_OVERLAP:
+            return self._run_rival
         prefix = fault.kind.name.split('_')[0]
         return {
             'HOST': self._signal_host,
@@ -253,6 +255,19 @@
             )
         await asyncio.sleep(RESTART_TIME.total_seconds())
 
+    async def _run_rival(self, fault: Fault) -> None:
+        """Runs a host's next process before, and beside, its present one."""
+        installation = self._installation
+        grace = installation.settings.promises.grace
+        rival = installation.start_rival(fault.subject)
+        await asyncio.sleep(fault.duration.total_seconds())
+        # The rival gets the ports, for which the host's next process waits.
+        await self._stop_host(fault.subject)
+        await asyncio.sleep(fault.duration.total_seconds())
+        self.stops.append((fault.subject, installation.now()))
+        await rival.stop(grace)
+        await asyncio.sleep(RESTART_TIME.total_seconds())
+
     async def _signal_host(self, fault: Fault) -> None:
         host = self._installation.hosts[fault.subject]
         process = host.process
--- a/soak/installation.py
+++ b/soak/installation.py
@@ -95,6 +95,8 @@
         self.records = TargetRecords()
         self.targets: list[SoakTarget] = []
         self.hosts: list[SoakHost] = []
+        #: Second processes of hosts, with the same settings.
+        self.rivals: list[HostProcess] = []
         self.versions: list[Version] = []
         self.drained: list[OutOfService] = []
         #: Whether ``/one/`` requests go to the archive instead of the ledger.
@@ -145,6 +147,8 @@
 
     async def close(self) -> None:
         """Stops everything that this object has started."""
+        for rival in self.rivals:
+            rival.close()
         for host in self.hosts:
             host.process.close()
             for proxy in (host.caller_proxy, host.link_proxy, host.store_proxy):
@@ -212,6 +216,20 @@
         """Rewrites the settings file of a host."""
         host.process.write_settings(describe_machine(host.machine))
 
+    def list_processes(self) -> list[HostProcess]:
+        """Returns the processes of all hosts."""
+        return [*(host.process for host in self.hosts), *self.rivals]
+
+    def start_rival(self, number: int) -> HostProcess:
+        """Starts a second process of a host."""
+        folder = self._folder / f'rival-{len(self.rivals)}'
+        folder.mkdir()
+        settings = describe_machine(self.hosts[number].machine)
+        rival = HostProcess(number, settings, folder, self.now)
+        self.rivals.append(rival)
+        self._tasks.append(asyncio.create_task(rival.run()))
+        return rival
+
     async def _build_host(self, number: int, store: Address) -> SoakHost:
         host_address = f'{self._network}.{FIRST_HOST_OCTET + number}'
         name = f'host-{number}'
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -10,7 +10,7 @@
     CallerAnswer,
     RestRefusal,
 )
-from soak.processes import ProcessEnd
+from soak.processes import MemoryPeak, ProcessEnd
 from soak.schedule import FaultKind
 
 
@@ -115,9 +115,8 @@
     ends: Sequence[ProcessEnd]
     #: The data centre of each target, by target id.
     target_data_centres: Mapping[str, str]
-    #: Output of the hosts on standard error, by host number.
-    errors: Mapping[int, str]
-    #: The largest resident memory of any host, in bytes.
-    memory: int
+    #: Output on standard error, with the number of the host.
+    errors: Sequence[tuple[int, str]]
+    memory: Sequence[MemoryPeak]
     #: When the last fault ended.
     last_fault_end: timedelta
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -50,6 +50,16 @@
     requested: bool
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryPeak:
+    """The largest resident memory of the processes of a host."""
+
+    host: int
+    #: When it was first seen.
+    at: timedelta
+    size_bytes: int
+
+
 class HostProcess:
     """Runs one host, and restarts it whenever its process ends."""
 
@@ -63,9 +73,8 @@
         """Writes the host's settings file; nothing is started yet."""
         self.incarnation = 0
         self.ends: list[ProcessEnd] = []
-        #: The largest resident memory sampled, in bytes.
-        self.memory = 0
-        self._number = number
+        self.memory = MemoryPeak(number, timedelta(), 0)
+        self.number = number
         self._now = now
         self._path = folder / f'host-{number}.json'
         self._log = folder / f'host-{number}.log'
@@ -98,7 +107,7 @@
             code = await run()
             self.ends.append(
                 ProcessEnd(
-                    self._number,
+                    self.number,
                     self.incarnation,
                     self._now(),
                     code,
@@ -126,8 +135,22 @@
     def sample_memory(self) -> None:
         """Keeps the peak of the resident memory of the process."""
         peak = self._read_status().get('VmHWM:')
-        if peak is not None:
-            self.memory = max(self.memory, int(peak) * KIB)
+        size_bytes = int(peak or 0) * KIB
+        if size_bytes > self.memory.size_bytes:
+            self.memory = MemoryPeak(self.number, self._now(), size_bytes)
+
+    async def stop(self, grace: timedelta) -> None:
+        """Asks the process to stop, and kills it if it does not in time."""
+        self._closing = True
+        process = self._process
+        self.send(signal.SIGTERM)
+        if process is None:
+            return
+        try:
+            await asyncio.wait_for(process.wait(), grace.total_seconds())
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            await process.wait()
 
     def close(self) -> None:
         """Kills the process and prevents its restart."""
--- a/soak/promises/_disturbances.py
+++ b/soak/promises/_disturbances.py
@@ -37,6 +37,7 @@
         FaultKind.HOST_RELOAD,
         FaultKind.HOST_RELOAD_SERIES,
         FaultKind.HOST_STOP_SERIES,
+        FaultKind.HOST_OVERLAP,
         FaultKind.CONFIGURATION,
         FaultKind.CONFIGURATION_SERIES,
         FaultKind.DATA_CENTRE_OUT,
--- a/soak/promises/_hosts.py
+++ b/soak/promises/_hosts.py
@@ -39,14 +39,16 @@
         if not end.requested:
             name = f'host {end.host}'
             yield Finding('processes', name, end.at, f'exit code {end.code}')
-    for host, errors in evidence.errors.items():
+    for host, errors in evidence.errors:
         if errors:
             name = f'host {host}'
             start = timedelta()
             yield Finding('processes', name, start, errors.splitlines()[-1])
-    if evidence.memory > MEMORY_LIMIT:
-        detail = f'{evidence.memory} bytes'
-        yield Finding('processes', 'memory', timedelta(), detail)
+    for peak in evidence.memory:
+        if peak.size_bytes > MEMORY_LIMIT:
+            name = f'memory of host {peak.host}'
+            detail = f'{peak.size_bytes} bytes'
+            yield Finding('processes', name, peak.at, detail)
 
 
 def check_recovery(
--- a/soak/runs.py
+++ b/soak/runs.py
@@ -81,7 +81,7 @@
             call.answer.status if call.answer else 0 for call in run.calls
         ),
         arrivals=len(evidence.arrivals),
-        memory=evidence.memory,
+        memory=max(one.size_bytes for one in evidence.memory),
         delays=run.delays,
         findings=check_all(evidence, settings.promises),
         folder=folder,
@@ -141,7 +141,7 @@
     def collect_evidence(self) -> Evidence:
         """Returns the records of callers, targets, hosts and faults."""
         installation = self._installation
-        processes = [host.process for host in installation.hosts]
+        processes = installation.list_processes()
         return Evidence(
             calls=self.calls,
             arrivals=installation.records.arrivals,
@@ -156,11 +156,8 @@
             stops=self._injector.stops,
             ends=[end for process in processes for end in process.ends],
             target_data_centres=installation.records.data_centres,
-            errors={
-                number: process.errors
-                for number, process in enumerate(processes)
-            },
-            memory=max(process.memory for process in processes),
+            errors=[(one.number, one.errors) for one in processes],
+            memory=[process.memory for process in processes],
             last_fault_end=self._last_fault_end,
         )
 
@@ -182,8 +179,8 @@
     async def _watch_memory(self) -> None:
         while True:
             await asyncio.sleep(MEMORY_INTERVAL_S)
-            for host in self._installation.hosts:
-                host.process.sample_memory()
+            for process in self._installation.list_processes():
+                process.sample_memory()
 
     async def _watch_delay(self) -> None:
         while True:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -56,6 +56,7 @@
     HOST_STOP_SERIES = 'host asked many times to stop and to read its settings'
     HOST_KILL_SERIES = 'host killed again soon after each start'
     HOST_OUTPUT_UNREAD = 'host started again with output that nobody reads'
+    HOST_OVERLAP = 'host run twice, with the same ports and name'
     STORE_STALLED = 'store slower than hosts wait, and a host killed'
     STORE_PATH_ENDLESS = 'answers of the store to a host go on without end'
     STORE_PATH_RUBBISH = 'answers of the store to a host are rubbish'
@@ -113,6 +114,7 @@
                 FaultKind.HOST_STOP_SERIES,
                 FaultKind.HOST_KILL_SERIES,
                 FaultKind.HOST_OUTPUT_UNREAD,
+                FaultKind.HOST_OVERLAP,
                 FaultKind.STORE_STALLED,
                 FaultKind.STORE_PATH_ENDLESS,
                 FaultKind.STORE_PATH_RUBBISH,
--- a/soak/tests/cases.py
+++ b/soak/tests/cases.py
@@ -141,8 +141,8 @@
         stops=(),
         ends=(),
         target_data_centres={'t0-1': 'a'},
-        errors={},
-        memory=0,
+        errors=(),
+        memory=(),
         last_fault_end=seconds(20),
     )
     return replace(evidence, **changes)
--- a/soak/tests/test_processes.py
+++ b/soak/tests/test_processes.py
@@ -90,7 +90,7 @@
         await self.run_program(TALKATIVE)
         await self.wait_until(self.find('done').exists)
         self.process.sample_memory()
-        self.assertGreater(self.process.memory, 0)
+        self.assertGreater(self.process.memory.size_bytes, 0)
         self.assertEqual(self.process.errors, '')
         self.process.send(signal.SIGKILL)
         await self.wait_until(lambda: self.process.ends)
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -12,7 +12,7 @@
     OutOfService,
     ReadinessSample,
 )
-from soak.processes import ProcessEnd
+from soak.processes import MemoryPeak, ProcessEnd
 from soak.promises import check_all
 from soak.schedule import FaultKind
 from soak.settings import MEMORY_LIMIT
@@ -348,8 +348,8 @@
         end = ProcessEnd(0, 1, seconds(12), 1, requested=False)
         for changes in (
             {'ends': [end]},
-            {'errors': {0: 'Traceback\nValueError'}},
-            {'memory': MEMORY_LIMIT + 1},
+            {'errors': [(0, 'Traceback\nValueError')]},
+            {'memory': [MemoryPeak(0, seconds(3), MEMORY_LIMIT + 1)]},
         ):
             evidence = build_evidence(**changes)
             self.assertEqual(list_broken(evidence), {'processes'})
--- a/soak/tests/test_run.py
+++ b/soak/tests/test_run.py
@@ -24,7 +24,7 @@
 )
 
 #: Draws nearly all kinds of faults that may end a process.
-PROCESS_SEED = 39
+PROCESS_SEED = 3
 
 PROCESS_SETTINGS = replace(
     SETTINGS,
@@ -39,6 +39,8 @@
 
 
 class ShortRunTest(unittest.IsolatedAsyncioTestCase):
+    maxDiff = None
+
     async def test_promises_hold(self) -> None:
         report = await run_soak(SETTINGS)
         self.assertEqual(list(report.findings), [])
