Bound what peers have not read yet

150 callers that each leave an answer of 6 MB unread took a host to 559 MB, and 600 requests of 250 KB to targets that read nothing to 342 MB; the smallest machine has 300 MB.

Cause: written bytes wait in the host until the peer reads them. One connection stopped reading more while they do, but all together had no bound.

With the bounds disabled the new tests failed: 2,380,000 bytes unread where 1,048,576 are allowed, and 0 bytes counted of 900.

Ruled out: answers of 400 KB, which the kernel's buffers take (56 MB).

Unread answers have 32 MiB, with the rule for incomplete replies: the largest is aborted. Requests that targets have not read count as incomplete replies do. Metrics show what is held, and the log what was aborted.

--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -17,6 +17,7 @@
     format_response,
     split_received,
 )
+from almonddock_gateway.http._reply_memory import ReplyMemory
 from almonddock_gateway.http._request_memory import RequestMemory
 from almonddock_gateway.http._request_reader import (
     CallerRequest,
@@ -72,6 +73,8 @@
     clock: Clock
     #: Bounds the requests of all connections.
     requests: RequestMemory
+    #: Bounds the answers that callers have not read yet.
+    answers: ReplyMemory
 
 
 class CallerConnection(FlowControlledProtocol):
@@ -154,6 +157,7 @@
             self.reject(REQUEST_TIMEOUT)
         elif waited > limits.idle_timeout:
             self._transport.close()
+        self._count_unread_answers()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -171,6 +175,7 @@
         self._waiting.clear()
         self._reader.close()
         self._settings.requests.update(self, 0)
+        self._settings.answers.release(self)
         self._settings.closed(self)
         if exchange is not None:
             exchange.abandon()
@@ -228,6 +233,7 @@
 
     def _start_next(self) -> None:
         """Starts the next request, unless one runs or answers are unread."""
+        self._count_unread_answers()
         is_held = self._current is not None or self._is_paused
         if is_held or self._ended or not self._waiting:
             return
@@ -245,8 +251,15 @@
         whole = sum(request.estimate_memory() for request in requests)
         return whole + self._reader.estimate_memory()
 
+    def _count_unread_answers(self) -> None:
+        """Keeps the bound on the answers that callers have not read."""
+        if self._transport is not None:
+            unread = self._transport.get_write_buffer_size()
+            self._settings.answers.hold(self, unread)
+
     def _linger(self) -> None:
         """Closes the connection after the caller has had time to read."""
+        self._count_unread_answers()
         self._ended = True
         transport = self._transport
         if transport is None:
--- a/packages/gateway/almonddock_gateway/http/_client_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_client_connection.py
@@ -133,7 +133,20 @@
         """Feeds the parser; unsolicited bytes end the connection."""
         for part in split_received(received):
             self._parse(part)
-        self._release_if_usable()
+        # Bytes may follow the reply: a request that is sent while they are
+        # still to be parsed would take them for its reply.
+        if self._to_release:
+            self._to_release = False
+            if self.usable:
+                self._released(self)
+
+    def pause_writing(self) -> None:
+        """Counts a request that waits for the server to read it."""
+        self._hold()
+
+    def resume_writing(self) -> None:
+        """Counts a request once the server has read most of it."""
+        self._hold()
 
     def eof_received(self) -> bool:
         """Completes a reply that is delimited by the connection's end."""
@@ -147,7 +160,10 @@
         self._transport = None
         handle = self._handle
         self._handle = None
-        self._release_buffers()
+        # Frees what was read: the parser and the connection refer to each
+        # other, and the garbage collector runs late.
+        self._reply = IncompleteReply()
+        del self._parser
         self._memory.release(self)
         self._closed(self)
         if handle is not None:
@@ -209,7 +225,7 @@
                 self.abort()
             return
         self._handle = None
-        self._read_keep_alive(reply)
+        self.keep_alive = _read_keep_alive(reply) or self.keep_alive
         if keep:
             self._to_release = True
         else:
@@ -241,30 +257,19 @@
             self.exceeded = True
             self.abort()
         else:
-            self._memory.hold(self, self._received_bytes)
-
-    def _release_buffers(self) -> None:
-        """Frees what was read, without the garbage collector.
+            self._hold()
 
-        The parser and the connection refer to each other.
-        """
-        self._reply = IncompleteReply()
-        del self._parser
+    def _hold(self) -> None:
+        """Counts what was read of a reply, and what waits to be sent."""
+        if self._transport is not None:
+            unsent = self._transport.get_write_buffer_size()
+            self._memory.hold(self, self._received_bytes + unsent)
 
-    def _release_if_usable(self) -> None:
-        """Releases the connection, unless bytes follow the reply on it.
 
-        A request that is sent while the rest of the bytes is still to be
-        parsed would take them for its reply.
-        """
-        if self._to_release:
-            self._to_release = False
-            if self.usable:
-                self._released(self)
-
-    def _read_keep_alive(self, reply: HttpReply) -> None:
-        stated = reply.find(b'keep-alive')
-        if stated is not None and stated.startswith(b'timeout='):
-            seconds = stated[len(b'timeout=') :].split(b',')[0]
-            if seconds.isdigit():
-                self.keep_alive = float(seconds)
+def _read_keep_alive(reply: HttpReply) -> float | None:
+    """Returns the idle timeout of the server in seconds, None without one."""
+    stated = reply.find(b'keep-alive')
+    if stated is None or not stated.startswith(b'timeout='):
+        return None
+    seconds = stated[len(b'timeout=') :].split(b',')[0]
+    return float(seconds) if seconds.isdigit() else None
--- a/packages/gateway/almonddock_gateway/http/_reply_memory.py
+++ b/packages/gateway/almonddock_gateway/http/_reply_memory.py
@@ -5,7 +5,7 @@
 from almonddock_core.framing import MAX_REPLY_BYTES
 
 #: The most bytes of incomplete replies on all connections together.
-MAX_HELD_BYTES = 0x4000000
+MAX_HELD_BYTES = 0x3000000
 
 
 class ReplyHolder(Protocol):
@@ -30,6 +30,8 @@
     ) -> None:
         #: The bytes that all connections hold now.
         self.held = 0
+        #: How many connections were aborted.
+        self.aborted = 0
         #: The most bytes that a server may send for one request.
         self.max_reply_bytes = max_reply_bytes
         self._max_bytes = max_bytes
@@ -42,6 +44,7 @@
         while self.held > self._max_bytes:
             largest = max(self._holders, key=self._holders.__getitem__)
             self.release(largest)
+            self.aborted += 1
             largest.abort()
 
     def release(self, holder: ReplyHolder) -> None:
--- a/packages/gateway/almonddock_gateway/serving.py
+++ b/packages/gateway/almonddock_gateway/serving.py
@@ -11,6 +11,7 @@
     CallerRequest,
     ConnectionSettings,
     Exchange,
+    ReplyMemory,
     RequestMemory,
 )
 from almonddock_gateway.settings import Address
@@ -23,13 +24,16 @@
 LISTEN_PAUSE_MS = 200
 LISTEN_PAUSE = timedelta(milliseconds=LISTEN_PAUSE_MS)
 
-#: The most bytes of the requests of callers. The sums of all bounds fit the
-#: smallest machine (300 MB); see docs/incidents/030-unread-bytes.md.
-CALLER_REQUEST_BYTES = 0x3000000
+#: The most bytes of the requests of callers, and of the answers that they have
+#: not read. The sums of all bounds fit the smallest machine (300 MB); see
+#: docs/incidents/029-bodies-of-many-callers.md.
+CALLER_REQUEST_BYTES = 0x2000000
+CALLER_ANSWER_BYTES = 0x2000000
 
 #: The same for readiness checks and metrics scrapes, which need little and must
 #: be answered while callers take all of theirs.
 ADMIN_REQUEST_BYTES = 0x100000
+ADMIN_ANSWER_BYTES = 0x400000
 
 #: Common limits of HTTP servers, until the configuration is known.
 START_HEADER_BYTES = 16_384
@@ -61,9 +65,11 @@
         self._is_stopping = is_stopping
         self._clock = clock
         self._requests = RequestMemory(clock, CALLER_REQUEST_BYTES)
+        self._answers = ReplyMemory(CALLER_ANSWER_BYTES)
         self._admin_requests = RequestMemory(clock, ADMIN_REQUEST_BYTES)
-        #: The refused requests that were logged.
-        self._logged = 0
+        self._admin_answers = ReplyMemory(ADMIN_ANSWER_BYTES)
+        #: The refused requests and aborted answers that were logged.
+        self._logged = 0, 0
         self._servers: dict[Address, asyncio.Server] = {}
         self._connections: set[CallerConnection] = set()
 
@@ -77,9 +83,10 @@
         return address in self._servers
 
     def count_held_bytes(self) -> dict[str, float]:
-        """Returns the bytes held of callers' requests."""
+        """Returns the bytes held of callers' requests and unread answers."""
         return {
             'request_bytes_held': self._requests.held,
+            'answer_bytes_held': self._answers.held,
         }
 
     async def listen(
@@ -100,6 +107,7 @@
             closed=self._connections.discard,
             clock=self._clock,
             requests=self._admin_requests if admin else self._requests,
+            answers=self._admin_answers if admin else self._answers,
         )
         fault = await self._try_to_listen(address, shared)
         if fault is None:
@@ -129,17 +137,20 @@
             server.close()
 
     def _log_refusals(self) -> None:
-        """Logs what was refused for memory since the last call."""
+        """Logs what was refused or aborted for memory since the last call."""
         refused = self._requests.refused + self._admin_requests.refused
-        if refused == self._logged:
+        aborted = self._answers.aborted + self._admin_answers.aborted
+        if (refused, aborted) == self._logged:
             return
+        logged_refused, logged_aborted = self._logged
+        self._logged = refused, aborted
         self._telemetry.log_event(
             'caller_memory_full',
-            requests_refused=refused - self._logged,
+            requests_refused=refused - logged_refused,
+            answers_aborted=aborted - logged_aborted,
             connections=len(self._connections),
             **self.count_held_bytes(),
         )
-        self._logged = refused
 
     async def _try_to_listen(
         self, address: Address, shared: ConnectionSettings
--- a/packages/gateway/almonddock_gateway/targets/_pools.py
+++ b/packages/gateway/almonddock_gateway/targets/_pools.py
@@ -35,7 +35,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """The bytes held of incomplete replies."""
+        """The bytes held of incomplete replies and of unsent requests."""
         return self._memory.held
 
     def get(self, target: KnownTarget) -> TargetPool:
--- a/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
@@ -11,6 +11,7 @@
     CallerRequest,
     ConnectionSettings,
     Exchange,
+    ReplyMemory,
     RequestMemory,
 )
 from almonddock_gateway.tests.fakes import (
@@ -26,8 +27,9 @@
     b'2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n'
 )
 
-#: The bound on what all connections hold of requests.
+#: The bounds on what all connections hold of requests and unread answers.
 MAX_REQUEST_BYTES = 0x100000
+MAX_ANSWER_BYTES = 0x100000
 
 
 class FakeExchange:
@@ -59,6 +61,7 @@
             closed=lambda connection: None,
             clock=self.clock,
             requests=RequestMemory(self.clock, MAX_REQUEST_BYTES),
+            answers=ReplyMemory(MAX_ANSWER_BYTES),
         )
         self.transport = FakeTransport()
         self.connection = self.connect(self.transport)
@@ -379,6 +382,20 @@
         self.send_parts(GET, 30)
         self.assertEqual(len(self.requests), 30)
 
+    async def test_unread_answers_of_many_callers_are_bounded(self) -> None:
+        """Each caller may leave one large answer unread."""
+        transports = []
+        for size in range(40_000, 80_000, 1000):
+            transport = FakeTransport()
+            connection = self.connect(transport)
+            transports.append(transport)
+            connection.data_received(GET)
+            transport.unread = size
+            connection.send(200, (), b'')
+        unread = [one.unread for one in transports if not one.closed]
+        self.assertLessEqual(sum(unread), MAX_ANSWER_BYTES)
+        self.assertGreater(sum(unread), MAX_ANSWER_BYTES // 2)
+
     async def test_head_gets_no_body(self) -> None:
         self.connection.data_received(GET.replace(b'GET', b'HEAD'))
         self.connection.send(200, (), b'body')
--- a/packages/gateway/almonddock_gateway/tests/test_client_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_client_connection.py
@@ -255,6 +255,21 @@
         held, _ = measure_memory(receive_and_lose, body)
         self.assertLess(held, len(body) // 8)
 
+    def test_requests_that_targets_do_not_read_are_counted(self) -> None:
+        """Their bodies wait in the memory of the host."""
+        memory = ReplyMemory(max_bytes=1000)
+        connection = ClientConnection(self.release, self.close, memory)
+        connection.connection_made(self.transport)
+        connection.request(b'POST', self.receive)
+        for unread, held in ((900, 900), (10, 10), (1100, 0)):
+            self.transport.unread = unread
+            if unread < held:
+                connection.resume_writing()
+            else:
+                connection.pause_writing()
+            self.assertEqual(memory.held, held)
+        self.assertTrue(self.transport.closed)
+
     def test_closed_connection_is_freed_without_the_collector(self) -> None:
         connection = ClientConnection(self.release, self.close)
         connection.connection_made(FakeTransport())
