Keep only the records of a part that its answer may need

30 queries over two shards that each answer 15 MB took a host to 462 MB, above the 300 MB of the smallest machine.

Cause: a query kept the whole body of each part until the last shard had answered; the bound on replies counts incomplete ones. The merge then split all bodies into records at once, as objects of four times their size.

Ruled out: incomplete replies, which are bounded.

The greatest records of a union are among the greatest of each part, and equal ones all count, so a part may be cut to as many records as the answer has. Hosts that relay still keep whole parts until they send them.

--- a/packages/core/almonddock_core/dispatch/__init__.py
+++ b/packages/core/almonddock_core/dispatch/__init__.py
@@ -49,6 +49,7 @@
     find_threshold,
     merge_records,
     merge_replies,
+    trim_reply,
 )
 from almonddock_core.dispatch._requests import (
     DispatchedRequest,
@@ -99,4 +100,5 @@
     'merge_records',
     'merge_replies',
     'plan_timing',
+    'trim_reply',
 ]
--- a/packages/core/almonddock_core/dispatch/_records.py
+++ b/packages/core/almonddock_core/dispatch/_records.py
@@ -1,12 +1,17 @@
 """Merges the records of several shards."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 
-from almonddock_core.dispatch._requests import TargetReply
+from almonddock_core.dispatch._requests import ReplyKind, TargetReply
 
 #: The size of one record in bytes, fixed by the format of target replies.
 RECORD_BYTES = 16
 
+#: How many bytes of a body are split into records at once: as objects, records
+#: take several times their size.
+BATCH_BYTES = 0x10000
+
 
 def merge_records(
     bodies: Iterable[bytes],
@@ -23,16 +28,31 @@
     records: list[bytes] = []
     for body in bodies:
         whole = len(body) - len(body) % RECORD_BYTES
-        records.extend(
-            body[start : start + RECORD_BYTES]
-            for start in range(0, whole, RECORD_BYTES)
-        )
+        for first in range(0, whole, BATCH_BYTES):
+            records.extend(
+                body[start : start + RECORD_BYTES]
+                for start in range(
+                    first, min(first + BATCH_BYTES, whole), RECORD_BYTES
+                )
+            )
+            if whole > BATCH_BYTES:
+                records.sort(reverse=True)
+                del records[top:]
     if threshold:
         records = [record for record in records if record > threshold]
     records.sort(reverse=True)
     return b''.join(records[:top])
 
 
+def trim_reply(reply: TargetReply, top: int) -> TargetReply:
+    """Returns the reply of a shard with only its greatest ``top`` records."""
+    if reply.kind is not ReplyKind.SUCCESS:
+        return reply
+    if len(reply.body) <= top * RECORD_BYTES:
+        return reply
+    return replace(reply, body=merge_records((reply.body,), top))
+
+
 def find_threshold(merged: bytes, top: int) -> bytes:
     """Returns the least of ``top`` merged records; empty if they are fewer.
 
--- a/packages/core/almonddock_core/tests/test_thresholds.py
+++ b/packages/core/almonddock_core/tests/test_thresholds.py
@@ -6,12 +6,20 @@
 """
 
 import random
+import tracemalloc
 import unittest
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from almonddock_core.dispatch import find_threshold, merge_records
+from almonddock_core.dispatch import (
+    ReplyKind,
+    TargetReply,
+    find_threshold,
+    merge_records,
+    merge_replies,
+    trim_reply,
+)
 
 TOP = 3
 
@@ -49,6 +57,49 @@
             with self.subTest(bodies=bodies, top=top):
                 self.assertEqual(merge_records(bodies, top), expected)
 
+    def test_merge_of_large_bodies_takes_little_memory(self) -> None:
+        """A shard may send 16 MiB, and its records took five times that."""
+        generator = random.Random(1)
+        bodies = [generator.randbytes(0x100000) for _ in range(2)]
+        tracemalloc.start()
+        try:
+            merged = merge_records(bodies, TOP)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertLess(peak, len(bodies[0]))
+        records = [
+            body[start : start + 16]
+            for body in bodies
+            for start in range(0, len(body), 16)
+        ]
+        self.assertEqual(merged, b''.join(sorted(records)[: -TOP - 1 : -1]))
+
+
+def build_reply(
+    body: bytes, kind: ReplyKind = ReplyKind.SUCCESS
+) -> TargetReply:
+    return TargetReply(kind, 200, (), body, b'stamp')
+
+
+class TrimTest(unittest.TestCase):
+    """Replies of shards are kept until the others have answered."""
+
+    def test_trimmed_reply_keeps_its_greatest_records(self) -> None:
+        generator = random.Random(2)
+        bodies = [generator.randbytes(16 * 40 + 3) for _ in range(5)]
+        whole = [build_reply(body) for body in bodies]
+        trimmed = [trim_reply(reply, TOP) for reply in whole]
+        self.assertEqual({len(reply.body) for reply in trimmed}, {16 * TOP})
+        self.assertEqual(merge_replies(trimmed, TOP), merge_replies(whole, TOP))
+
+    def test_other_replies_stay_as_they_are(self) -> None:
+        for reply in (
+            build_reply(b'r' * 99, ReplyKind.FAILED),
+            build_reply(b'r' * 16 * TOP),
+        ):
+            self.assertIs(trim_reply(reply, TOP), reply)
+
 
 class ThresholdTest(unittest.TestCase):
     def test_threshold_needs_enough_records(self) -> None:
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -16,6 +16,7 @@
     Withdraw,
     find_threshold,
     merge_replies,
+    trim_reply,
 )
 from almonddock_core.model import Clock
 from almonddock_core.routing import KnownTarget
@@ -248,6 +249,10 @@
         if match is not ReplyMatch.ACCEPTED:
             return match
         reply = read_reply(raw, names)
+        route = self.dispatch.request.route
+        if route.shards:
+            # The other shards may take long.
+            reply = trim_reply(reply, route.top_records)
         self._attempts.pop(number, None)
         now = self._settings.clock.now()
         self._run(self.dispatch.receive(number, reply, now))
