Play more idle callers than a host has descriptors in the soak

CALLER_IDLE opens 4,400 connections to a host, which has 4,100 descriptors as the users' smallest machine has. It is a group of its own, so the seeds of the other kinds draw what they drew.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -115,7 +115,8 @@
         FaultKind.CALLER_UNREAD: StrangerKind.UNREAD,
         FaultKind.LINK_JUNK: StrangerKind.JUNK,
         FaultKind.LINK_HALF_FRAME: StrangerKind.HALF_FRAME,
-        FaultKind.LINK_IDLE: StrangerKind.IDLE,
+        FaultKind.LINK_IDLE: StrangerKind.IDLE_LINK,
+        FaultKind.CALLER_IDLE: StrangerKind.IDLE_CALLER,
     },
 )
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -61,6 +61,7 @@
     STORE_PATH_ENDLESS = 'answers of the store to a host go on without end'
     STORE_PATH_RUBBISH = 'answers of the store to a host are rubbish'
     CALLER_HALF_BODY = 'callers that stop in the middle of a body'
+    CALLER_IDLE = 'more idle callers than a host has descriptors'
     CALLER_UNREAD = 'callers that do not read their answers'
     LINK_JUNK = 'junk on the port for links'
     LINK_HALF_FRAME = 'frames without end on the port for links'
@@ -127,6 +128,7 @@
                 FaultKind.TARGET_REST,
             ),
         ),
+        'descriptors': frozenset((FaultKind.CALLER_IDLE,)),
     },
 )
 LATER_KINDS = frozenset(itertools.chain(*LATER_GROUPS.values()))
--- a/soak/strangers.py
+++ b/soak/strangers.py
@@ -13,10 +13,9 @@
 import struct
 import sys
 import zlib
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
-from typing import Any
 
 from almonddock_gateway.links import encode
 from almonddock_gateway.relays import Leaving, Ping, Pong, RelayCancel
@@ -34,6 +33,7 @@
 UNREAD_ANSWERS = 400
 HALF_FRAMES = 100
 IDLE_LINKS = 1000
+IDLE_CALLERS = 4400
 
 #: The largest body that a caller may send, and what it sends of it, in bytes.
 BODY_BYTES = 262_144
@@ -79,7 +79,8 @@
     UNREAD = 'ask for long answers, and read none'
     JUNK = 'send mutated and random frames'
     HALF_FRAME = 'send the most of a compressed frame, and stop'
-    IDLE = 'send nothing'
+    IDLE_LINK = 'send nothing, to the port for links'
+    IDLE_CALLER = 'send nothing, to the port for callers'
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,6 +169,10 @@
         writer.close()
 
 
+def _send_nothing(number: int) -> bytes:
+    return b''
+
+
 async def _hold(port: Port, sent: bytes) -> asyncio.StreamWriter:
     _, writer = await asyncio.open_connection(port.host, port.number)
     # The stream reads no more than its limit, and then leaves the rest to the
@@ -176,31 +181,31 @@
     return writer
 
 
-_KINDS: Mapping[StrangerKind, Callable[[Port], Coroutine[Any, Any, None]]] = (
+#: The number of connections of each kind that are held, and what each sends.
+_HELD: Mapping[StrangerKind, tuple[int, Callable[[int], bytes]]] = (
     MappingProxyType(
         {
-            StrangerKind.HALF_BODY: lambda port: hold_connections(
-                port, HALF_BODIES, encode_half_body
-            ),
-            StrangerKind.UNREAD: lambda port: hold_connections(
-                port, UNREAD_ANSWERS, encode_long_requests
-            ),
-            StrangerKind.HALF_FRAME: lambda port: hold_connections(
-                port, HALF_FRAMES, lambda _: encode_half_frame()
-            ),
-            StrangerKind.IDLE: lambda port: hold_connections(
-                port, IDLE_LINKS, lambda _: b''
+            StrangerKind.HALF_BODY: (HALF_BODIES, encode_half_body),
+            StrangerKind.UNREAD: (UNREAD_ANSWERS, encode_long_requests),
+            StrangerKind.HALF_FRAME: (
+                HALF_FRAMES,
+                lambda _: encode_half_frame(),
             ),
-            StrangerKind.JUNK: send_junk,
+            StrangerKind.IDLE_LINK: (IDLE_LINKS, _send_nothing),
+            StrangerKind.IDLE_CALLER: (IDLE_CALLERS, _send_nothing),
         },
     )
 )
 
 
-def main(name: str, host: str, port: str, seed: str) -> None:
+def main(name: str, host: str, number: str, seed: str) -> None:
     """Misuses a port until the process is killed."""
-    rng = random.Random(seed)
-    asyncio.run(_KINDS[StrangerKind[name]](Port(host, int(port), rng)))
+    kind = StrangerKind[name]
+    port = Port(host, int(number), random.Random(seed))
+    if kind is StrangerKind.JUNK:
+        asyncio.run(send_junk(port))
+    else:
+        asyncio.run(hold_connections(port, *_HELD[kind]))
 
 
 if __name__ == '__main__':
--- a/soak/tests/test_run.py
+++ b/soak/tests/test_run.py
@@ -12,6 +12,7 @@
 SEED = 4
 
 PROCESS_KINDS = LATER_GROUPS['ends of processes']
+OTHER_KINDS = frozenset(FaultKind) - PROCESS_KINDS - LATER_GROUPS['descriptors']
 
 SETTINGS = SoakSettings(
     seed=SEED,
@@ -19,7 +20,7 @@
     hosts=3,
     shards=4,
     callers=6,
-    kinds=tuple(kind.name for kind in FaultKind if kind not in PROCESS_KINDS),
+    kinds=tuple(kind.name for kind in FaultKind if kind in OTHER_KINDS),
     promises=Promises(),
 )
 
