--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -115,7 +115,6 @@
                 FaultKind.HOST_STOP_SERIES,
                 FaultKind.HOST_KILL_SERIES,
                 FaultKind.HOST_OUTPUT_UNREAD,
-                FaultKind.HOST_OVERLAP,
                 FaultKind.STORE_STALLED,
                 FaultKind.STORE_PATH_ENDLESS,
                 FaultKind.STORE_PATH_RUBBISH,
@@ -128,6 +127,7 @@
                 FaultKind.TARGET_REST,
             ),
         ),
+        'overlapping processes': frozenset((FaultKind.HOST_OVERLAP,)),
         'descriptors': frozenset((FaultKind.CALLER_IDLE,)),
     },
 )
--- a/soak/tests/test_run.py
+++ b/soak/tests/test_run.py
@@ -12,7 +12,10 @@
 SEED = 4
 
 PROCESS_KINDS = LATER_GROUPS['ends of processes']
-OTHER_KINDS = frozenset(FaultKind) - PROCESS_KINDS - LATER_GROUPS['descriptors']
+OVERLAP_KINDS = LATER_GROUPS['overlapping processes']
+OTHER_KINDS = frozenset(FaultKind).difference(
+    PROCESS_KINDS, OVERLAP_KINDS, LATER_GROUPS['descriptors']
+)
 
 SETTINGS = SoakSettings(
     seed=SEED,
@@ -24,8 +27,9 @@
     promises=Promises(),
 )
 
-#: Draws nearly all kinds of faults that may end a process.
-PROCESS_SEED = 3
+#: Seeds that draw nearly all kinds of faults that may end a process.
+PROCESS_SEED = 39
+OVERLAP_SEED = 3
 
 PROCESS_SETTINGS = replace(
     SETTINGS,
@@ -35,7 +39,15 @@
     kinds=tuple(kind.name for kind in FaultKind if kind in PROCESS_KINDS),
 )
 
-#: What this run checks; the run above checks all promises.
+OVERLAP_SETTINGS = replace(
+    PROCESS_SETTINGS,
+    seed=OVERLAP_SEED,
+    kinds=tuple(
+        kind.name for kind in FaultKind if kind in PROCESS_KINDS | OVERLAP_KINDS
+    ),
+)
+
+#: What these runs check; the first run checks all promises.
 PROCESS_PROMISES = frozenset(('processes', 'readiness', 'recovery'))
 
 
@@ -49,7 +61,14 @@
 
     async def test_processes_run_on_within_their_memory(self) -> None:
         """Hosts ended, or outgrew their memory, by what others sent to them."""
-        report = await run_soak(PROCESS_SETTINGS)
+        await self.check_processes(PROCESS_SETTINGS)
+
+    async def test_processes_that_overlap_run_on(self) -> None:
+        """A restart found the ports and the name of the host in use."""
+        await self.check_processes(OVERLAP_SETTINGS)
+
+    async def check_processes(self, settings: SoakSettings) -> None:
+        report = await run_soak(settings)
         findings = [
             one for one in report.findings if one.promise in PROCESS_PROMISES
         ]
