Do not count a finished reply again while its request is read

Once it read on, the whole reply, which had been passed on already, counted as incomplete, which brings the bound closer; the connection could be aborted for it with the next request on it.

Cause: a change of the write buffer counts what was received since the request was sent, also after the reply. The count now starts anew when the reply is complete.

--- a/packages/gateway/almonddock_gateway/http/_client_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_client_connection.py
@@ -225,6 +225,8 @@
                 self.abort()
             return
         self._handle = None
+        # The server may still read the request, which counts it again.
+        self._received_bytes = 0
         self.keep_alive = _read_keep_alive(reply) or self.keep_alive
         if keep:
             self._to_release = True
--- a/packages/gateway/almonddock_gateway/tests/test_client_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_client_connection.py
@@ -270,6 +270,20 @@
             self.assertEqual(memory.held, held)
         self.assertTrue(self.transport.closed)
 
+    def test_finished_reply_is_not_counted_again(self) -> None:
+        """A server may answer before it has read the whole request."""
+        memory = ReplyMemory()
+        connection = ClientConnection(self.release, self.close, memory)
+        connection.connection_made(self.transport)
+        connection.request(b'POST', self.receive)
+        self.transport.unread = 900_000
+        connection.pause_writing()
+        body = b'x' * 50_000
+        connection.data_received(b'%bcontent-length: 50000\r\n\r\n' % OK + body)
+        self.transport.unread = 0
+        connection.resume_writing()
+        self.assertEqual(memory.held, 0)
+
     def test_closed_connection_is_freed_without_the_collector(self) -> None:
         connection = ClientConnection(self.release, self.close)
         connection.connection_made(FakeTransport())
