Pause before the store is asked the same again

The loop that follows the store called it again at once after a lost history, and after changes that are not all though their revision has not moved. A store that goes on answering so keeps a processor busy, and one that answers without a wait lets nothing else of the host run.

--- a/packages/gateway/almonddock_gateway/controllers/_follower.py
+++ b/packages/gateway/almonddock_gateway/controllers/_follower.py
@@ -14,8 +14,9 @@
 )
 from almonddock_gateway.telemetry import Telemetry
 
-#: The pause between reads after an outdated snapshot, and before the first
-#: answer: it doesn't grow, because no caller is served until then.
+#: The pause between reads after an answer that does not help, such as an
+#: outdated snapshot, and before the first answer: it doesn't grow, because no
+#: caller is served until then.
 START_RETRY_PAUSE = timedelta(milliseconds=100)
 
 #: How long after the first answer, or after an outage, the store may be watched
@@ -98,6 +99,7 @@
                     reason=lost.message,
                 )
                 self._revision = None
+                await asyncio.sleep(START_RETRY_PAUSE.total_seconds())
             except StoreLostError as lost:
                 await self._wait_for_store(lost)
             else:
@@ -120,10 +122,14 @@
             )
             self._note_answer()
             settings.apply_changes(view)
+        known = self._revision or 0
         self._newest = max(view.revision, self._newest)
         self._revision = self._newest
         if not view.has_more:
             await asyncio.sleep(self._choose_pause().total_seconds())
+        elif self._newest <= known:
+            # The rest of the changes is asked for with the same call again.
+            await asyncio.sleep(START_RETRY_PAUSE.total_seconds())
 
     async def _skip_outdated(self, revision: int) -> None:
         """Ignores a snapshot of a watcher that is behind this host.
--- a/packages/gateway/almonddock_gateway/tests/test_store_following.py
+++ b/packages/gateway/almonddock_gateway/tests/test_store_following.py
@@ -110,6 +110,37 @@
         store = await self.follow(3, TWO, old)
         self.assertEqual(store.calls, ['read', 'watch 6', 'watch 6'])
 
+    async def count_calls(self, step: Step) -> int:
+        """Returns the calls of two turns at a store that answers at once."""
+        store = ScriptedStore(ONE, *(step for _ in range(100)))
+        follower = Follower(
+            FollowSettings(
+                prefix='p/',
+                wait=timedelta(seconds=1),
+                choose_pause=lambda is_recovering: timedelta(),
+                apply_snapshot=lambda view: None,
+                apply_changes=lambda view: None,
+                store_back=lambda: None,
+            ),
+            store,
+            ManualClock(),
+            self.make_telemetry(),
+        )
+        task = asyncio.create_task(follower.run())
+        for _ in range(5):
+            await asyncio.sleep(0)
+        task.cancel()
+        return len(store.calls)
+
+    async def test_reads_that_fail_at_once_leave_others_a_turn(self) -> None:
+        """A loop that never waits holds up all requests of the host."""
+        calls = await self.count_calls(HistoryLostError('x'))
+        self.assertLess(calls, 10)
+
+    async def test_changes_without_progress_leave_others_a_turn(self) -> None:
+        calls = await self.count_calls(replace(ONE, has_more=True))
+        self.assertLess(calls, 10)
+
     async def test_older_snapshot_is_read_again(self) -> None:
         """A target that has left must not come back.
 
