Bound what all links hold together, and accepted links

Bytes that the other end did not read waited without a bound, and a message over the limit on frames raised in its sender.

All links share one bound for incomplete frames, received bytes that are not expanded yet, and bytes that are not read; the link that holds the most is closed, and a closed link drops what it holds at once. A host accepts one link for each host of the largest installation, closes those that send no message within 3 s or nothing for 10 s (the host that opens a link pings it), and creates compression streams for the first message. A message that no frame holds closes its link: its queries fail and are sent directly. link_refused and link_closed say why a host closed a link.

A peer that reads nothing was not shown with a real host; a unit test guards it.

One test of links decompressed with a private method that is gone; it uses zlib itself now and checks the same.

--- a/packages/core/almonddock_core/framing/_framing.py
+++ b/packages/core/almonddock_core/framing/_framing.py
@@ -29,6 +29,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def held(self) -> int:
+        """The bytes of incomplete frames."""
+        return len(self._buffer)
+
     def feed(self, received: bytes) -> Iterator[bytes]:
         """Yields each frame that the received bytes complete.
 
--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import importlib
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
+from almonddock_core.framing import MAX_FRAME_BYTES
 from almonddock_gateway.controllers import HostController
+from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.relays import (
     Leaving,
     LinkMessage,
@@ -17,11 +19,21 @@
 from almonddock_gateway.telemetry import Telemetry
 
 if TYPE_CHECKING:
-    from almonddock_gateway.links import PeerLinks
+    from almonddock_gateway.links import Link, PeerLinks
 
 #: Imported when links are opened, because the import is slow.
 LINKS_MODULE = 'almonddock_gateway.links'
 
+#: The most accepted links: one from each host of the largest installation.
+MAX_ACCEPTED = 1600
+
+#: The most bytes that all links hold together: four frames of the greatest
+#: length.
+MAX_HELD_BYTES = 4 * MAX_FRAME_BYTES
+
+#: The pause between two checks of the links, in seconds.
+CHECK_INTERVAL_S = 0.25
+
 
 class HostLinks:
     """Serves the links of other hosts, and creates this host's own."""
@@ -39,7 +51,8 @@
         self._telemetry = telemetry
         self._relay_server = RelayServer(relay_settings)
         self._store_server = store_server
-        self._accepted: set[MessageLink] = set()
+        self._memory = ReplyMemory(MAX_HELD_BYTES)
+        self._accepted: set[Link] = set()
         self._server: asyncio.Server | None = None
         self._peers: PeerLinks | None = None
 
@@ -58,8 +71,10 @@
         links = importlib.import_module(LINKS_MODULE)
 
         def accept() -> asyncio.BaseProtocol:
-            link: asyncio.BaseProtocol = links.Link(self._receive, self._forget)
-            self._accepted.add(cast(MessageLink, link))
+            if len(self._accepted) >= MAX_ACCEPTED:
+                return _Refusal()
+            link: Link = links.Link(self._receive, self._forget, self._memory)
+            self._accepted.add(link)
             return link
 
         address = self._settings.links
@@ -74,14 +89,18 @@
             self._settings.data_centre,
             lambda: self._hosts.peers,
             self._telemetry,
+            self._memory,
         )
         self._peers = peers
         return peers
 
     async def run(self) -> None:
         """Keeps this host's links open until cancelled."""
-        if self._peers is not None:
-            await self._peers.run()
+        while self._peers is not None:
+            self._peers.check()
+            for link in self._accepted:
+                link.close_if_silent()
+            await asyncio.sleep(CHECK_INTERVAL_S)
 
     def record_alive(self) -> None:
         """Records that this host runs, for queries that waited meanwhile."""
@@ -101,6 +120,17 @@
         self._relay_server.receive(link, message)
         self._store_server.receive(link, message)
 
-    def _forget(self, link: MessageLink) -> None:
+    def _forget(self, link: 'Link') -> None:
         self._accepted.discard(link)
         self._relay_server.forget(link)
+        if link.fault:
+            self._telemetry.log_event('link_refused', fault=link.fault)
+
+
+class _Refusal(asyncio.Protocol):
+    """Closes a connection that exceeds the limit on links."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Closes the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        transport.abort()
--- a/packages/gateway/almonddock_gateway/links/_peers.py
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -11,6 +11,7 @@
 
 from almonddock_core.news import choose_watchers
 from almonddock_gateway.controllers import Peer
+from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.links._link import Link
 from almonddock_gateway.relays import (
     Leaving,
@@ -30,9 +31,6 @@
 #: The timeout for opening a link, and the pause after a failure, in seconds.
 DIAL_TIMEOUT_S = 0.5
 
-#: The pause between two checks of the links, in seconds.
-CHECK_INTERVAL_S = 0.25
-
 HandleReply = Callable[[LinkMessage | None], None]
 
 
@@ -45,11 +43,14 @@
         data_centre: str,
         list_peers: Callable[[], Iterable[Peer]],
         telemetry: Telemetry,
+        memory: ReplyMemory,
     ) -> None:
+        """Creates no link yet; ``memory`` bounds what all links hold."""
         self._own_name = own_name
         self._data_centre = data_centre
         self._list_peers = list_peers
         self._telemetry = telemetry
+        self._memory = memory
         self._links: dict[Peer, Link] = {}
         self._leaving: set[Link] = set()
         self._reply_handlers: dict[tuple[MessageLink, int], HandleReply] = {}
@@ -105,18 +106,16 @@
         """Ignores further replies to a query."""
         self._reply_handlers.pop((link, number), None)
 
-    async def run(self) -> None:
-        """Opens, checks and closes links until cancelled."""
-        while True:
-            wanted = self._choose_peers()
-            for peer in wanted:
-                if peer not in self._links and peer not in self._dialling:
-                    dial = asyncio.create_task(self._dial(peer))
-                    self._dialling[peer] = dial
-            for link in self._links.values():
-                link.check()
-            self._close_unwanted(wanted)
-            await asyncio.sleep(CHECK_INTERVAL_S)
+    def check(self) -> None:
+        """Opens, checks and closes links; called several times a second."""
+        wanted = self._choose_peers()
+        for peer in wanted:
+            if peer not in self._links and peer not in self._dialling:
+                dial = asyncio.create_task(self._dial(peer))
+                self._dialling[peer] = dial
+        for link in self._links.values():
+            link.check()
+        self._close_unwanted(wanted)
 
     def _close_unwanted(self, wanted: set[Peer]) -> None:
         """Closes links to hosts that have been replaced, unless in use.
@@ -182,7 +181,9 @@
                     _,
                     link,
                 ) = await asyncio.get_running_loop().create_connection(
-                    lambda: Link(self._receive, self._forget_link),
+                    lambda: Link(
+                        self._receive, self._forget_link, self._memory
+                    ),
                     peer.host,
                     peer.port,
                 )
@@ -208,7 +209,9 @@
         for peer, known in tuple(self._links.items()):
             if known is link:
                 del self._links[peer]
-                self._telemetry.log_event('link_closed', peer=peer.name)
+                self._telemetry.log_event(
+                    'link_closed', peer=peer.name, fault=link.fault
+                )
         lost = [key for key in self._reply_handlers if key[0] is link]
         for key in lost:
             self._reply_handlers.pop(key)(None)
--- a/packages/gateway/almonddock_gateway/tests/fakes.py
+++ b/packages/gateway/almonddock_gateway/tests/fakes.py
@@ -63,6 +63,11 @@
         assert isinstance(data, bytes)
         self.written += data
 
+    def set_write_buffer_limits(
+        self, high: int | None = None, low: int | None = None
+    ) -> None:
+        """Ignores the limits: a test pauses writing itself."""
+
     def can_write_eof(self) -> bool:
         """Whether one direction can be closed."""
         return True
--- a/packages/gateway/almonddock_gateway/tests/test_links.py
+++ b/packages/gateway/almonddock_gateway/tests/test_links.py
@@ -3,13 +3,21 @@
 import os
 import unittest
 import zlib
+from dataclasses import replace
 from datetime import timedelta
+from unittest.mock import patch
 
-from almonddock_core.framing import FrameReader
+from almonddock_core.framing import (
+    MAX_FRAME_BYTES,
+    FrameReader,
+    add_length_prefix,
+)
 from almonddock_core.model import ManualClock
 from almonddock_core.news import choose_watchers
 from almonddock_gateway.controllers import Peer
-from almonddock_gateway.links import Link, PeerLinks, decode
+from almonddock_gateway.http import ReplyMemory
+from almonddock_gateway.links import Link, PeerLinks, decode, encode
+from almonddock_gateway.links._link import _Decompressor
 from almonddock_gateway.relays import (
     Leaving,
     LinkMessage,
@@ -24,12 +32,20 @@
     Telemetry,
 )
 from almonddock_gateway.tests.fakes import FakeTransport, measure_memory
+from almonddock_gateway.tests.relay_cases import make_query
+
+
+def compress(content: bytes) -> bytes:
+    """Returns the first bytes of a link."""
+    compressor = zlib.compressobj(wbits=-13)
+    return compressor.compress(content) + compressor.flush(zlib.Z_SYNC_FLUSH)
 
 
 class LinkTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.received: list[LinkMessage] = []
         self.closed: list[Link] = []
+        self.memory = ReplyMemory(max_bytes=100_000)
 
     async def asyncSetUp(self) -> None:
         self.here_transport = FakeTransport()
@@ -38,7 +54,7 @@
         self.there = self.make_link(self.there_transport)
 
     def make_link(self, transport: FakeTransport) -> Link:
-        link = Link(self.receive, self.closed.append)
+        link = Link(self.receive, self.closed.append, self.memory)
         link.connection_made(transport)
         return link
 
@@ -59,6 +75,78 @@
         self.assertLess(peak, 1_000_000)
         self.assertTrue(self.here_transport.closed)
 
+    async def test_incomplete_frames_of_all_links_are_bounded(self) -> None:
+        """Each link could hold a frame of 8 MB that never ended."""
+        for link, size in ((self.here, 60_000), (self.there, 50_000)):
+            part = MAX_FRAME_BYTES.to_bytes(4, 'big') + bytes(size)
+            link.data_received(compress(part))
+        self.assertTrue(self.here_transport.closed)
+        self.assertFalse(self.there_transport.closed)
+
+    async def test_closed_link_holds_nothing(self) -> None:
+        """Many links that were closed in one turn kept what they had read."""
+        part = MAX_FRAME_BYTES.to_bytes(4, 'big') + bytes(1_000_000)
+        links: list[Link] = []
+
+        def receive(packed: bytes) -> None:
+            links.append(self.make_link(FakeTransport()))
+            links[-1].data_received(packed)
+
+        held, _ = measure_memory(receive, *(compress(part) for _ in range(8)))
+        self.assertLess(held, 1_000_000)
+
+    async def test_host_that_reads_nothing_is_closed(self) -> None:
+        """Answers to a host that does not read them waited without a bound."""
+        self.here.pause_writing()
+        self.here_transport.unread = 90_000
+        self.here.ping()
+        self.assertFalse(self.here_transport.closed)
+        self.here_transport.unread = 110_000
+        self.here.ping()
+        self.assertTrue(self.here_transport.closed)
+
+    async def test_bytes_that_were_read_are_not_held(self) -> None:
+        self.here.pause_writing()
+        self.here_transport.unread = 90_000
+        self.here.ping()
+        self.here.resume_writing()
+        self.assertEqual(self.memory.held, 0)
+
+    async def test_message_that_no_frame_holds_closes_the_link(self) -> None:
+        """The error ended the connection to the target that had replied."""
+        query = replace(make_query('t1'), body=bytes(MAX_FRAME_BYTES))
+        self.here.send(query)
+        self.assertTrue(self.here_transport.closed)
+
+    async def test_unused_links_take_little_memory(self) -> None:
+        """1,600 of them stay below a tenth of the smallest machine's 300 MB."""
+
+        def connect(_: bytes) -> None:
+            links.append(self.make_link(FakeTransport()))
+
+        links: list[Link] = []
+        held, _ = measure_memory(connect, *(b'' for _ in range(100)))
+        self.assertLess(held * 16, 30_000_000)
+
+    async def test_silent_link_is_closed(self) -> None:
+        for sent, silence_s, is_closed in (
+            (None, 2.9, False),
+            (None, 3.1, True),
+            (Ping(1), 9.9, False),
+            (Ping(1), 10.1, True),
+        ):
+            with self.subTest(sent=sent, silence_s=silence_s):
+                transport = FakeTransport()
+                link = self.make_link(transport)
+                if sent is not None:
+                    link.data_received(
+                        compress(add_length_prefix(encode(sent)))
+                    )
+                later = link._last_received + silence_s
+                with patch.object(link._loop, 'time', return_value=later):
+                    link.close_if_silent()
+                self.assertEqual(transport.closed, is_closed)
+
     async def test_link_is_used_only_after_the_other_host_answered(
         self,
     ) -> None:
@@ -91,7 +179,9 @@
 
     async def test_codec_decodes_sent_frames(self) -> None:
         self.here.ping()
-        expanded = b''.join(self.there._decompress(self.here_transport.written))
+        expanded = zlib.decompressobj(wbits=-13).decompress(
+            self.here_transport.written
+        )
         frames = list(FrameReader().feed(expanded))
         self.assertEqual([decode(frame) for frame in frames], [Ping(1)])
 
@@ -107,12 +197,15 @@
             ManualClock(),
         )
         self.listed: list[Peer] = []
-        self.peers = PeerLinks('kyu-1', 'a', lambda: self.listed, telemetry)
+        self.memory = ReplyMemory()
+        self.peers = PeerLinks(
+            'kyu-1', 'a', lambda: self.listed, telemetry, self.memory
+        )
 
     def add_link(self, name: str) -> tuple[Peer, Link, FakeTransport]:
         """Returns a usable link to a host of data centre b, with its peer."""
         peer = Peer(name, 'b', '10.0.0.1', 1)
-        link = Link(self.peers._receive, self.peers._forget_link)
+        link = Link(self.peers._receive, self.peers._forget_link, self.memory)
         transport = FakeTransport()
         link.connection_made(transport)
         self.peers._links[peer] = link
@@ -120,11 +213,11 @@
         return peer, link, transport
 
     def receive(self, link: Link, message: LinkMessage) -> None:
-        other = Link(lambda sender, got: None, lambda sender: None)
+        other = Link(lambda sender, got: None, lambda sender: None, self.memory)
         transport = FakeTransport()
         other.connection_made(transport)
         other.send(message)
-        link._decompressor = zlib.decompressobj(wbits=-13)
+        link._input = _Decompressor()
         link.data_received(transport.written)
 
     async def test_leaving_host_gets_no_new_queries(self) -> None:
