Remember that a target leaves when its entry comes back

A host that had passed on a reply with "Server-Leaving: 1" sent the target new requests after the time to drain. Callers would see requests cut when the target ends.

What replies say of a target was kept with its entry. When the entries lapse in an outage of the store, a host drops the targets, and takes the same runs of them as new once they are listed again, without what they had said. The same held for targets that rest.

Ruled out: a restart of the host, a relay.

The table now remembers what dropped targets had said, of 1,024 at most, and applies it to an entry with the same id, start and address. A target that was started again, or is at another address, is used.

Two of the new tests failed before: the target was listed as usable.

--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -17,6 +17,10 @@
 #: during the outage, of targets that still run.
 LAPSE_DETECTION_WINDOW = timedelta(seconds=2)
 
+#: The most targets without an entry of which a host remembers that they leave
+#: or rest; the oldest are forgotten first.
+MAX_REMEMBERED = 1024
+
 
 class TargetState(enum.Enum):
     """The state that a target reports in its entry."""
@@ -99,6 +103,9 @@
     drained: frozenset[str] = frozenset()
     _targets: dict[str, KnownTarget] = field(default_factory=dict)
     _services: dict[str, list[KnownTarget]] = field(default_factory=dict)
+    #: Dropped targets that had said that they leave or rest. A target whose
+    #: entry comes back may still run.
+    _unwilling: dict[str, KnownTarget] = field(default_factory=dict)
     _store_recovered_at: timedelta | None = None
 
     def __len__(self) -> int:
@@ -187,7 +194,7 @@
             if known.lapse_ends is None:
                 known.lapse_ends = now + LAPSE_GRACE
             return _describe(known.entry, 'lapsed')
-        self._drop(known)
+        self._drop(known, now)
         return _describe(known.entry, 'gone')
 
     def replace_all(
@@ -212,7 +219,7 @@
             if target.lapse_ends is not None and target.lapse_ends <= now
         ]
         for target in lapsed:
-            self._drop(target)
+            self._drop(target, now)
         return [_describe(target.entry, 'gone') for target in lapsed]
 
     def _may_be_lapse(self, now: timedelta) -> bool:
@@ -224,20 +231,35 @@
     def _add(self, entry: TargetEntry, now: timedelta) -> TargetChange:
         known = self._targets.get(entry.target_id)
         if known is not None:
-            self._drop(known)
+            self._drop(known, now)
         added = KnownTarget(
             entry=entry,
             health=TargetHealth(slots=entry.slots),
             cold_until=now + entry.cold_for,
         )
+        self._restore_will(added)
         self._targets[entry.target_id] = added
         self._services.setdefault(entry.service, []).append(added)
         return _describe(entry, entry.state.value)
 
-    def _drop(self, known: KnownTarget) -> None:
+    def _drop(self, known: KnownTarget, now: timedelta) -> None:
+        target_id = known.entry.target_id
         known.dropped = True
-        del self._targets[known.entry.target_id]
+        del self._targets[target_id]
         self._services[known.entry.service].remove(known)
+        if known.leaving or now < known.rests_until:
+            self._unwilling[target_id] = known
+        if len(self._unwilling) > MAX_REMEMBERED:
+            self._unwilling.pop(next(iter(self._unwilling)))
+
+    def _restore_will(self, added: KnownTarget) -> None:
+        """Applies what the same run of a target had said in its replies."""
+        before = self._unwilling.pop(added.entry.target_id, None)
+        if before is None or _is_restarted(before.entry, added.entry):
+            return
+        if not _is_moved(before.entry, added.entry):
+            added.leaving = before.leaving
+            added.rests_until = before.rests_until
 
 
 def _is_restarted(before: TargetEntry, entry: TargetEntry) -> bool:
--- a/packages/core/almonddock_core/tests/test_routing.py
+++ b/packages/core/almonddock_core/tests/test_routing.py
@@ -5,12 +5,14 @@
 from datetime import timedelta
 
 from almonddock_core.routing import (
+    KnownTarget,
     TargetState,
     TargetTable,
     WeightedRotation,
     WeightedService,
     build_routing_table,
 )
+from almonddock_core.routing._targets import MAX_REMEMBERED
 from almonddock_core.tests.dispatch_cases import (
     LIMITS,
     SECOND,
@@ -63,6 +65,56 @@
             self.assertEqual(span['a'], 7)
 
 
+class ReturningTargetTest(unittest.TestCase):
+    """An entry may go and come back while its target runs on."""
+
+    def setUp(self) -> None:
+        self.table = TargetTable()
+        self.table.put(make_entry('a'), START)
+
+    def find(self, target_id: str = 'a') -> KnownTarget:
+        known = self.table.find(target_id)
+        assert known is not None
+        return known
+
+    def test_target_that_leaves_stays_unused_once_listed_again(self) -> None:
+        self.find().leaving = True
+        for _ in range(2):
+            self.table.remove('a', START)
+            self.table.put(make_entry('a'), START)
+            self.assertEqual(self.table.list_usable('desk', START), [])
+
+    def test_target_that_rests_stays_unused_once_listed_again(self) -> None:
+        self.find().rests_until = 3 * SECOND
+        self.table.remove('a', START)
+        self.table.put(make_entry('a'), START)
+        self.assertEqual(self.table.list_usable('desk', 2 * SECOND), [])
+        self.assertEqual(len(self.table.list_usable('desk', 3 * SECOND)), 1)
+
+    def test_target_that_started_again_is_used(self) -> None:
+        self.find().leaving = True
+        self.table.remove('a', START)
+        self.table.put(make_entry('a', started_ms=2), START)
+        self.assertEqual(len(self.table.list_usable('desk', START)), 1)
+
+    def test_target_at_another_address_is_used(self) -> None:
+        self.find().leaving = True
+        self.table.remove('a', START)
+        self.table.put(make_entry('a', port=2), START)
+        self.assertEqual(len(self.table.list_usable('desk', START)), 1)
+
+    def test_few_targets_that_are_gone_are_remembered(self) -> None:
+        self.find().leaving = True
+        self.table.remove('a', START)
+        for number in range(MAX_REMEMBERED):
+            name = f'other-{number}'
+            self.table.put(make_entry(name), START)
+            self.find(name).leaving = True
+            self.table.remove(name, START)
+        self.table.put(make_entry('a'), START)
+        self.assertEqual(len(self.table.list_usable('desk', START)), 1)
+
+
 class TargetTableTest(unittest.TestCase):
     def setUp(self) -> None:
         self.table = TargetTable()
