Excuse only a restart or a freeze from what a reply said, in the soak

The check that hosts heed a reply by which a target leaves excused every fault of the host. The rule holds for hosts out of touch too; only a restart or a freeze since the reply excuses. The new case of the check failed before.

--- a/soak/promises/_disturbances.py
+++ b/soak/promises/_disturbances.py
@@ -29,6 +29,21 @@
 HOST_PREFIXES = ('HOST_', 'STORE_PATH_', 'CALLER_', 'LINK_')
 
 
+#: Kinds of faults that end or freeze the process of a host.
+INTERRUPTING_KINDS = frozenset(
+    (
+        FaultKind.HOST_STOP,
+        FaultKind.HOST_KILL,
+        FaultKind.HOST_PAUSE,
+        FaultKind.HOST_STOP_SERIES,
+        FaultKind.HOST_KILL_SERIES,
+        FaultKind.HOST_OUTPUT_UNREAD,
+        FaultKind.HOST_OVERLAP,
+        FaultKind.STORE_STALLED,
+    ),
+)
+
+
 #: Planned operations, during which a stopping host must not lose requests.
 #: During any other fault, a stopping host may lose requests.
 PLANNED_KINDS = frozenset(
@@ -90,6 +105,17 @@
     )
 
 
+def has_run_on(
+    evidence: Evidence, host: int, since: timedelta, until: timedelta
+) -> bool:
+    """Whether a host was neither started again nor frozen in a time span."""
+    return not any(
+        span.kind is FaultKind.HERD_KILL
+        or (span.kind in INTERRUPTING_KINDS and span.subject == host)
+        for span in _list_overlapping(evidence, since, until)
+    )
+
+
 def list_unplanned(
     evidence: Evidence,
     since: timedelta,
--- a/soak/promises/_replies.py
+++ b/soak/promises/_replies.py
@@ -10,7 +10,7 @@
 
 from almonddock_platform.tests.standins import Arrival, RestRefusal
 from soak.observations import Call, Evidence, OutOfService
-from soak.promises._disturbances import is_undisturbed
+from soak.promises._disturbances import has_run_on, is_undisturbed
 from soak.promises._findings import Finding, report_arrival
 from soak.settings import Promises
 
@@ -27,7 +27,7 @@
             since = told.get((call.host, call.incarnation))
             if since is None or arrival.at <= since + promises.drain:
                 continue
-            if is_undisturbed(evidence, promises, call.host, since, arrival.at):
+            if has_run_on(evidence, call.host, since, arrival.at):
                 yield report_arrival(
                     'leaving targets', arrival, f'told host {call.host} {since}'
                 )
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -302,6 +302,11 @@
         evidence = replace(add_told_call(34), spans=(pause,))
         self.assertEqual(list_broken(evidence), set())
 
+    def test_a_host_out_of_touch_is_not_excused(self) -> None:
+        reset = FaultSpan(FaultKind.LINK_RESET, 0, seconds(31), seconds(32))
+        evidence = replace(add_told_call(34), spans=(reset,))
+        self.assertEqual(list_broken(evidence), {'leaving targets'})
+
     def test_requests_to_a_resting_target_are_found(self) -> None:
         first = RestRefusal(OTHER_TARGET, 'told', seconds(30), seconds(3))
         for times, broken in (
