Free a closed connection of a caller without the collector

The reader drops the connection as it is closed. The test failed before: the connection was still there.

--- a/packages/gateway/almonddock_gateway/http/_request_reader.py
+++ b/packages/gateway/almonddock_gateway/http/_request_reader.py
@@ -132,10 +132,11 @@
     def close(self) -> None:
         """Frees what was read, without the garbage collector.
 
-        The parser and the reader refer to each other.
+        Parser and reader, and reader and connection, refer to each other.
         """
         self.end()
         del self._parser
+        del self._receiver
 
     def on_message_begin(self) -> None:
         """Starts a request; called by the parser."""
--- a/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
@@ -1,7 +1,9 @@
 """Tests of the connections of callers."""
 
 import asyncio
+import gc
 import unittest
+import weakref
 from dataclasses import replace
 from datetime import timedelta
 
@@ -181,6 +183,19 @@
         held, _ = measure_memory(receive_and_lose, body)
         self.assertLess(held, len(body) // 8)
 
+    async def test_closed_connection_is_freed_without_the_collector(
+        self,
+    ) -> None:
+        transport = FakeTransport()
+        connection = self.connect(transport)
+        connection.data_received(GET[:20])
+        freed = weakref.ref(connection)
+        gc.disable()
+        self.addCleanup(gc.enable)
+        connection.connection_lost(None)
+        del connection
+        self.assertIsNone(freed())
+
     async def test_conflicting_lengths_are_rejected(self) -> None:
         smuggled = (
             b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n'
