Bound the work of queries over links

All messages of a read were handled in one turn of the event loop, and 580 KB held 20 million of them. Lists, queries in progress and the time that a query may wait had no bound, and each store query that the cache could not answer took a connection.

Relayed sub-queries in progress take 32 MB at most; further queries are refused as not sent, and their sender asks the targets itself. A host has eight store queries in progress on a link, 32 of all hosts go to the store, none waits over 30 s, and they end with their link; further ones are answered as lost, and their sender reads the store itself.

--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -123,6 +123,7 @@
     def _forget(self, link: 'Link') -> None:
         self._accepted.discard(link)
         self._relay_server.forget(link)
+        self._store_server.forget(link)
         if link.fault:
             self._telemetry.log_event('link_refused', fault=link.fault)
 
--- a/packages/gateway/almonddock_gateway/links/_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_codec.py
@@ -9,6 +9,7 @@
 import capnp
 
 from almonddock_core.framing import BadFrameError
+from almonddock_gateway.links._columns import read_column
 from almonddock_gateway.links._cost_codec import read_costs, write_costs
 from almonddock_gateway.links._store_codec import (
     read_store_query,
@@ -99,7 +100,7 @@
 
 
 def _read_cancel(cancel: Any) -> RelayCancel:
-    return RelayCancel(cancel.number, tuple(cancel.parts))
+    return RelayCancel(cancel.number, read_column(cancel.parts))
 
 
 def _write_query(frame: Any, message: RelayQuery) -> None:
@@ -128,7 +129,7 @@
         top=query.top,
         threshold=bytes(query.floor),
         priority=query.priority,
-        targets=tuple(query.targets),
+        targets=read_column(query.targets),
         typical_latency=query.typicalLatency * US,
     )
 
@@ -148,15 +149,15 @@
 def _read_reply(reply: Any) -> RelayReply:
     return RelayReply(
         number=reply.number,
-        parts=tuple(reply.parts),
-        stamps=tuple(bytes(stamp) for stamp in reply.stamps),
-        elapsed=tuple(elapsed * US for elapsed in reply.elapsed),
+        parts=read_column(reply.parts),
+        stamps=tuple(bytes(stamp) for stamp in read_column(reply.stamps)),
+        elapsed=tuple(elapsed * US for elapsed in read_column(reply.elapsed)),
         records=bytes(reply.records),
         failures=tuple(
             (part, PartFailure(failure))
             for part, failure in zip(
-                reply.failedParts,
-                reply.failures,
+                read_column(reply.failedParts),
+                read_column(reply.failures),
                 strict=True,
             )
         ),
--- a/packages/gateway/almonddock_gateway/links/_cost_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_cost_codec.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from almonddock_core.routing import Costs
+from almonddock_gateway.links._columns import read_column
 
 #: Costs are sent as tenths of typical latencies, up to this many.
 COST_UNITS = 10
@@ -21,7 +22,11 @@
 
 def read_costs(message: Any) -> Costs:
     """Returns the costs; raises ValueError if list lengths differ."""
-    columns = zip(message.costlyTargets, message.costs, strict=True)
+    columns = zip(
+        read_column(message.costlyTargets),
+        read_column(message.costs),
+        strict=True,
+    )
     return tuple(
         (target_id, units / COST_UNITS) for target_id, units in columns
     )
--- a/packages/gateway/almonddock_gateway/links/_link.py
+++ b/packages/gateway/almonddock_gateway/links/_link.py
@@ -176,8 +176,10 @@
         """Handles each message; closes the link after a bad frame."""
         self._last_received = self._loop.time()
         self._unanswered_since = None
+        is_behind = self._input.is_behind
         self._input.add(received)
-        self._read()
+        if not is_behind:
+            self._read()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Reports that the connection has ended."""
@@ -186,15 +188,25 @@
         self._closed(self)
 
     def _read(self) -> None:
-        """Handles each message that is complete."""
+        """Handles some messages, and the rest in later turns of the loop.
+
+        A few received bytes can hold millions of messages.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
         try:
-            while self._input.is_behind:
-                for encoded in self._reader.feed(self._input.read()):
-                    self._handle_message(decode(encoded))
+            for encoded in self._reader.feed(self._input.read()):
+                self._handle_message(decode(encoded))
         except BadFrameError as bad:
             self._close_faulty(bad.message)
+            return
+        self._count_held()
+        if self._input.is_behind:
+            transport.pause_reading()
+            self._loop.call_soon(self._read)
         else:
-            self._count_held()
+            transport.resume_reading()
 
     def _handle_message(self, message: LinkMessage) -> None:
         self._has_received = True
--- a/packages/gateway/almonddock_gateway/links/_store_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_store_codec.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import Any
 
+from almonddock_gateway.links._columns import read_column
 from almonddock_gateway.links._cost_codec import read_costs, write_costs
 from almonddock_gateway.relays import StoreOutcome, StoreQuery, StoreReply
 from almonddock_gateway.store import StoreItem, StoreView
@@ -50,10 +51,10 @@
 def read_store_reply(reply: Any) -> StoreReply:
     """Returns the reply; raises ValueError if list lengths differ."""
     columns = zip(
-        reply.keys,
-        reply.contents,
-        reply.removed,
-        reply.revisions,
+        read_column(reply.keys),
+        read_column(reply.contents),
+        read_column(reply.removed),
+        read_column(reply.revisions),
         strict=True,
     )
     items = [
--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -47,6 +47,18 @@
 #: The pause between probes of a store that does not answer, in seconds.
 PROBE_PAUSE_S = 1.0
 
+#: The most queries of one host in progress; a host has one for each prefix that
+#: it follows.
+MAX_QUERIES_A_LINK = 8
+
+#: The most queries in progress that are passed on to the store, each of which
+#: takes a connection to it.
+MAX_DIRECT_READS = 32
+
+#: The longest wait for changes on behalf of another host, in seconds.
+MAX_WAIT_S = 30
+MAX_WAIT = timedelta(seconds=MAX_WAIT_S)
+
 NO_VIEW = StoreView((), 0)
 
 
@@ -238,15 +250,26 @@
         self._store = store
         self._cache = cache
         self._costs = CostExchange() if costs is None else costs
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[MessageLink, set[asyncio.Task[None]]] = {}
+        self._direct_reads = 0
 
     def receive(self, link: MessageLink, message: LinkMessage) -> None:
         """Answers store queries; ignores other messages."""
-        if isinstance(message, StoreQuery):
-            self._costs.record(message.costs)
-            task = asyncio.create_task(self._answer(link, message))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        if not isinstance(message, StoreQuery):
+            return
+        tasks = self._tasks.setdefault(link, set())
+        if len(tasks) >= MAX_QUERIES_A_LINK:
+            link.send(StoreReply(message.number, StoreOutcome.LOST, NO_VIEW))
+            return
+        self._costs.record(message.costs)
+        task = asyncio.create_task(self._answer(link, message))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    def forget(self, link: MessageLink) -> None:
+        """Ends the queries of a host whose link has closed."""
+        for task in tuple(self._tasks.pop(link, ())):
+            task.cancel()
 
     async def _answer(self, link: MessageLink, query: StoreQuery) -> None:
         outcome = StoreOutcome.ANSWERED
@@ -262,11 +285,23 @@
         link.send(StoreReply(query.number, outcome, view, costs))
 
     async def _read(self, query: StoreQuery) -> StoreView:
+        wait = min(query.wait, MAX_WAIT)
         if self._cache.is_fresh() and query.prefix == self._cache.prefix:
-            return await self._cache.read(query.after, query.wait)
-        if query.after is None:
-            return await self._store.read_prefix(query.prefix)
-        return await self._store.watch(query.prefix, query.after, query.wait)
+            return await self._cache.read(query.after, wait)
+        if self._direct_reads >= MAX_DIRECT_READS:
+            raise StoreLostError('too many queries of other hosts')
+        self._direct_reads += 1
+        try:
+            return await self._read_directly(query.prefix, query.after, wait)
+        finally:
+            self._direct_reads -= 1
+
+    async def _read_directly(
+        self, prefix: str, after: int | None, wait: timedelta
+    ) -> StoreView:
+        if after is None:
+            return await self._store.read_prefix(prefix)
+        return await self._store.watch(prefix, after, wait)
 
 
 def _read_view(reply: StoreReply) -> StoreView:
--- a/packages/gateway/almonddock_gateway/relays/_server.py
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -39,6 +39,13 @@
 STALL_MS = 300
 STALL = timedelta(milliseconds=STALL_MS)
 
+#: What a sub-query takes besides its request, in bytes.
+PART_BYTES = 0x800
+
+#: The most bytes of the sub-queries in progress; further queries are refused,
+#: and their sender asks the targets itself.
+MAX_RELAYED_BYTES = 0x2000000
+
 
 @dataclass(frozen=True, slots=True)
 class RelaySettings:
@@ -107,6 +114,12 @@
     #: The greatest records sent so far.
     sent_records: bytes = b''
 
+    @property
+    def size(self) -> int:
+        """The bytes that its sub-queries take."""
+        request = len(self.query.head) + len(self.query.body)
+        return len(self.query.targets) * (PART_BYTES + request)
+
     def merge(self) -> bytes:
         """Returns the records to send: those that may be in the answer."""
         top = self.query.top
@@ -125,6 +138,8 @@
     def __init__(self, settings: RelaySettings) -> None:
         self._settings = settings
         self._running: dict[tuple[MessageLink, int], _RelayedQuery] = {}
+        #: The bytes that all queries in progress take.
+        self._held = 0
         self._alive_at = settings.clock.now()
         #: The costs that were last sent over each link.
         self._sent_costs: dict[MessageLink, Costs] = {}
@@ -153,14 +168,19 @@
     def forget(self, link: MessageLink) -> None:
         """Cancels the queries of a host whose link has closed."""
         self._sent_costs.pop(link, None)
-        for key, relayed in tuple(self._running.items()):
+        for relayed in tuple(self._running.values()):
             if relayed.link is link:
                 self._cancel(relayed, tuple(relayed.pending))
-                self._running.pop(key, None)
+                self._end(relayed)
 
     def _start(self, link: MessageLink, query: RelayQuery) -> None:
         relayed = _RelayedQuery(link, query, self._settings.clock.now())
+        is_repeated = (link, query.number) in self._running
+        if is_repeated or self._held + relayed.size > MAX_RELAYED_BYTES:
+            _refuse(link, query)
+            return
         self._running[(link, query.number)] = relayed
+        self._held += relayed.size
         for part, target_id in enumerate(query.targets):
             self._send_to_target(relayed, part, target_id)
         self._send_if_due(relayed)
@@ -274,7 +294,11 @@
         if relayed.failures or relayed.flushed or not relayed.pending:
             self._send(relayed)
         if not relayed.pending:
-            self._running.pop((relayed.link, relayed.query.number), None)
+            self._end(relayed)
+
+    def _end(self, relayed: _RelayedQuery) -> None:
+        if self._running.pop((relayed.link, relayed.query.number), None):
+            self._held -= relayed.size
 
     def _send(self, relayed: _RelayedQuery) -> None:
         if not (relayed.replies or relayed.failures):
--- a/packages/gateway/almonddock_gateway/tests/test_link_codec.py
+++ b/packages/gateway/almonddock_gateway/tests/test_link_codec.py
@@ -5,6 +5,8 @@
 from almonddock_core.framing import BadFrameError
 from almonddock_core.tests.mutations import run_module
 from almonddock_gateway.links import decode, encode
+from almonddock_gateway.links._columns import MAX_ENTRIES
+from almonddock_gateway.relays import RelayCancel
 from almonddock_gateway.tests.link_messages import MESSAGES, PACKED, main
 from almonddock_gateway.tests.relay_cases import make_query
 
@@ -35,6 +37,16 @@
                 with self.assertRaises(BadFrameError):
                     decode(encoded)
 
+    def test_long_lists_are_rejected(self) -> None:
+        """A query to a million targets held up all other requests."""
+        for message in (
+            make_query(*map(str, range(MAX_ENTRIES + 1))),
+            RelayCancel(1, (1,) * (MAX_ENTRIES + 1)),
+        ):
+            with self.subTest(message=type(message)):
+                with self.assertRaises(BadFrameError):
+                    decode(encode(message))
+
     def test_fields_that_share_their_bytes_are_rejected(self) -> None:
         """Many pointers to the same bytes made a short frame a long message."""
         query = make_query('t1')
--- a/packages/gateway/almonddock_gateway/tests/test_links.py
+++ b/packages/gateway/almonddock_gateway/tests/test_links.py
@@ -1,5 +1,6 @@
 """Tests of links and of choosing the hosts to link to."""
 
+import asyncio
 import os
 import unittest
 import zlib
@@ -83,6 +84,24 @@
         self.assertTrue(self.here_transport.closed)
         self.assertFalse(self.there_transport.closed)
 
+    async def test_many_messages_in_a_few_bytes_do_not_hold_the_loop(
+        self,
+    ) -> None:
+        """A read of 600 KB held 20 million messages, handled in one turn."""
+        count = 20_000
+        pings = add_length_prefix(encode(Ping(1))) * count
+        self.here.data_received(compress(pings))
+        self.assertTrue(self.here_transport.reading_paused)
+        answered = len(self.here_transport.written)
+        async with asyncio.timeout(10):
+            while self.here_transport.reading_paused:
+                await asyncio.sleep(0)
+        self.assertGreater(len(self.here_transport.written), 2 * answered)
+        reader = FrameReader()
+        expand = zlib.decompressobj(wbits=-13).decompress
+        replies = list(reader.feed(expand(self.here_transport.written)))
+        self.assertEqual(len(replies), count)
+
     async def test_closed_link_holds_nothing(self) -> None:
         """Many links that were closed in one turn kept what they had read."""
         part = MAX_FRAME_BYTES.to_bytes(4, 'big') + bytes(1_000_000)
--- a/packages/gateway/almonddock_gateway/tests/test_relays.py
+++ b/packages/gateway/almonddock_gateway/tests/test_relays.py
@@ -23,6 +23,7 @@
     RelayServer,
     RelaySettings,
 )
+from almonddock_gateway.relays._server import MAX_RELAYED_BYTES
 from almonddock_gateway.tests.fakes import NAMES, FakeLink
 from almonddock_gateway.tests.relay_cases import (
     MS,
@@ -54,6 +55,23 @@
     def get_replies(self) -> list[RelayReply]:
         return [one for one in self.link.sent if isinstance(one, RelayReply)]
 
+    async def test_queries_beyond_the_bound_are_refused(self) -> None:
+        """Queries in progress took memory that nothing bounded."""
+        query = make_query('t0', 't1')
+        large = replace(query, body=bytes(MAX_RELAYED_BYTES // 3))
+        self.server.receive(self.link, large)
+        self.assertEqual(self.get_replies(), [])
+        for number in (query.number, query.number + 1):
+            self.server.receive(self.link, replace(large, number=number))
+            refusal = self.get_replies()[-1]
+            failures = ((0, PartFailure.UNSENT), (1, PartFailure.UNSENT))
+            self.assertEqual(refusal.number, number)
+            self.assertEqual(refusal.failures, failures)
+        self.assertEqual(len(self.pool.attempts), 2)
+        self.server.forget(self.link)
+        self.server.receive(self.link, large)
+        self.assertEqual(len(self.pool.attempts), 4)
+
     async def test_replies_are_merged_into_one_message(self) -> None:
         self.start('t0', 't1', 't2')
         for number, letter in enumerate((b'a', b'c', b'b')):
--- a/packages/gateway/almonddock_gateway/tests/test_watchers.py
+++ b/packages/gateway/almonddock_gateway/tests/test_watchers.py
@@ -13,6 +13,10 @@
     StoreReply,
     StoreServer,
 )
+from almonddock_gateway.relays._fallback_store import (
+    MAX_DIRECT_READS,
+    MAX_QUERIES_A_LINK,
+)
 from almonddock_gateway.store import (
     HistoryLostError,
     StoreView,
@@ -95,6 +99,35 @@
         self.cache.apply_changes(StoreView(TWO.items, 7), ())
         self.assertEqual(await asked, StoreView(TWO.items, 7))
 
+    async def test_queries_of_one_host_are_bounded(self) -> None:
+        """Queries that waited for years took memory and descriptors."""
+        link = FakeLink()
+        server = StoreServer(self.store, self.cache)
+        for number in range(MAX_QUERIES_A_LINK + 1):
+            query = StoreQuery(number, '', 5, timedelta(days=10_000))
+            server.receive(link, query)
+        lost = StoreReply(
+            MAX_QUERIES_A_LINK, StoreOutcome.LOST, StoreView((), 0)
+        )
+        self.assertEqual(link.sent, [lost])
+        tasks = server._tasks[link]
+        server.forget(link)
+        await self.settle(lambda: not tasks)
+        self.assertEqual(link.sent, [lost])
+
+    async def test_queries_passed_on_to_the_store_are_bounded(self) -> None:
+        """Each took a connection, until no descriptor was left."""
+        self.fresh = False
+        self.store = ScriptedStore()
+        server = StoreServer(self.store, self.cache)
+        for _ in range(MAX_DIRECT_READS + 1):
+            link = FakeLink()
+            server.receive(link, StoreQuery(1, '', None, timedelta()))
+        await self.settle(lambda: bool(link.sent))
+        lost = StoreReply(1, StoreOutcome.LOST, StoreView((), 0))
+        self.assertEqual(link.sent, [lost])
+        self.assertEqual(len(self.store.calls), MAX_DIRECT_READS)
+
     async def test_cache_that_is_not_fresh_is_not_served(self) -> None:
         """Two hosts without the store could serve each other stale data."""
         self.fresh = False
