Keep descriptors free for targets, the store and readiness

4,500 callers that connected and sent nothing to a host with 3,900 descriptors kept its readiness address from answering for 5 s, the end of the trial's wait, and an honest caller waited 3.5 s. The balancer takes a host out after two such misses.

Cause: connections were accepted until no descriptor was left, and after a failed accept the event loop leaves a port alone for a second. Dials to targets and the store need descriptors too.

The tests need the new class and setting, which the code before does not have.

Ruled out: an end of the process, or memory (58 and 45 MB); the host recovered after the idle timeout.

Callers have at most half of the sockets that the platform states, or the system allows. The connection that is idle longest is closed for a new one, and a new one is refused with 503 if none is idle. Readiness and metrics have 64 of their own.

--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -191,6 +191,7 @@
             self._stopping.is_set,
             self._clock,
             self.telemetry,
+            settings.max_sockets,
         )
         self._readiness = self._build_readiness()
         self._links = HostLinks(
--- a/packages/gateway/almonddock_gateway/http/__init__.py
+++ b/packages/gateway/almonddock_gateway/http/__init__.py
@@ -10,6 +10,7 @@
     HttpReply,
     ReplyMatch,
 )
+from almonddock_gateway.http._connection_limit import ConnectionLimit
 from almonddock_gateway.http._messages import (
     Headers,
     drop_hop_by_hop_headers,
@@ -24,6 +25,7 @@
     'CallerConnection',
     'CallerRequest',
     'ClientConnection',
+    'ConnectionLimit',
     'ConnectionSettings',
     'Exchange',
     'Headers',
--- a/packages/gateway/almonddock_gateway/serving.py
+++ b/packages/gateway/almonddock_gateway/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 
 from almonddock_core.model import Clock
@@ -9,6 +10,7 @@
 from almonddock_gateway.http import (
     CallerConnection,
     CallerRequest,
+    ConnectionLimit,
     ConnectionSettings,
     Exchange,
     ReplyMemory,
@@ -34,6 +36,11 @@
 #: be answered while callers take all of theirs.
 ADMIN_REQUEST_BYTES = 0x100000
 ADMIN_ANSWER_BYTES = 0x400000
+ADMIN_CONNECTIONS = 64
+
+#: The share of the host's sockets that callers may take; the others are for
+#: targets, other hosts and the store.
+CALLER_SOCKET_SHARE = 0.5
 
 #: Common limits of HTTP servers, until the configuration is known.
 START_HEADER_BYTES = 16_384
@@ -50,6 +57,15 @@
 Handle = Callable[[CallerRequest, CallerConnection], Exchange | None]
 
 
+@dataclass(frozen=True, slots=True)
+class _Bounds:
+    """What the connections of one kind take at most, all together."""
+
+    connections: ConnectionLimit
+    requests: RequestMemory
+    answers: ReplyMemory
+
+
 class CallerServers:
     """Listens for callers, readiness checks and metrics scrapes."""
 
@@ -59,15 +75,27 @@
         is_stopping: Callable[[], bool],
         clock: Clock,
         telemetry: Telemetry,
+        max_sockets: int,
     ) -> None:
+        """Listens nowhere yet.
+
+        ``max_sockets`` is how many sockets the process may open, for whatever
+        purpose.
+        """
         self._telemetry = telemetry
         self._get_limits = get_limits
         self._is_stopping = is_stopping
         self._clock = clock
-        self._requests = RequestMemory(clock, CALLER_REQUEST_BYTES)
-        self._answers = ReplyMemory(CALLER_ANSWER_BYTES)
-        self._admin_requests = RequestMemory(clock, ADMIN_REQUEST_BYTES)
-        self._admin_answers = ReplyMemory(ADMIN_ANSWER_BYTES)
+        self._for_callers = _Bounds(
+            ConnectionLimit(max(1, round(max_sockets * CALLER_SOCKET_SHARE))),
+            RequestMemory(clock, CALLER_REQUEST_BYTES),
+            ReplyMemory(CALLER_ANSWER_BYTES),
+        )
+        self._for_admin = _Bounds(
+            ConnectionLimit(ADMIN_CONNECTIONS),
+            RequestMemory(clock, ADMIN_REQUEST_BYTES),
+            ReplyMemory(ADMIN_ANSWER_BYTES),
+        )
         #: The refused requests and aborted answers that were logged.
         self._logged = 0, 0
         self._servers: dict[Address, asyncio.Server] = {}
@@ -85,8 +113,8 @@
     def count_held_bytes(self) -> dict[str, float]:
         """Returns the bytes held of callers' requests and unread answers."""
         return {
-            'request_bytes_held': self._requests.held,
-            'answer_bytes_held': self._answers.held,
+            'request_bytes_held': self._for_callers.requests.held,
+            'answer_bytes_held': self._for_callers.answers.held,
         }
 
     async def listen(
@@ -99,15 +127,25 @@
         process, or a connection, may still hold the port, so it tries again
         until the address is free.
         """
+        bounds = self._for_admin if admin else self._for_callers
+
+        def count(connection: CallerConnection) -> None:
+            self._connections.add(connection)
+            bounds.connections.add(connection)
+
+        def forget(connection: CallerConnection) -> None:
+            self._connections.discard(connection)
+            bounds.connections.discard(connection)
+
         shared = ConnectionSettings(
             handle=handle,
             get_limits=self._get_limits,
             is_stopping=self._is_stopping,
-            opened=self._connections.add,
-            closed=self._connections.discard,
+            opened=count,
+            closed=forget,
             clock=self._clock,
-            requests=self._admin_requests if admin else self._requests,
-            answers=self._admin_answers if admin else self._answers,
+            requests=bounds.requests,
+            answers=bounds.answers,
         )
         fault = await self._try_to_listen(address, shared)
         if fault is None:
@@ -138,8 +176,9 @@
 
     def _log_refusals(self) -> None:
         """Logs what was refused or aborted for memory since the last call."""
-        refused = self._requests.refused + self._admin_requests.refused
-        aborted = self._answers.aborted + self._admin_answers.aborted
+        kinds = self._for_callers, self._for_admin
+        refused = sum(bounds.requests.refused for bounds in kinds)
+        aborted = sum(bounds.answers.aborted for bounds in kinds)
         if (refused, aborted) == self._logged:
             return
         logged_refused, logged_aborted = self._logged
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -1,11 +1,17 @@
 """The settings that an adapter passes to the gateway."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
+from resource import RLIMIT_NOFILE, getrlimit
 
 from almonddock_core.dispatch import BudgetLimits
 
 
+def get_descriptor_limit() -> int:
+    """Returns how many descriptors the system lets this process open."""
+    return getrlimit(RLIMIT_NOFILE)[0]
+
+
 @dataclass(frozen=True, slots=True)
 class Address:
     """An IP address and a port."""
@@ -84,3 +90,5 @@
     max_propagation_time: timedelta
     #: The time from SIGTERM until the process is killed.
     shutdown_time: timedelta
+    #: How many sockets the process may open.
+    max_sockets: int = field(default_factory=get_descriptor_limit)
--- a/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
@@ -11,6 +11,7 @@
 from almonddock_gateway.http import (
     CallerConnection,
     CallerRequest,
+    ConnectionLimit,
     ConnectionSettings,
     Exchange,
     ReplyMemory,
@@ -411,6 +412,39 @@
         self.assertLessEqual(sum(unread), MAX_ANSWER_BYTES)
         self.assertGreater(sum(unread), MAX_ANSWER_BYTES // 2)
 
+    async def test_idle_callers_leave_descriptors_for_others(self) -> None:
+        """Idle connections took all, and readiness was not answered."""
+        limit = ConnectionLimit(3)
+        self.settings = replace(self.settings, opened=limit.add)
+        transports = [FakeTransport() for _ in range(6)]
+        for number, transport in enumerate(transports):
+            self.clock.advance(timedelta(seconds=1))
+            connection = self.connect(transport)
+            if number == 0:
+                connection.data_received(GET)
+        self.assertEqual(
+            [transport.closed for transport in transports],
+            [False, True, True, True, False, False],
+        )
+
+    async def test_caller_is_refused_when_no_connection_is_idle(self) -> None:
+        limit = ConnectionLimit(1)
+        self.settings = replace(
+            self.settings, opened=limit.add, closed=limit.discard
+        )
+        first = self.connect(FakeTransport())
+        first.data_received(GET)
+        self.connection = self.connect(self.transport)
+        self.assertEqual(self.read_statuses(), [503])
+        self.assertTrue(self.transport.ended)
+        self.connection.data_received(GET)
+        self.assertEqual(len(self.requests), 1)
+        for ended in (self.connection, first):
+            ended.connection_lost(None)
+        self.transport = FakeTransport()
+        self.connect(self.transport).data_received(GET)
+        self.assertEqual(len(self.requests), 2)
+
     async def test_head_gets_no_body(self) -> None:
         self.connection.data_received(GET.replace(b'GET', b'HEAD'))
         self.connection.send(200, (), b'body')
