Log the rest of a target only if it asks for one

Cause: the end of no rest is now, which is later than the end of the last rest. Serving was not affected. Evidence: the test failed before with two lines for replies with 200 and 503 and no Retry-After. Ruled out: targets that rest; the stand-in sends no such header.

A rest of zero is passed over.

--- a/packages/gateway/almonddock_gateway/targets/_availability.py
+++ b/packages/gateway/almonddock_gateway/targets/_availability.py
@@ -39,7 +39,7 @@
             )
         rest = read_rest(reply)
         now = clock.now()
-        if now + rest > target.rests_until:
+        if rest and now + rest > target.rests_until:
             target.rests_until = now + rest
             telemetry.log_event(
                 'target_rests',
--- a/packages/gateway/almonddock_gateway/tests/test_availability.py
+++ b/packages/gateway/almonddock_gateway/tests/test_availability.py
@@ -1,12 +1,14 @@
 """Tests of what replies say of a target's will to take requests."""
 
 from datetime import timedelta
+from unittest import mock
 
 from almonddock_core.model import ManualClock
 from almonddock_core.routing import KnownTarget, TargetTable
 from almonddock_core.tests.dispatch_cases import make_entry
 from almonddock_gateway.http import HttpReply
 from almonddock_gateway.targets import build_observer
+from almonddock_gateway.telemetry import Telemetry
 from almonddock_gateway.tests.fakes import NAMES
 from almonddock_gateway.tests.store_cases import StoreCase
 
@@ -63,6 +65,16 @@
                 self.clock.advance(timedelta(milliseconds=2))
                 self.assertTrue(self.is_usable())
 
+    async def test_reply_without_a_rest_is_not_logged(self) -> None:
+        """Each reply wrote a line, and lines of changes were left out."""
+        with mock.patch.object(Telemetry, 'log_event') as log_event:
+            for status in (200, 503):
+                self.clock.advance(SECOND)
+                self.receive(status)
+            log_event.assert_not_called()
+            self.receive(503, retry_after='2')
+            log_event.assert_called_once()
+
     async def test_rest_that_cannot_be_read_is_none(self) -> None:
         for status, stated in (
             (503, 'soon'),
