Close stalled callers for new ones, and leave callers more sockets

Cause: only idle connections made room for new ones, and -1 was taken as the lowest limit. Now any connection that is not being served can, the idle ones first, then the one of which nothing has arrived for longest. Callers may take three quarters of the sockets: the rest is enough for the connections to targets that a host of the smallest machine may open, 770 of 3,900.

--- a/packages/gateway/almonddock_gateway/http/_connection_limit.py
+++ b/packages/gateway/almonddock_gateway/http/_connection_limit.py
@@ -9,8 +9,10 @@
 class ConnectionLimit:
     """Keeps descriptors free for what else a host opens.
 
-    At the bound the connection that is idle longest is closed for a new one.
-    If none is idle, the new one is refused.
+    At the bound a connection that is not being served is closed for a new one:
+    the one that is idle longest, or the one that has sent nothing for the
+    longest time if none is idle. If all are being served, the new one is
+    refused.
     """
 
     def __init__(self, max_connections: int) -> None:
@@ -20,12 +22,12 @@
     def add(self, connection: CallerConnection) -> None:
         """Counts a new connection, and makes room for it."""
         if len(self._open) >= self._max_connections:
-            idlest = _find_idlest(self._open)
-            if idlest is None:
+            replaced = _find_least_used(self._open)
+            if replaced is None:
                 connection.refuse()
             else:
-                self._open.discard(idlest)
-                idlest.close_if_idle()
+                self._open.discard(replaced)
+                _close(replaced)
         self._open.add(connection)
 
     def discard(self, connection: CallerConnection) -> None:
@@ -33,12 +35,21 @@
         self._open.discard(connection)
 
 
-def _find_idlest(
+def _close(connection: CallerConnection) -> None:
+    if connection.idle:
+        connection.close_if_idle()
+    else:
+        connection.refuse()
+
+
+def _find_least_used(
     connections: Iterable[CallerConnection],
 ) -> CallerConnection | None:
-    idle = (connection for connection in connections if connection.idle)
-    return min(idle, key=_get_start, default=None)
+    unused = (one for one in connections if not one.serving)
+    return min(unused, key=_rank, default=None)
 
 
-def _get_start(connection: CallerConnection) -> timedelta:
-    return connection.since
+def _rank(connection: CallerConnection) -> tuple[bool, timedelta]:
+    if connection.idle:
+        return False, connection.since
+    return True, connection.progress_at
--- a/packages/gateway/almonddock_gateway/serving.py
+++ b/packages/gateway/almonddock_gateway/serving.py
@@ -40,7 +40,7 @@
 
 #: The share of the host's sockets that callers may take; the others are for
 #: targets, other hosts and the store.
-CALLER_SOCKET_SHARE = 0.5
+CALLER_SOCKET_SHARE = 0.75
 
 #: Common limits of HTTP servers, until the configuration is known.
 START_HEADER_BYTES = 16_384
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -1,15 +1,17 @@
 """The settings that an adapter passes to the gateway."""
 
+import sys
 from dataclasses import dataclass, field
 from datetime import timedelta
-from resource import RLIMIT_NOFILE, getrlimit
+from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit
 
 from almonddock_core.dispatch import BudgetLimits
 
 
 def get_descriptor_limit() -> int:
     """Returns how many descriptors the system lets this process open."""
-    return getrlimit(RLIMIT_NOFILE)[0]
+    limit = getrlimit(RLIMIT_NOFILE)[0]
+    return sys.maxsize if limit == RLIM_INFINITY else limit
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
@@ -427,6 +427,19 @@
             [False, True, True, True, False, False],
         )
 
+    async def test_incomplete_heads_do_not_keep_others_out(self) -> None:
+        """64 of them made readiness answer 503."""
+        limit = ConnectionLimit(3)
+        self.settings = replace(self.settings, opened=limit.add)
+        transports = [FakeTransport() for _ in range(4)]
+        for transport in transports:
+            self.clock.advance(timedelta(seconds=1))
+            self.connect(transport).data_received(GET[:20])
+        self.assertEqual(
+            [transport.ended for transport in transports],
+            [True, False, False, False],
+        )
+
     async def test_caller_is_refused_when_no_connection_is_idle(self) -> None:
         limit = ConnectionLimit(1)
         self.settings = replace(
