Unpack messages of almonddockd with checked bounds

Links between daemons are not compressed, and packing keeps control within its bytes a second, so the encoding stays as it is. It is unpacked by code that checks bounds, stops at the length limit of frames, and hands an array to the native decoder. Each word is read once, and pointers nest five deep.

--- a/packages/wire/almonddock_wire/_codec.py
+++ b/packages/wire/almonddock_wire/_codec.py
@@ -63,6 +63,7 @@
     SubQueryBatch,
     SubReplyBatch,
 )
+from almonddock_wire._packing import WORD_BYTES, unpack
 from almonddock_wire._schema import FRAME
 from almonddock_wire._sub_queries import (
     read_cancel,
@@ -145,6 +146,9 @@
 )
 
 
+#: The deepest pointers: frame, message, list, item, text.
+MAX_NESTING = 5
+
 #: Errors that malformed bytes raise: bad pointers, invalid text, unknown codes.
 _DECODING_ERRORS = (
     capnp.KjException,
@@ -184,6 +188,13 @@
 
 
 def _decode_frame(encoded: bytes, now: timedelta) -> Message:
-    frame = FRAME.from_bytes_packed(encoded)
-    kind = str(frame.which())
-    return _READERS[kind](getattr(frame, kind), now)
+    words = unpack(encoded)
+    opened = FRAME.from_bytes(
+        words,
+        # Each word may be read once, so lists that overlap are rejected.
+        traversal_limit_in_words=len(words) // WORD_BYTES,
+        nesting_limit=MAX_NESTING,
+    )
+    with opened as frame:
+        kind = str(frame.which())
+        return _READERS[kind](getattr(frame, kind), now)
