Lower the bounds so that all together fit the smallest machine

Cause: the buffer of an unread answer keeps the part that was read until half of it has been (a bytearray of 10,000,000 bytes still takes as many with 5,100,000 left, checked in a trial), and a whole reply is copied as it is passed on. That the rest is what the allocator keeps is only suspected.

Ruled out: a sum above its bound; caller_memory_full in the log shows both of callers at their bounds.

--- a/packages/gateway/almonddock_gateway/http/_reply_memory.py
+++ b/packages/gateway/almonddock_gateway/http/_reply_memory.py
@@ -5,7 +5,7 @@
 from almonddock_core.framing import MAX_REPLY_BYTES
 
 #: The most bytes of incomplete replies on all connections together.
-MAX_HELD_BYTES = 0x3000000
+MAX_HELD_BYTES = 0x2000000
 
 
 class ReplyHolder(Protocol):
--- a/packages/gateway/almonddock_gateway/http/_request_memory.py
+++ b/packages/gateway/almonddock_gateway/http/_request_memory.py
@@ -6,7 +6,7 @@
 from almonddock_core.model import Clock
 
 #: The most bytes that all requests take together, unless set otherwise.
-MAX_REQUEST_BYTES = 0x2000000
+MAX_REQUEST_BYTES = 0x1800000
 
 #: A request of which nothing has arrived for this long counts as stalled.
 STALL = timedelta(seconds=1)
--- a/packages/gateway/almonddock_gateway/serving.py
+++ b/packages/gateway/almonddock_gateway/serving.py
@@ -29,8 +29,8 @@
 #: The most bytes of the requests of callers, and of the answers that they have
 #: not read. The sums of all bounds fit the smallest machine (300 MB); see
 #: docs/incidents/029-bodies-of-many-callers.md.
-CALLER_REQUEST_BYTES = 0x2000000
-CALLER_ANSWER_BYTES = 0x2000000
+CALLER_REQUEST_BYTES = 0x1800000
+CALLER_ANSWER_BYTES = 0x1800000
 
 #: The same for readiness checks and metrics scrapes, which need little and must
 #: be answered while callers take all of theirs.
