Take no sample of readiness while the soak itself is held up

A round of readiness checks ends after half a second.

A round that takes longer than its checks can take is no sample now. A host that stays unready is found in the next one.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -28,6 +28,10 @@
 #: The timeout of one readiness check, in seconds.
 READINESS_TIMEOUT_S = 0.5
 
+#: The longest time that a round of readiness checks takes unless the soak
+#: itself is delayed.
+MAX_ROUND = timedelta(seconds=READINESS_TIMEOUT_S + 0.1)
+
 #: The timeout for opening a connection, in seconds.
 DIAL_TIMEOUT_S = 1.0
 
@@ -206,19 +210,27 @@
     async def run(self) -> None:
         """Checks the readiness of all hosts until cancelled."""
         while True:
-            await asyncio.gather(
-                *(
-                    self._check_readiness(endpoint)
-                    for endpoint in self.endpoints
-                )
-            )
-            now = self._now()
-            self.samples.extend(
-                ReadinessSample(one.number, now, one.misses < READINESS_MISSES)
-                for one in self.endpoints
-            )
+            await self.check_all()
             await asyncio.sleep(READINESS_PAUSE_S)
 
+    async def check_all(self) -> None:
+        """Checks the readiness of all hosts once.
+
+        A round that took longer than its checks can take shows a delay of the
+        soak itself, and is no sample.
+        """
+        start = self._now()
+        await asyncio.gather(
+            *(self._check_readiness(endpoint) for endpoint in self.endpoints)
+        )
+        now = self._now()
+        if now - start > MAX_ROUND:
+            return
+        self.samples.extend(
+            ReadinessSample(one.number, now, one.misses < READINESS_MISSES)
+            for one in self.endpoints
+        )
+
     async def _check_readiness(self, endpoint: HostEndpoint) -> None:
         draft = RequestDraft(READINESS_PATH, 'ready', 1)
         connection: CallerConnection | None = None
