End a connection whose client left while it was dialled, in the soak

The proxy opened the connection to the server for a client that had gone meanwhile, and nothing ended it any more.

The new test timed out before: the server's side of such a connection stayed open.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -81,6 +81,11 @@
             return
         self._proxy.accept(self)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether this end has not been lost."""
+        return self._transport is not None
+
     def attach_peer(self, peer: '_Side') -> None:
         """Sets the other end, and forwards what was received before."""
         self.peer = peer
@@ -247,6 +252,10 @@
             # The server is not listening, so the client is refused too.
             side.reset()
             return
+        if not side.is_open:
+            # The client has left meanwhile, and nothing would end the rest.
+            server.close()
+            return
         self._sides.add(server)
         server.attach_peer(side)
         side.attach_peer(server)
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -1,6 +1,7 @@
 """The proxy applies each impairment to the connections through it."""
 
 import asyncio
+import socket
 import unittest
 
 from almonddock_gateway.settings import Address
@@ -110,6 +111,29 @@
             with self.assertRaises(TimeoutError):
                 await asyncio.wait_for(self.ask(impairment), SILENCE_S)
 
+    async def test_connection_that_ends_during_the_dial_ends_at_the_server(
+        self,
+    ) -> None:
+        """Connections to servers leaked until there were no descriptors."""
+        ended = asyncio.Event()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.read()
+            writer.close()
+            ended.set()
+
+        server = await asyncio.start_server(serve, LOOPBACK, 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        proxy = Proxy(Address(LOOPBACK, port))
+        self.addCleanup(proxy.close)
+        address = await proxy.start(LOOPBACK)
+        socket.create_connection((address.host, address.port)).close()
+        async with asyncio.timeout(TIMEOUT_S):
+            await ended.wait()
+
     async def test_refused_and_reset_connections_end(self) -> None:
         self.proxy.impairment = PathImpairment(refused=True)
         with self.assertRaises((OSError, asyncio.IncompleteReadError)):
