--- a/soak/regressions.py
+++ b/soak/regressions.py
@@ -23,6 +23,7 @@
     seconds: float = 20
     #: Names of the kinds of faults that are drawn; empty for all.
     kinds: Sequence[str] = ()
+    hosts: int = 4
 
     def make_settings(self) -> SoakSettings:
         """Returns the settings of the run."""
@@ -31,6 +32,7 @@
             fault_rate=self.rate,
             fault_time=timedelta(seconds=self.seconds),
             kinds=tuple(self.kinds),
+            hosts=self.hosts,
         )
 
 
