--- a/packages/wire/almonddock_wire/tests/test_codec.py
+++ b/packages/wire/almonddock_wire/tests/test_codec.py
@@ -146,7 +146,7 @@
             timedelta(seconds=5, milliseconds=250),
         )
 
-    @settings(derandomize=True, max_examples=300)
+    @settings(derandomize=True, max_examples=300, deadline=None)
     @given(st.binary(max_size=200))
     def test_garbage_raises_only_bad_frame(self, garbage: bytes) -> None:
         try:
@@ -154,7 +154,7 @@
         except BadFrameError as error:
             self.assertEqual(error.code, 'bad_frame')
 
-    @settings(derandomize=True, max_examples=300)
+    @settings(derandomize=True, max_examples=300, deadline=None)
     @given(st.data())
     def test_damaged_frames_raise_only_bad_frame(
         self, data: st.DataObject
@@ -169,7 +169,7 @@
 
 
 class FramingTest(unittest.TestCase):
-    @settings(derandomize=True, max_examples=50)
+    @settings(derandomize=True, max_examples=50, deadline=None)
     @given(st.integers(1, 40))
     def test_frames_are_found_in_chunks_of_any_size(self, step: int) -> None:
         frames = [b'', b'one', b'twotwo' * 9]
