--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -39,7 +39,7 @@
 REQUEST_TIMEOUT = 408
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
-#: The Retry-After of a host whose memory for requests is full; other hosts have
+#: The Retry-After of a host without memory or sockets left; other hosts have
 #: room.
 FULL_RETRY_AFTER = b'0.1'
 
@@ -209,7 +209,7 @@
             self.reject(BAD_REQUEST)
 
     def refuse(self) -> None:
-        """Refuses the requests that are not served, for lack of memory."""
+        """Refuses what is not being served, for lack of memory or sockets."""
         self.reject(UNAVAILABLE, ((b'retry-after', FULL_RETRY_AFTER),))
 
     def reject(self, status: int, headers: Headers = ()) -> None:
