Take each step of a stop whatever became of the others

Cause: the steps of a stop ran as one piece of work, so the first error left out the later ones, also those that answer callers.

Why it works: each step runs in a guard that logs its error; a request whose end fails is answered with 502, which promises nothing.

--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -10,7 +10,11 @@
     DispatchedRequest,
 )
 from almonddock_core.routing import Route, RoutingTable, WeightedRotation
-from almonddock_gateway.entry._answers import UNAVAILABLE, build_answer
+from almonddock_gateway.entry._answers import (
+    BAD_GATEWAY,
+    UNAVAILABLE,
+    build_answer,
+)
 from almonddock_gateway.entry._exchange import (
     ExchangeSettings,
     TargetExchange,
@@ -86,7 +90,7 @@
         self._context = context
         self._settings = settings
         self._telemetry = telemetry
-        self._exchanges: set[TargetExchange] = set()
+        self._exchanges: dict[TargetExchange, CallerConnection] = {}
 
     @property
     def running(self) -> int:
@@ -94,9 +98,19 @@
         return len(self._exchanges)
 
     def give_up(self) -> None:
-        """Answers all requests in progress, because the process ends."""
-        for exchange in tuple(self._exchanges):
-            exchange.give_up()
+        """Answers all requests in progress, because the process ends.
+
+        After an unexpected error, whether a request has run is not known.
+        """
+        for exchange, connection in tuple(self._exchanges.items()):
+            try:
+                exchange.give_up()
+            except Exception as fault:
+                self._telemetry.log_event(
+                    'request_not_given_up', reason=repr(fault)
+                )
+                self._exchanges.pop(exchange, None)
+                connection.send(BAD_GATEWAY, (), b'')
 
     def handle(
         self,
@@ -137,7 +151,7 @@
         )
 
         def finish(exchange: TargetExchange, answer: Answer | None) -> None:
-            self._exchanges.discard(exchange)
+            self._exchanges.pop(exchange, None)
             version = table.version
             status = 0
             if answer is not None:
@@ -147,7 +161,7 @@
             self._telemetry.log_finished(exchange, status, version)
 
         exchange = TargetExchange(dispatch, outgoing, self._settings, finish)
-        self._exchanges.add(exchange)
+        self._exchanges[exchange] = connection
         exchange.start()
         return exchange
 
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -38,6 +38,7 @@
 from almonddock_gateway.shutdown import ShutdownSteps, finish_requests
 from almonddock_gateway.store import Store
 from almonddock_gateway.supervision import (
+    guard,
     keep_running,
     log_unexpected_errors,
     run_once,
@@ -421,11 +422,20 @@
             self._links.announce_stop()
 
         await run_once('announcing the stop', announce, self.telemetry)
+        telemetry = self.telemetry
         steps = ShutdownSteps(
-            close_idle=self._servers.close_idle,
+            close_idle=guard(
+                'closing idle connections',
+                self._servers.close_idle,
+                telemetry,
+            ),
             refuse_new=self._state.refuse_new,
-            withdraw_waiting=self._pools.withdraw_waiting,
-            give_up=self._entry.give_up,
+            withdraw_waiting=guard(
+                'withdrawing waiting attempts',
+                self._pools.withdraw_waiting,
+                telemetry,
+            ),
+            give_up=guard('giving requests up', self._entry.give_up, telemetry),
             is_busy=self._is_busy,
         )
         await run_once(
--- a/packages/gateway/almonddock_gateway/shutdown.py
+++ b/packages/gateway/almonddock_gateway/shutdown.py
@@ -37,7 +37,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ShutdownSteps:
-    """The actions of a shutdown in their order, and its condition."""
+    """The actions of a shutdown in their order, and its condition.
+
+    An error in one of them would keep the later ones from being taken, so
+    none may raise.
+    """
 
     close_idle: Callable[[], None]
     refuse_new: Callable[[], None]
--- a/packages/gateway/almonddock_gateway/supervision.py
+++ b/packages/gateway/almonddock_gateway/supervision.py
@@ -58,6 +58,20 @@
     return True
 
 
+def guard(
+    name: str, step: Callable[[], None], telemetry: Telemetry
+) -> Callable[[], None]:
+    """Returns a step that logs its unexpected errors and raises none."""
+
+    def run_guarded() -> None:
+        try:
+            step()
+        except Exception as fault:
+            telemetry.log_event('step_failed', step=name, reason=repr(fault))
+
+    return run_guarded
+
+
 def log_unexpected_errors(
     loop: asyncio.AbstractEventLoop, telemetry: Telemetry
 ) -> None:
