Decode organisations, their keys and quotas

Cause: the configuration of some deployments holds organisations whose callers prove themselves with keys; nothing reads them. Nothing acts on them yet, and a configuration without them is decoded as before.

--- a/packages/core/almonddock_core/dispatch/_requests.py
+++ b/packages/core/almonddock_core/dispatch/_requests.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from almonddock_core.routing import Route
+from almonddock_core.routing import Caller, Organisation, Route
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,6 +20,13 @@
     arrived: timedelta
     #: When the caller stops waiting.
     deadline: timedelta
+    #: The organisation of the caller; None if callers need no keys.
+    organisation: Organisation | None = None
+
+    @property
+    def priority(self) -> int:
+        """The rank among requests that wait; 0 is the most urgent."""
+        return Caller(self.route, self.organisation).priority
 
 
 class ReplyKind(enum.Enum):
--- a/packages/core/almonddock_core/routing/__init__.py
+++ b/packages/core/almonddock_core/routing/__init__.py
@@ -8,6 +8,19 @@
     usable = targets.list_usable('parts-desk-01', now)
 """
 
+from almonddock_core.routing._callers import (
+    Admit,
+    Caller,
+    Rejected,
+    RejectionReason,
+)
+from almonddock_core.routing._organisations import (
+    Organisation,
+    OrganisationTable,
+    Quota,
+    build_organisation_table,
+    digest_key,
+)
 from almonddock_core.routing._reports import CostReports, Costs
 from almonddock_core.routing._routes import (
     CallerLimits,
@@ -27,10 +40,17 @@
 )
 
 __all__ = [
+    'Admit',
+    'Caller',
     'CallerLimits',
     'CostReports',
     'Costs',
     'KnownTarget',
+    'Organisation',
+    'OrganisationTable',
+    'Quota',
+    'Rejected',
+    'RejectionReason',
     'Route',
     'RoutingTable',
     'Service',
@@ -40,5 +60,7 @@
     'TargetTable',
     'WeightedRotation',
     'WeightedService',
+    'build_organisation_table',
     'build_routing_table',
+    'digest_key',
 ]
--- a/packages/core/almonddock_core/routing/_routes.py
+++ b/packages/core/almonddock_core/routing/_routes.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from almonddock_core.routing._organisations import OrganisationTable
+
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
@@ -73,6 +75,8 @@
     top_records: int = 0
     #: The smallest share of the shards that must answer.
     min_share: float = 1
+    #: Whether callers need no key where the configuration has organisations.
+    public: bool = False
 
     def list_services(self) -> tuple[str, ...]:
         """Returns every service that a request may go to."""
@@ -90,6 +94,8 @@
     routes: Mapping[str, Mapping[str, Route]]
     #: The names of the routes that lead to each service.
     routes_to: Mapping[str, tuple[str, ...]]
+    #: None if callers need no keys.
+    organisations: OrganisationTable | None = None
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of the path.
@@ -112,6 +118,7 @@
     limits: CallerLimits,
     services: Iterable[Service],
     routes: Iterable[Route],
+    organisations: OrganisationTable | None = None,
 ) -> RoutingTable:
     """Builds the lookups of one version of the configuration."""
     by_host: dict[str, dict[str, Route]] = defaultdict(dict)
@@ -126,4 +133,5 @@
         services={service.name: service for service in services},
         routes=dict(by_host),
         routes_to={name: tuple(found) for name, found in routes_to.items()},
+        organisations=organisations,
     )
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -181,7 +181,7 @@
                 flush_after=flush_after,
                 top=dispatch.request.route.top_records,
                 threshold=threshold,
-                priority=dispatch.request.route.priority,
+                priority=dispatch.request.priority,
                 targets=tuple(send.target.entry.target_id for send in sends),
                 typical_latency=timedelta(seconds=dispatch.latency.seconds),
             ),
@@ -209,7 +209,7 @@
             receive=lambda reply: self._receive(number, reply),
             fail=lambda failure: self._fail(number, failure),
             fresh_only=not request.route.idempotent,
-            priority=request.route.priority,
+            priority=request.priority,
             without_body=self._outgoing.method == b'HEAD',
         )
         self._attempts[number] = (pool, attempt)
