Let callers in by their keys, and hide the keys from targets

Cause: where a configuration names organisations, callers' credentials were passed on to every target, unknown keys were let in, and targets got whatever organisation the caller named.

Change: the entry identifies the caller after its route (core/access). Targets get the organisation's name and no credentials, from the one place that makes a request's head. Reads are dated by their sending, also over links (viewAge), so that "since" can be told. Stored contents are no longer printed with their item.

--- a/packages/core/almonddock_core/news/__init__.py
+++ b/packages/core/almonddock_core/news/__init__.py
@@ -9,6 +9,7 @@
         changes = ask_a_watcher(after=revision)
 """
 
+from almonddock_core.news._freshness import Freshness
 from almonddock_core.news._log import ChangeLog, LoggedItem
 from almonddock_core.news._pauses import (
     PauseInputs,
@@ -24,6 +25,7 @@
 __all__ = [
     'WATCHERS_PER_DATA_CENTRE',
     'ChangeLog',
+    'Freshness',
     'LoggedItem',
     'PauseInputs',
     'ReadSource',
--- a/packages/gateway/almonddock_gateway/controllers/_configuration.py
+++ b/packages/gateway/almonddock_gateway/controllers/_configuration.py
@@ -30,6 +30,10 @@
         self._state = state
         self._context = context
         self._telemetry = telemetry
+        # The revision of the store with the last configuration read.
+        self._revision = 0
+        #: Whether that could be read.
+        self.is_readable = True
 
     def apply_snapshot(self, view: StoreView) -> None:
         """Applies the configuration and the drained data centres."""
@@ -77,10 +81,13 @@
     def _apply_configuration(self, item: StoreItem) -> None:
         if item.key != self._keys.configuration or item.content is None:
             return
+        if item.revision == self._revision:
+            return
         before = self._state.table
         try:
             table = self._decode(item.content)
         except AlmonddockError as fault:
+            self._note_read(item, is_readable=False)
             self._telemetry.log_event(
                 'configuration_unreadable',
                 store_revision=item.revision,
@@ -88,8 +95,17 @@
                 in_force=before.version if before else None,
             )
             return
-        if before is not None and table.version <= before.version:
-            return
+        if before is None or table.version > before.version:
+            self._put_in_force(table, item.revision)
+        self._note_read(item, is_readable=True)
+
+    def _note_read(self, item: StoreItem, *, is_readable: bool) -> None:
+        if item.revision >= self._revision:
+            self._revision = item.revision
+            self.is_readable = is_readable
+
+    def _put_in_force(self, table: RoutingTable, revision: int) -> None:
+        before = self._state.table
         self._state.table = table
         self._context.apply_configuration(table)
         self._telemetry.log_event(
@@ -97,5 +113,5 @@
             version=table.version,
             before=before.version if before else None,
             routes=sum(len(found) for found in table.routes.values()),
-            store_revision=item.revision,
+            store_revision=revision,
         )
--- a/packages/gateway/almonddock_gateway/entry/_answers.py
+++ b/packages/gateway/almonddock_gateway/entry/_answers.py
@@ -1,5 +1,8 @@
 """Builds the answers to callers."""
 
+from datetime import timedelta
+from types import MappingProxyType
+
 from almonddock_core.dispatch import (
     Answer,
     ForwardedAnswer,
@@ -10,17 +13,28 @@
     TargetReply,
     merge_replies,
 )
-from almonddock_core.routing import Route
+from almonddock_core.routing import Rejected, RejectionReason, Route
 from almonddock_gateway.http import Headers
 from almonddock_gateway.settings import HeaderNames
 
 OK = 200
+UNAUTHORIZED = 401
+TOO_MANY_REQUESTS = 429
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 
 #: A caller takes these as the promise that its request has not run.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, UNAVAILABLE))
+NOT_RUN_STATUSES = frozenset((408, 421, TOO_MANY_REQUESTS, UNAVAILABLE))
+
+#: What callers that are not let in get.
+REJECTION_STATUSES = MappingProxyType(
+    {
+        RejectionReason.UNKNOWN_KEY: UNAUTHORIZED,
+        RejectionReason.UNPROVEN_KEY: UNAVAILABLE,
+        RejectionReason.OVER_QUOTA: TOO_MANY_REQUESTS,
+    },
+)
 
 FIRST_SUCCESS = 200
 FIRST_AFTER_SUCCESS = 300
@@ -58,8 +72,7 @@
     """Returns the answer to a request that ended without a reply."""
     headers = []
     if refusal.retry_after is not None:
-        seconds = f'{refusal.retry_after.total_seconds():.3f}'
-        headers.append((b'retry-after', seconds.encode()))
+        headers.append(format_retry_after(refusal.retry_after))
     if refusal.not_run:
         return UNAVAILABLE, headers, b''
     if refusal.reason is RefusalReason.TIMED_OUT:
@@ -67,6 +80,22 @@
     return BAD_GATEWAY, headers, b''
 
 
+def build_rejection(rejected: Rejected, names: HeaderNames) -> RawAnswer:
+    """Returns the answer to a caller that is not let in."""
+    headers = []
+    if rejected.retry_after is not None:
+        headers.append(format_retry_after(rejected.retry_after))
+    status = REJECTION_STATUSES[rejected.reason]
+    if status == UNAUTHORIZED:
+        headers.append((b'www-authenticate', names.key_scheme))
+    return status, headers, b''
+
+
+def format_retry_after(delay: timedelta) -> tuple[bytes, bytes]:
+    """Returns the header that says when to retry."""
+    return b'retry-after', f'{delay.total_seconds():.3f}'.encode()
+
+
 def _build_merged(
     answer: MergedAnswer,
     route: Route,
--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -1,31 +1,44 @@
 """Accepts requests from callers and starts their dispatch."""
 
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
+from almonddock_core.access import UNPROVEN
 from almonddock_core.dispatch import (
     Answer,
     Dispatch,
     DispatchContext,
     DispatchedRequest,
 )
-from almonddock_core.routing import Route, RoutingTable, WeightedRotation
+from almonddock_core.routing import (
+    Caller,
+    Rejected,
+    Route,
+    RoutingTable,
+    WeightedRotation,
+)
+from almonddock_gateway.entry._access import CallerAccess
 from almonddock_gateway.entry._answers import (
     BAD_GATEWAY,
     UNAVAILABLE,
     build_answer,
+    build_rejection,
+    format_retry_after,
 )
 from almonddock_gateway.entry._exchange import (
     ExchangeSettings,
     TargetExchange,
     build_outgoing,
 )
+from almonddock_gateway.entry._key_checks import KeyChecks
 from almonddock_gateway.entry._requests import (
     Rejection,
+    RoutedRequest,
     format_head,
     route_request,
 )
-from almonddock_gateway.http import CallerConnection, CallerRequest
+from almonddock_gateway.http import CallerConnection, CallerRequest, Exchange
 from almonddock_gateway.telemetry import Telemetry
 
 #: The Retry-After of a host that has not read a configuration yet. The store
@@ -49,6 +62,16 @@
 STOPPING = Unavailability('the host stops', STOP_RETRY_AFTER)
 
 
+@dataclass(frozen=True, slots=True)
+class _Arrival:
+    """A request, and the connection that it is answered on."""
+
+    request: CallerRequest
+    connection: CallerConnection
+    #: When it arrived, if it has waited for a check of its key.
+    checked_since: timedelta | None = None
+
+
 @dataclass(slots=True)
 class EntryState:
     """The state that controllers publish and request handling reads."""
@@ -84,24 +107,40 @@
         state: EntryState,
         context: DispatchContext,
         settings: ExchangeSettings,
+        access: CallerAccess,
         telemetry: Telemetry,
+        check_configuration: Callable[[], Awaitable[None]],
     ) -> None:
+        """Starts without requests.
+
+        ``check_configuration`` reads the configuration in force again.
+        """
         self._state = state
         self._context = context
         self._settings = settings
+        self._access = access
         self._telemetry = telemetry
+        self._key_checks = KeyChecks(
+            check_configuration, settings.clock, telemetry
+        )
         self._exchanges: dict[TargetExchange, CallerConnection] = {}
 
     @property
     def running(self) -> int:
         """The number of requests in progress."""
-        return len(self._exchanges)
+        return len(self._exchanges) + self._key_checks.waiting
+
+    @property
+    def key_checks(self) -> int:
+        """How often the store was read because of unknown keys."""
+        return self._key_checks.count
 
     def give_up(self) -> None:
         """Answers all requests in progress, because the process ends.
 
         After an unexpected error, whether a request has run is not known.
         """
+        self._key_checks.resume_all()
         for exchange, connection in tuple(self._exchanges.items()):
             try:
                 exchange.give_up()
@@ -116,22 +155,44 @@
         self,
         request: CallerRequest,
         connection: CallerConnection,
-    ) -> TargetExchange | None:
+    ) -> Exchange | None:
         """Returns the started exchange, None if answered at once."""
-        names = self._settings.names
+        return self._handle(_Arrival(request, connection))
+
+    def _handle(self, arrival: _Arrival) -> Exchange | None:
+        request = arrival.request
         table = self._state.table
         if table is None:
-            self._send_unavailable(request, connection, NO_CONFIGURATION)
+            self._send_unavailable(arrival, NO_CONFIGURATION)
             return None
         if self._state.closing:
-            self._send_unavailable(request, connection, STOPPING)
+            self._send_unavailable(arrival, STOPPING)
             return None
+        names = self._settings.names
         routed = route_request(request, table, names)
         if isinstance(routed, Rejection):
             attempt_id = request.find(names.attempt_id) or b''
             self._telemetry.log_rejected(attempt_id, routed, table.version)
-            connection.send(routed.status, (), b'')
+            arrival.connection.send(routed.status, (), b'')
+            return None
+        caller = self._access.identify(
+            request, routed.route, table, checked_since=arrival.checked_since
+        )
+        if caller is None:
+            return self._wait_for_check(arrival, routed, table)
+        if isinstance(caller, Rejected):
+            self._reject(arrival, routed, caller, table)
             return None
+        return self._dispatch(arrival, routed, caller, table)
+
+    def _dispatch(
+        self,
+        arrival: _Arrival,
+        routed: RoutedRequest,
+        caller: Caller,
+        table: RoutingTable,
+    ) -> Exchange:
+        names = self._settings.names
         now = self._settings.clock.now()
         dispatch = Dispatch(
             DispatchedRequest(
@@ -140,13 +201,19 @@
                 services=self._state.pick_services(routed.route),
                 arrived=now,
                 deadline=now + routed.timeout,
+                organisation=caller.organisation,
             ),
             self._context,
         )
         attempt_id = routed.request_id.encode('latin-1')
         outgoing = build_outgoing(
-            request,
-            format_head(request, names),
+            arrival.request,
+            format_head(
+                arrival.request,
+                names,
+                keyed=table.organisations is not None,
+                organisation=caller.organisation,
+            ),
             attempt_id,
         )
 
@@ -157,21 +224,54 @@
             if answer is not None:
                 raw = build_answer(answer, routed.route, names)
                 status = raw[0]
-                connection.send(*raw)
+                arrival.connection.send(*raw)
             self._telemetry.log_finished(exchange, status, version)
 
         exchange = TargetExchange(dispatch, outgoing, self._settings, finish)
-        self._exchanges[exchange] = connection
+        self._exchanges[exchange] = arrival.connection
         exchange.start()
         return exchange
 
-    def _send_unavailable(
+    def _wait_for_check(
+        self, arrival: _Arrival, routed: RoutedRequest, table: RoutingTable
+    ) -> Exchange | None:
+        """Decides on the request again once the store has been read."""
+        checked = replace(arrival, checked_since=self._access.clock.now())
+
+        def start() -> Exchange | None:
+            try:
+                return self._handle(checked)
+            except Exception:
+                arrival.connection.send(BAD_GATEWAY, (), b'')
+                raise
+
+        waiting = self._key_checks.add(start)
+        if waiting is None:
+            self._reject(arrival, routed, UNPROVEN, table)
+        return waiting
+
+    def _reject(
         self,
-        request: CallerRequest,
-        connection: CallerConnection,
-        unavailability: Unavailability,
+        arrival: _Arrival,
+        routed: RoutedRequest,
+        rejected: Rejected,
+        table: RoutingTable,
     ) -> None:
-        attempt_id = request.find(self._settings.names.attempt_id) or b''
+        raw = build_rejection(rejected, self._settings.names)
+        self._telemetry.log_not_admitted(
+            routed,
+            rejected,
+            raw[0],
+            configuration=table.version,
+            configuration_age=self._access.describe_belief().age,
+        )
+        arrival.connection.send(*raw)
+
+    def _send_unavailable(
+        self, arrival: _Arrival, unavailability: Unavailability
+    ) -> None:
+        names = self._settings.names
+        attempt_id = arrival.request.find(names.attempt_id) or b''
         self._telemetry.log_unavailable(attempt_id, unavailability.reason)
-        seconds = f'{unavailability.retry_after.total_seconds():.3f}'.encode()
-        connection.send(UNAVAILABLE, ((b'retry-after', seconds),), b'')
+        retry_after = format_retry_after(unavailability.retry_after)
+        arrival.connection.send(UNAVAILABLE, (retry_after,), b'')
--- a/packages/gateway/almonddock_gateway/entry/_requests.py
+++ b/packages/gateway/almonddock_gateway/entry/_requests.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from almonddock_core.routing import Route, RoutingTable
+from almonddock_core.routing import Organisation, Route, RoutingTable
+from almonddock_gateway.entry._access import hide_credentials
 from almonddock_gateway.http import CallerRequest, drop_hop_by_hop_headers
 from almonddock_gateway.settings import HeaderNames
 
@@ -56,12 +57,24 @@
     return RoutedRequest(request_id.decode('latin-1'), route, timeout)
 
 
-def format_head(request: CallerRequest, names: HeaderNames) -> bytes:
-    """Returns the start line and the headers that every target gets."""
+def format_head(
+    request: CallerRequest,
+    names: HeaderNames,
+    *,
+    keyed: bool = False,
+    organisation: Organisation | None = None,
+) -> bytes:
+    """Returns the start line and the headers that every target gets.
+
+    ``keyed`` says that the configuration names organisations: targets get the
+    name of the caller's, never its credentials.
+    """
     kept = drop_hop_by_hop_headers(
-        request.headers,
+        hide_credentials(request.headers, names) if keyed else request.headers,
         frozenset((names.deadline, names.expected_target)),
     )
+    if organisation is not None:
+        kept.append((names.organisation, organisation.name.encode()))
     lines = [b'%b: %b\r\n' % pair for pair in kept]
     if request.body or request.find(b'content-length') is not None:
         lines.append(b'content-length: %d\r\n' % len(request.body))
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -8,7 +8,12 @@
 from datetime import timedelta
 
 from almonddock_core.model import Clock
-from almonddock_core.news import PauseInputs, ReadSource, choose_pause
+from almonddock_core.news import (
+    Freshness,
+    PauseInputs,
+    ReadSource,
+    choose_pause,
+)
 from almonddock_gateway.controllers import (
     ConfigurationController,
     Follower,
@@ -50,6 +55,10 @@
     hosts: HostController
     clock: Clock
     telemetry: Telemetry
+    #: As of when the configuration in force is known to be the newest.
+    freshness: Freshness
+    #: The clock of ``freshness``.
+    suspended_clock: Clock
     #: Called after the targets, or the drained data centres, were updated.
     targets_updated: Callable[[], None]
 
@@ -64,6 +73,7 @@
             deps.relays,
             deps.settings.keys.host_prefix,
             deps.telemetry,
+            deps.suspended_clock,
         )
         self._cache = StoreCache(ALL_KEYS, self._is_reading_directly)
         self._follower = Follower(
@@ -80,7 +90,9 @@
             deps.telemetry,
         )
         #: Answers the store queries of other hosts.
-        self.server = StoreServer(deps.store, self._cache, deps.relays.costs)
+        self.server = StoreServer(
+            deps.store, self._cache, deps.suspended_clock, deps.relays.costs
+        )
 
     @property
     def news_time(self) -> timedelta | None:
@@ -96,12 +108,25 @@
         """Follows the store until cancelled."""
         await self._follower.run()
 
+    async def check_configuration(self) -> None:
+        """Reads the configuration that is in force now, and applies it.
+
+        Raises:
+            StoreLostError: neither the store nor a host that reads it answers.
+        """
+        view = await self._store.read_prefix(
+            self._deps.settings.keys.configuration
+        )
+        self._deps.configuration.apply_changes(view)
+        self._note_applied(view)
+
     def _apply_snapshot(self, view: StoreView) -> None:
         deps = self._deps
         for controller in (deps.configuration, deps.targets, deps.hosts):
             controller.apply_snapshot(view)
         deps.targets_updated()
         self._cache.apply_snapshot(view)
+        self._note_applied(view)
 
     def _apply_changes(self, view: StoreView) -> None:
         deps = self._deps
@@ -109,6 +134,12 @@
             controller.apply_changes(view)
         deps.targets_updated()
         self._cache.apply_changes(view, deps.targets.confirmed)
+        self._note_applied(view)
+
+    def _note_applied(self, view: StoreView) -> None:
+        """Records as of when the configuration in force is the newest."""
+        if self._deps.configuration.is_readable and not view.has_more:
+            self._deps.freshness.note(view.as_of)
 
     def _is_reading_directly(self) -> bool:
         """Whether this host reads the store itself and successfully."""
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -16,7 +16,7 @@
     KnownTarget,
     TargetTable,
 )
-from almonddock_gateway._clock import MonotonicClock
+from almonddock_gateway._clock import MonotonicClock, SuspendedClock
 from almonddock_gateway.admin import build_admin_handler
 from almonddock_gateway.controllers import (
     ConfigurationController,
@@ -28,7 +28,12 @@
     WarmthController,
     WarmthDependencies,
 )
-from almonddock_gateway.entry import Entry, EntryState, ExchangeSettings
+from almonddock_gateway.entry import (
+    CallerAccess,
+    Entry,
+    EntryState,
+    ExchangeSettings,
+)
 from almonddock_gateway.following import FollowingDependencies, StoreFollowing
 from almonddock_gateway.linking import HostLinks
 from almonddock_gateway.readiness import Readiness
@@ -126,6 +131,11 @@
             settings.data_centre,
             self._build_cost_exchange(),
         )
+        self._access = CallerAccess(
+            settings.headers,
+            SuspendedClock(),
+            settings.revocation_bound,
+        )
         self._entry = Entry(
             self._state,
             self._context,
@@ -135,7 +145,9 @@
                 self._clock,
                 self._relays,
             ),
+            self._access,
             self.telemetry,
+            lambda: self._following.check_configuration(),
         )
         self._hosts = HostController(
             settings,
@@ -173,6 +185,8 @@
                 hosts=self._hosts,
                 clock=self._clock,
                 telemetry=self.telemetry,
+                freshness=self._access.freshness,
+                suspended_clock=self._access.clock,
                 targets_updated=self._pools.check_waiting,
             ),
         )
@@ -354,6 +368,8 @@
             'hosts': self._hosts.count,
             'connections_opened': self._pools.count_dials(),
             'requests_running': self._entry.running,
+            'key_checks': self._entry.key_checks,
+            **self._access.count_state(),
             'reply_bytes_held': self._pools.held_bytes,
             **self._servers.count_held_bytes(),
         }
--- a/packages/gateway/almonddock_gateway/links/_store_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_store_codec.py
@@ -45,6 +45,9 @@
     reply.contents = [item.content or b'' for item in view.items]
     reply.removed = [item.content is None for item in view.items]
     reply.revisions = [item.revision for item in view.items]
+    if message.view_age is not None:
+        reply.isDated = True
+        reply.viewAge = message.view_age // US
     write_costs(reply, message.costs)
 
 
@@ -65,5 +68,6 @@
         number=reply.number,
         outcome=StoreOutcome(reply.outcome),
         view=StoreView(items, reply.revision, reply.hasMore),
+        view_age=reply.viewAge * US if reply.isDated else None,
         costs=read_costs(reply),
     )
--- a/packages/gateway/almonddock_gateway/links/messages.capnp
+++ b/packages/gateway/almonddock_gateway/links/messages.capnp
@@ -79,4 +79,9 @@
   # Slow, failing or unreachable targets, with tenths of typical latencies.
   costlyTargets @8 :List(Text);
   costs @9 :List(UInt8);
+  # Whether viewAge is stated.
+  isDated @10 :Bool;
+  # Microseconds by which the read that shows the view was sent before the query
+  # arrived; negative if after it.
+  viewAge @11 :Int64;
 }
--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 from datetime import timedelta
 
+from almonddock_core.model import Clock
 from almonddock_core.news import ReadSource
 from almonddock_gateway.relays._messages import (
     LinkMessage,
@@ -30,6 +31,7 @@
     Store,
     StoreLostError,
     StoreView,
+    read_dated,
 )
 from almonddock_gateway.supervision import run_until_done
 from almonddock_gateway.telemetry import Telemetry
@@ -71,12 +73,17 @@
         router: RelayRouter,
         probe_prefix: str,
         telemetry: Telemetry,
+        clock: Clock,
     ) -> None:
-        """Uses ``probe_prefix``, cheap to read, to probe a lost store."""
+        """Uses ``probe_prefix``, cheap to read, to probe a lost store.
+
+        ``clock`` dates what was read.
+        """
         self._store = store
         self._router = router
         self._probe_prefix = probe_prefix
         self._telemetry = telemetry
+        self._clock = clock
         self._probing: asyncio.Task[None] | None = None
         #: Where the last answer came from; NONE before the first one, and
         #: after the store or a watcher failed.
@@ -135,7 +142,7 @@
             return view
         if self._probing is None:
             try:
-                view = await read_directly()
+                view = await read_dated(read_directly, self._clock)
             except StoreLostError as lost:
                 self._start_probing(lost)
             else:
@@ -180,8 +187,7 @@
         costs = self._router.costs
         asked = replace(query, wait=WATCHER_WAIT, costs=costs.list_observed())
         try:
-            reply = await _query_host(links, link, asked, WATCHER_TIMEOUT_S)
-            view = _read_view(reply)
+            reply, view = await self._query_host(link, asked, WATCHER_TIMEOUT_S)
         except StoreLostError as lost:
             self._note_watcher_lost(lost.message)
             return None
@@ -201,10 +207,27 @@
         link = links.find_any_link() if links is not None else None
         if links is None or link is None:
             raise StoreLostError('no usable link to another host')
-        return _read_view(await _query_host(links, link, query, PEER_TIMEOUT_S))
+        _, view = await self._query_host(link, query, PEER_TIMEOUT_S)
+        return view
 
+    async def _query_host(
+        self, link: MessageLink, query: StoreQuery, timeout_s: float
+    ) -> tuple[StoreReply, StoreView]:
+        """Returns another host's answer, and the view in it with its date.
 
-async def _query_host(
+        The date counts from the send of the query: what the reply says of its
+        age then makes the view older than it is, never younger.
+        """
+        links = self._router.links
+        if links is None:
+            raise StoreLostError('no links to other hosts')
+        sent = self._clock.now()
+        reply = await _exchange(links, link, query, timeout_s)
+        as_of = None if reply.view_age is None else sent - reply.view_age
+        return reply, replace(_read_view(reply), as_of=as_of)
+
+
+async def _exchange(
     links: LinkDirectory,
     link: MessageLink,
     query: StoreQuery,
@@ -240,15 +263,19 @@
         self,
         store: Store,
         cache: StoreCache,
+        clock: Clock,
         costs: CostExchange | None = None,
     ) -> None:
         """Answers from ``cache`` if it is fresh, else from ``store``.
 
+        ``clock`` dates the answers, like those in ``cache``.
+
         Gathers in ``costs`` what the hosts that ask have observed of targets,
         and tells them what the others have.
         """
         self._store = store
         self._cache = cache
+        self._clock = clock
         self._costs = CostExchange() if costs is None else costs
         self._tasks: dict[MessageLink, set[asyncio.Task[None]]] = {}
         self._direct_reads = 0
@@ -272,6 +299,7 @@
             task.cancel()
 
     async def _answer(self, link: MessageLink, query: StoreQuery) -> None:
+        arrived = self._clock.now()
         outcome = StoreOutcome.ANSWERED
         view = NO_VIEW
         try:
@@ -281,8 +309,9 @@
             outcome = StoreOutcome.LOST
         except HistoryLostError:
             outcome = StoreOutcome.HISTORY_LOST
+        age = None if view.as_of is None else arrived - view.as_of
         costs = self._costs.list_known()
-        link.send(StoreReply(query.number, outcome, view, costs))
+        link.send(StoreReply(query.number, outcome, view, age, costs))
 
     async def _read(self, query: StoreQuery) -> StoreView:
         wait = min(query.wait, MAX_WAIT)
@@ -299,9 +328,12 @@
     async def _read_directly(
         self, prefix: str, after: int | None, wait: timedelta
     ) -> StoreView:
-        if after is None:
-            return await self._store.read_prefix(prefix)
-        return await self._store.watch(prefix, after, wait)
+        def read() -> Awaitable[StoreView]:
+            if after is None:
+                return self._store.read_prefix(prefix)
+            return self._store.watch(prefix, after, wait)
+
+        return await read_dated(read, self._clock)
 
 
 def _read_view(reply: StoreReply) -> StoreView:
--- a/packages/gateway/almonddock_gateway/relays/_messages.py
+++ b/packages/gateway/almonddock_gateway/relays/_messages.py
@@ -132,6 +132,9 @@
     number: int
     outcome: StoreOutcome
     view: StoreView
+    #: How long before the query arrived the read was sent that shows the view;
+    #: negative if after it. None if the sender does not say.
+    view_age: timedelta | None = None
     #: The costs of targets that hosts of the data centre have observed.
     costs: Costs = ()
 
--- a/packages/gateway/almonddock_gateway/relays/_store_cache.py
+++ b/packages/gateway/almonddock_gateway/relays/_store_cache.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection
 from datetime import timedelta
 
-from almonddock_core.news import ChangeLog
+from almonddock_core.news import ChangeLog, Freshness
 from almonddock_gateway.store import HistoryLostError, StoreItem, StoreView
 
 
@@ -22,11 +22,12 @@
         self.is_fresh = is_fresh
         self._log: ChangeLog[StoreItem] = ChangeLog()
         self._changed = asyncio.Event()
+        self._freshness = Freshness()
 
     def apply_snapshot(self, view: StoreView) -> None:
         """Replaces all items with those of the store."""
         self._log.apply_snapshot(view.items, view.revision)
-        self._notify_readers()
+        self._note_applied(view)
 
     def apply_changes(
         self,
@@ -35,7 +36,7 @@
     ) -> None:
         """Applies changes; revisions in ``unchanged`` change no content."""
         self._log.apply_changes(view.items, view.revision, unchanged)
-        self._notify_readers()
+        self._note_applied(view)
 
     async def read(self, after: int | None, wait: timedelta) -> StoreView:
         """Returns all items, or the changes after a revision.
@@ -44,7 +45,7 @@
         :class:`HistoryLostError` if some changes may no longer be kept.
         """
         if after is None:
-            return StoreView(self._log.list_all(), self._log.revision or 0)
+            return self._build_view(self._log.list_all())
         loop = asyncio.get_running_loop()
         deadline = loop.time() + wait.total_seconds()
         while True:
@@ -53,7 +54,7 @@
                 raise HistoryLostError(f'no history after revision {after}')
             left = deadline - loop.time()
             if changes or left <= 0:
-                return StoreView(changes, self._log.revision or 0)
+                return self._build_view(changes)
             await self._wait(left)
 
     async def _wait(self, seconds: float) -> None:
@@ -65,6 +66,13 @@
             # Without a change the answer is an empty list.
             return
 
-    def _notify_readers(self) -> None:
+    def _build_view(self, items: list[StoreItem]) -> StoreView:
+        return StoreView(
+            items, self._log.revision or 0, as_of=self._freshness.as_of
+        )
+
+    def _note_applied(self, view: StoreView) -> None:
+        if not view.has_more:
+            self._freshness.note(view.as_of)
         self._changed.set()
         self._changed = asyncio.Event()
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -49,6 +49,10 @@
     cold_for: bytes
     #: ``1`` in each reply of a target that leaves.
     leaving: bytes
+    #: The name of the caller's organisation, for targets.
+    organisation: bytes
+    #: The scheme of the credentials that hold a caller's key.
+    key_scheme: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,5 +96,8 @@
     max_propagation_time: timedelta
     #: The time from SIGTERM until the process is killed.
     shutdown_time: timedelta
+    #: The time after which a withdrawn key lets nobody in, on no host; None if
+    #: that is not bounded.
+    revocation_bound: timedelta | None = None
     #: How many sockets the process may open.
     max_sockets: int = field(default_factory=get_descriptor_limit)
--- a/packages/gateway/almonddock_gateway/store.py
+++ b/packages/gateway/almonddock_gateway/store.py
@@ -1,11 +1,11 @@
 """The interface of the store, which an adapter implements."""
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from typing import Protocol
 
-from almonddock_core.model import AlmonddockError
+from almonddock_core.model import AlmonddockError, Clock
 
 
 class StoreLostError(AlmonddockError):
@@ -31,7 +31,8 @@
     """A key of the store with its content, None if it was removed."""
 
     key: str
-    content: bytes | None
+    #: Not printed: a configuration holds the keys of callers.
+    content: bytes | None = field(repr=False)
     #: The revision of the store that last changed the key.
     revision: int
 
@@ -44,6 +45,9 @@
     revision: int
     #: Whether the store may have more changes than fit into the answer.
     has_more: bool = False
+    #: When the read was sent that shows them, so that all that was confirmed
+    #: before is in them; None if that is not known.
+    as_of: timedelta | None = field(default=None, compare=False)
 
 
 class Store(Protocol):
@@ -87,3 +91,12 @@
     async def put(self, key: str, content: bytes, lease: int) -> None:
         """Writes a key that is removed when the lease ends."""
         ...
+
+
+async def read_dated(
+    read: Callable[[], Awaitable[StoreView]], clock: Clock
+) -> StoreView:
+    """Returns what a read of the store shows, and as of when."""
+    sent = clock.now()
+    view = await read()
+    return replace(view, as_of=sent)
--- a/packages/gateway/almonddock_gateway/telemetry/_metrics.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_metrics.py
@@ -25,6 +25,12 @@
             buckets=list(LATENCY_BUCKETS_S),
             registry=self._registry,
         )
+        #: Callers that were not let in, by reason.
+        self.rejections = Counter(
+            'almonddock_gateway_callers_rejected_total',
+            'Callers that were not let in, by reason.',
+            registry=self._registry,
+        )
         #: Attempts beyond the first for each service, by route.
         self.extra_tries = Counter(
             'almonddock_gateway_extra_tries_total',
--- a/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
@@ -10,11 +10,12 @@
     AttemptRecord,
     DecisionLog,
     Dispatch,
+    DispatchedRequest,
     MergedAnswer,
     Refusal,
 )
 from almonddock_core.model import Clock
-from almonddock_core.routing import TargetChange
+from almonddock_core.routing import Rejected, Route, TargetChange
 from almonddock_gateway.telemetry._lines import LineBudget, LineWriter
 from almonddock_gateway.telemetry._metrics import GatewayMetrics
 
@@ -38,6 +39,20 @@
     dispatch: Dispatch
 
 
+class AdmissionRequest(Protocol):
+    """The part of a routed request that is logged."""
+
+    @property
+    def request_id(self) -> str:
+        """The id that the caller sent."""
+        ...
+
+    @property
+    def route(self) -> Route:
+        """Where it goes."""
+        ...
+
+
 class RejectedRequest(Protocol):
     """The part of a rejection that is logged."""
 
@@ -108,6 +123,26 @@
             reason=reason,
         )
 
+    def log_not_admitted(
+        self,
+        request: AdmissionRequest,
+        rejected: Rejected,
+        status: int,
+        **belief: Any,
+    ) -> None:
+        """Logs a request whose caller is not let in, and what was known."""
+        self.metrics.rejections.inc({'reason': rejected.reason.value})
+        self._lines.write(
+            LineBudget.FAILURE,
+            'caller_not_admitted',
+            request_id=request.request_id,
+            route=request.route.name,
+            status=status,
+            reason=rejected.reason.value,
+            retry_after=rejected.retry_after,
+            **belief,
+        )
+
     def log_finished(
         self,
         exchange: FinishedExchange,
@@ -135,6 +170,7 @@
             'request_finished',
             request_id=request.request_id,
             route=route.name,
+            **_describe_organisation(request),
             configuration=version,
             status=status,
             elapsed_ms=_count_ms(elapsed),
@@ -211,6 +247,11 @@
     return round(span / MS, 1)
 
 
+def _describe_organisation(request: DispatchedRequest) -> dict[str, Any]:
+    found = request.organisation
+    return {} if found is None else {'organisation': found.name}
+
+
 def _describe_answer(dispatch: Dispatch) -> dict[str, Any]:
     answer = dispatch.answer
     if isinstance(answer, MergedAnswer):
--- a/packages/gateway/almonddock_gateway/tests/fakes.py
+++ b/packages/gateway/almonddock_gateway/tests/fakes.py
@@ -21,6 +21,8 @@
     health_target=b'x-target',
     cold_for=b'x-cold',
     leaving=b'x-leaving',
+    organisation=b'x-organisation',
+    key_scheme=b'token',
 )
 
 LIMITS = CallerLimits(
--- a/packages/gateway/almonddock_gateway/tests/link_messages.py
+++ b/packages/gateway/almonddock_gateway/tests/link_messages.py
@@ -49,6 +49,7 @@
             9,
             has_more=True,
         ),
+        view_age=-3 * MS,
         costs=(('t1', 3.0),),
     ),
 )
--- a/packages/gateway/almonddock_gateway/tests/store_cases.py
+++ b/packages/gateway/almonddock_gateway/tests/store_cases.py
@@ -108,6 +108,7 @@
             self.router,
             'hosts/',
             self.make_telemetry(),
+            ManualClock(),
         )
 
     def connect(self) -> None:
--- a/packages/gateway/almonddock_gateway/tests/test_linking.py
+++ b/packages/gateway/almonddock_gateway/tests/test_linking.py
@@ -25,7 +25,7 @@
         self.links = linking.HostLinks(
             replace(SETTINGS, links=Address('127.0.0.1', 0)),
             RelaySettings(NAMES, TargetTable(), FakePools(), clock),
-            StoreServer(store, StoreCache('', bool)),
+            StoreServer(store, StoreCache('', bool), ManualClock()),
             HostController(SETTINGS, store, clock, telemetry),
             telemetry,
         )
--- a/packages/gateway/almonddock_gateway/tests/test_store_following.py
+++ b/packages/gateway/almonddock_gateway/tests/test_store_following.py
@@ -237,21 +237,21 @@
 
 class StoreServerTest(StoreCase):
     async def test_outcome_of_a_read_is_sent_to_the_other_host(self) -> None:
-        for step, outcome, view in (
-            (ONE, StoreOutcome.ANSWERED, ONE),
-            (StoreLostError('x'), StoreOutcome.LOST, StoreView((), 0)),
+        lost = StoreView((), 0)
+        for step, reply in (
+            (ONE, StoreReply(3, StoreOutcome.ANSWERED, ONE, timedelta())),
+            (StoreLostError('x'), StoreReply(3, StoreOutcome.LOST, lost)),
             (
                 HistoryLostError('x'),
-                StoreOutcome.HISTORY_LOST,
-                StoreView((), 0),
+                StoreReply(3, StoreOutcome.HISTORY_LOST, lost),
             ),
         ):
             for after, call in ((None, 'read'), (5, 'watch 5')):
-                with self.subTest(outcome=outcome, after=after):
+                with self.subTest(outcome=reply.outcome, after=after):
                     store = ScriptedStore(step)
                     sent = await self.ask(store, after)
                     self.assertEqual(store.calls, [call])
-                    self.assertEqual(sent, [StoreReply(3, outcome, view)])
+                    self.assertEqual(sent, [reply])
 
     async def ask(
         self,
@@ -259,7 +259,7 @@
         after: int | None,
     ) -> list[LinkMessage]:
         link = FakeLink()
-        server = StoreServer(store, StoreCache('', bool))
+        server = StoreServer(store, StoreCache('', bool), ManualClock())
         server.receive(link, StoreQuery(3, 'p/', after, timedelta()))
         await self.settle(lambda: bool(link.sent))
         return link.sent
--- a/packages/gateway/almonddock_gateway/tests/test_watchers.py
+++ b/packages/gateway/almonddock_gateway/tests/test_watchers.py
@@ -4,6 +4,7 @@
 import unittest
 from datetime import timedelta
 
+from almonddock_core.model import ManualClock
 from almonddock_core.news import ReadSource
 from almonddock_gateway.relays import (
     FallbackStore,
@@ -78,7 +79,7 @@
 
     async def ask(self, after: int | None, wait_s: float = 10) -> StoreView:
         link = FakeLink()
-        server = StoreServer(self.store, self.cache)
+        server = StoreServer(self.store, self.cache, ManualClock())
         wait = timedelta(seconds=wait_s)
         server.receive(link, StoreQuery(3, '', after, wait))
         await self.settle(lambda: bool(link.sent))
@@ -102,7 +103,7 @@
     async def test_queries_of_one_host_are_bounded(self) -> None:
         """Queries that waited for years took memory and descriptors."""
         link = FakeLink()
-        server = StoreServer(self.store, self.cache)
+        server = StoreServer(self.store, self.cache, ManualClock())
         for number in range(MAX_QUERIES_A_LINK + 1):
             query = StoreQuery(number, '', 5, timedelta(days=10_000))
             server.receive(link, query)
@@ -119,7 +120,7 @@
         """Each took a connection, until no descriptor was left."""
         self.fresh = False
         self.store = ScriptedStore()
-        server = StoreServer(self.store, self.cache)
+        server = StoreServer(self.store, self.cache, ManualClock())
         for _ in range(MAX_DIRECT_READS + 1):
             link = FakeLink()
             server.receive(link, StoreQuery(1, '', None, timedelta()))
