Turn callers away before a withdrawn key could still let them in

Cause: a host believes its configuration until it reads a newer one, so one that is cut from the store or was frozen let callers in by keys that had been withdrawn, for as long as that lasted.

Nothing is read only for proof: each watch proves, pauses shrink after a slow read, and a watcher that tells old or undated news is passed over. Without the bound nothing changes.

Tests: the new ones fail with the bound taken out, with the arrival of an answer taken for its sending (property test over cuts, freezes and slow reads), and with unreadable versions taken for proof.

--- a/packages/core/almonddock_core/news/__init__.py
+++ b/packages/core/almonddock_core/news/__init__.py
@@ -15,6 +15,7 @@
     PauseInputs,
     ReadSource,
     choose_pause,
+    limit_pause,
 )
 from almonddock_core.news._timeouts import ReplyTimeout
 from almonddock_core.news._watchers import (
@@ -32,4 +33,5 @@
     'ReplyTimeout',
     'choose_pause',
     'choose_watchers',
+    'limit_pause',
 ]
--- a/packages/core/almonddock_core/news/_pauses.py
+++ b/packages/core/almonddock_core/news/_pauses.py
@@ -38,6 +38,11 @@
 WATCHER_PAUSE_MS = 50
 WATCHER_PAUSE = timedelta(milliseconds=WATCHER_PAUSE_MS)
 
+#: Where the age of knowledge is bounded, the share of the bound that it may
+#: reach before the next read is sent. With that read's own time it leaves the
+#: service that is owed after a cut (0.6 of the bound).
+PROOF_SHARE = 0.3
+
 
 class ReadSource(enum.Enum):
     """Where a host gets the changes of the store from."""
@@ -83,3 +88,15 @@
         slowdown = max(1, inputs.hosts / RECOVERY_HOSTS)
         pause = min(pause, RECOVERY_PAUSE * slowdown)
     return pause
+
+
+def limit_pause(
+    pause: timedelta, age: timedelta | None, bound: timedelta
+) -> timedelta:
+    """Returns a pause after which knowledge is still young enough.
+
+    ``age`` is that of the newest knowledge, None without any. After a slow
+    read, or one that a suspended host had sent, the next follows at once.
+    """
+    left = timedelta() if age is None else bound * PROOF_SHARE - age
+    return max(min(pause, left), min(pause, WATCHER_PAUSE))
--- a/packages/core/almonddock_core/tests/test_access.py
+++ b/packages/core/almonddock_core/tests/test_access.py
@@ -16,6 +16,7 @@
     identify_caller,
     parse_key,
 )
+from almonddock_core.news import Freshness, limit_pause
 from almonddock_core.routing import (
     Caller,
     CallerLimits,
@@ -192,5 +193,77 @@
         self.assertTrue(schedule.join(SECOND + CHECK_INTERVAL))
 
 
+#: One step of a host: read the store, be frozen, lose the store or find it.
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(('read', 'freeze', 'cut', 'heal', 'idle')),
+        st.integers(0, 3000),
+        st.integers(0, 3000),
+    ),
+    max_size=40,
+)
+
+
+class WithdrawalTest(unittest.TestCase):
+    """Callers were let in by keys that had been withdrawn, after a freeze."""
+
+    @settings(derandomize=True, max_examples=300)
+    @given(STEPS, st.integers(0, 60_000))
+    def test_no_host_lets_in_after_the_bound(
+        self, steps: list[tuple[str, int, int]], withdrawn_ms: int
+    ) -> None:
+        """Whatever is cut or frozen, and however long reads are under way."""
+        withdrawn = withdrawn_ms * MS
+        now = timedelta()
+        is_cut = False
+        freshness = Freshness()
+        table = make_table(b'k1')
+        for kind, first, second in steps:
+            sent = now
+            now += first * MS
+            # The store answers at some time between send and arrival.
+            answered = now
+            now += second * MS
+            if kind in {'cut', 'heal'}:
+                is_cut = kind == 'cut'
+            elif kind == 'read' and not is_cut:
+                freshness.note(sent)
+                if answered >= withdrawn:
+                    table = make_table()
+            found = identify_caller(
+                PresentedKey(make_route(), b'k1', now),
+                table,
+                Belief(freshness.as_of, now, BOUND),
+            )
+            if isinstance(found, Caller):
+                self.assertLess(now - withdrawn, BOUND)
+            age = freshness.get_age(now)
+            if age is not None and age <= BOUND * OWED_SHARE:
+                self.assertNotEqual(found, RejectionReason.UNPROVEN_KEY)
+                is_named = table == make_table(b'k1')
+                self.assertEqual(isinstance(found, Caller), is_named)
+
+    def test_older_answers_take_no_proof_away(self) -> None:
+        freshness = Freshness()
+        for moment in (2 * SECOND, SECOND, None):
+            freshness.note(moment)
+        self.assertEqual(freshness.as_of, 2 * SECOND)
+
+    @settings(derandomize=True)
+    @given(st.integers(0, 10_000), st.integers(0, 1500))
+    def test_next_read_leaves_what_is_owed_after_a_cut(
+        self, pause_ms: int, read_ms: int
+    ) -> None:
+        """Proof was so old at a cut that the host refused at once."""
+        pause = limit_pause(pause_ms * MS, read_ms * MS, BOUND)
+        self.assertLessEqual(pause, pause_ms * MS)
+        if read_ms * MS < BOUND * 0.3:
+            self.assertLessEqual(pause + read_ms * MS, BOUND * 0.31)
+
+    def test_read_that_took_too_long_is_followed_at_once(self) -> None:
+        for age in (None, BOUND, 100 * BOUND):
+            self.assertLess(limit_pause(SECOND, age, BOUND), SECOND / 10)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -13,6 +13,7 @@
     PauseInputs,
     ReadSource,
     choose_pause,
+    limit_pause,
 )
 from almonddock_gateway.controllers import (
     ConfigurationController,
@@ -75,6 +76,7 @@
             deps.telemetry,
             deps.suspended_clock,
         )
+        self._store.age_bound = deps.settings.revocation_bound
         self._cache = StoreCache(ALL_KEYS, self._is_reading_directly)
         self._follower = Follower(
             FollowSettings(
@@ -153,7 +155,7 @@
         """
         table = self._deps.state.table
         services = table.services.values() if table else ()
-        return choose_pause(
+        pause = choose_pause(
             PauseInputs(
                 max_delay=self._deps.settings.max_propagation_time,
                 hosts=self._deps.hosts.count,
@@ -165,3 +167,8 @@
                 source=self._store.source,
             ),
         )
+        bound = self._deps.settings.revocation_bound
+        if bound is None:
+            return pause
+        now = self._deps.suspended_clock.now()
+        return limit_pause(pause, self._deps.freshness.get_age(now), bound)
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -308,6 +308,7 @@
             'address': lambda: self._servers.is_listening(self._callers),
             'end_of_stop': lambda: not self._stopping.is_set(),
             'end_of_isolation': lambda: not self._isolation.isolated,
+            'proof_of_keys': lambda: self._access.can_serve(self._state.table),
         }
         return Readiness(
             conditions,
--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -63,6 +63,10 @@
 
 NO_VIEW = StoreView((), 0)
 
+#: Where the age of knowledge is bounded, the share of the bound from which on a
+#: watcher's answer is too old and the store is read instead.
+MAX_AGE_SHARE = 0.6
+
 
 class FallbackStore:
     """A store whose reads may go through other hosts."""
@@ -84,6 +88,8 @@
         self._probe_prefix = probe_prefix
         self._telemetry = telemetry
         self._clock = clock
+        #: The age that knowledge may reach; None if it is not bounded.
+        self.age_bound: timedelta | None = None
         self._probing: asyncio.Task[None] | None = None
         #: Where the last answer came from; NONE before the first one, and
         #: after the store or a watcher failed.
@@ -188,6 +194,7 @@
         asked = replace(query, wait=WATCHER_WAIT, costs=costs.list_observed())
         try:
             reply, view = await self._query_host(link, asked, WATCHER_TIMEOUT_S)
+            self._check_age(view)
         except StoreLostError as lost:
             self._note_watcher_lost(lost.message)
             return None
@@ -207,6 +214,8 @@
         link = links.find_any_link() if links is not None else None
         if links is None or link is None:
             raise StoreLostError('no usable link to another host')
+        if self.age_bound is not None:
+            query = replace(query, wait=min(query.wait, WATCHER_WAIT))
         _, view = await self._query_host(link, query, PEER_TIMEOUT_S)
         return view
 
@@ -226,6 +235,18 @@
         as_of = None if reply.view_age is None else sent - reply.view_age
         return reply, replace(_read_view(reply), as_of=as_of)
 
+    def _check_age(self, view: StoreView) -> None:
+        """Raises an error if a watcher knows too little to rely on it.
+
+        A watcher of an earlier release does not say what it knows.
+        """
+        bound = self.age_bound
+        if bound is None:
+            return
+        oldest = self._clock.now() - bound * MAX_AGE_SHARE
+        if view.as_of is None or view.as_of < oldest:
+            raise StoreLostError('the watcher has not read the store lately')
+
 
 async def _exchange(
     links: LinkDirectory,
--- a/packages/gateway/almonddock_gateway/tests/test_watchers.py
+++ b/packages/gateway/almonddock_gateway/tests/test_watchers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 
 from almonddock_core.model import ManualClock
@@ -70,6 +71,58 @@
             await self.ask_other_host(fallback, reply)
 
 
+class DatedReadTest(FallbackStoreCase):
+    """Withdrawn keys counted on hosts that read old news through others."""
+
+    async def ask_dated(self, view_age: timedelta | None) -> StoreView:
+        """Returns what a watcher tells, or else the store."""
+        fallback = self.make(ONE)
+        fallback.age_bound = timedelta(seconds=5)
+        self.connect()
+        self.links.has_watcher = True
+        reply = StoreReply(7, StoreOutcome.ANSWERED, TWO, view_age)
+        return await self.ask_other_host(fallback, reply)
+
+    async def test_view_is_as_old_as_the_watchers_own_read(self) -> None:
+        for age_s in (1.5, 0, -0.5):
+            view = await self.ask_dated(timedelta(seconds=age_s))
+            self.assertEqual(view, TWO)
+            self.assertEqual(view.as_of, timedelta(seconds=-age_s))
+
+    async def test_store_is_read_if_a_watcher_knows_too_little(self) -> None:
+        """A watcher of an earlier release does not say what it knows."""
+        for view_age in (None, timedelta(seconds=4)):
+            view = await self.ask_dated(view_age)
+            self.assertEqual(view, ONE)
+            self.assertEqual(view.as_of, timedelta())
+
+    async def test_time_on_the_way_makes_a_view_older(self) -> None:
+        """A host that was frozen took an old reply for a fresh one."""
+        clock = ManualClock()
+        fallback = self.make(ONE)
+        fallback._clock = clock
+        self.connect()
+        self.links.has_watcher = True
+        task = asyncio.create_task(fallback.watch('p/', 5, timedelta()))
+        await self.settle(lambda: self.links.handle is not None)
+        clock.advance(timedelta(seconds=60))
+        self.links.deliver(
+            StoreReply(7, StoreOutcome.ANSWERED, TWO, timedelta(seconds=1))
+        )
+        self.assertEqual((await task).as_of, timedelta(seconds=-1))
+
+    async def test_answer_with_more_to_come_dates_nothing(self) -> None:
+        cache = StoreCache('', lambda: True)
+        for view, expected in (
+            (replace(ONE, as_of=timedelta(seconds=1)), 1),
+            (replace(TWO, as_of=timedelta(seconds=9), has_more=True), 1),
+            (replace(TWO, as_of=timedelta(seconds=3)), 3),
+        ):
+            cache.apply_changes(view, ())
+            told = await cache.read(None, timedelta())
+            self.assertEqual(told.as_of, timedelta(seconds=expected))
+
+
 class StoreCacheTest(StoreCase):
     def setUp(self) -> None:
         self.fresh = True
