--- a/packages/gateway/almonddock_gateway/tests/test_watchers.py
+++ b/packages/gateway/almonddock_gateway/tests/test_watchers.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from datetime import timedelta
 
+from almonddock_core.model import ManualClock
 from almonddock_core.news import ReadSource
 from almonddock_gateway.relays import (
     FallbackStore,
@@ -69,6 +71,58 @@
             await self.ask_other_host(fallback, reply)
 
 
+class DatedReadTest(FallbackStoreCase):
+    """Withdrawn keys counted on hosts that read old news through others."""
+
+    async def ask_dated(self, view_age: timedelta | None) -> StoreView:
+        """Returns what a watcher tells, or else the store."""
+        fallback = self.make(ONE)
+        fallback.age_bound = timedelta(seconds=5)
+        self.connect()
+        self.links.has_watcher = True
+        reply = StoreReply(7, StoreOutcome.ANSWERED, TWO, view_age)
+        return await self.ask_other_host(fallback, reply)
+
+    async def test_view_is_as_old_as_the_watchers_own_read(self) -> None:
+        for age_s in (1.5, 0, -0.5):
+            view = await self.ask_dated(timedelta(seconds=age_s))
+            self.assertEqual(view, TWO)
+            self.assertEqual(view.as_of, timedelta(seconds=-age_s))
+
+    async def test_store_is_read_if_a_watcher_knows_too_little(self) -> None:
+        """A watcher of an earlier release does not say what it knows."""
+        for view_age in (None, timedelta(seconds=4)):
+            view = await self.ask_dated(view_age)
+            self.assertEqual(view, ONE)
+            self.assertEqual(view.as_of, timedelta())
+
+    async def test_time_on_the_way_makes_a_view_older(self) -> None:
+        """A host that was frozen took an old reply for a fresh one."""
+        clock = ManualClock()
+        fallback = self.make(ONE)
+        fallback._clock = clock
+        self.connect()
+        self.links.has_watcher = True
+        task = asyncio.create_task(fallback.watch('p/', 5, timedelta()))
+        await self.settle(lambda: self.links.handle is not None)
+        clock.advance(timedelta(seconds=60))
+        self.links.deliver(
+            StoreReply(7, StoreOutcome.ANSWERED, TWO, timedelta(seconds=1))
+        )
+        self.assertEqual((await task).as_of, timedelta(seconds=-1))
+
+    async def test_answer_with_more_to_come_dates_nothing(self) -> None:
+        cache = StoreCache('', lambda: True)
+        for view, expected in (
+            (replace(ONE, as_of=timedelta(seconds=1)), 1),
+            (replace(TWO, as_of=timedelta(seconds=9), has_more=True), 1),
+            (replace(TWO, as_of=timedelta(seconds=3)), 3),
+        ):
+            cache.apply_changes(view, ())
+            told = await cache.read(None, timedelta())
+            self.assertEqual(told.as_of, timedelta(seconds=expected))
+
+
 class StoreCacheTest(StoreCase):
     def setUp(self) -> None:
         self.fresh = True
@@ -78,7 +132,7 @@
 
     async def ask(self, after: int | None, wait_s: float = 10) -> StoreView:
         link = FakeLink()
-        server = StoreServer(self.store, self.cache)
+        server = StoreServer(self.store, self.cache, ManualClock())
         wait = timedelta(seconds=wait_s)
         server.receive(link, StoreQuery(3, '', after, wait))
         await self.settle(lambda: bool(link.sent))
@@ -102,7 +156,7 @@
     async def test_queries_of_one_host_are_bounded(self) -> None:
         """Queries that waited for years took memory and descriptors."""
         link = FakeLink()
-        server = StoreServer(self.store, self.cache)
+        server = StoreServer(self.store, self.cache, ManualClock())
         for number in range(MAX_QUERIES_A_LINK + 1):
             query = StoreQuery(number, '', 5, timedelta(days=10_000))
             server.receive(link, query)
@@ -119,7 +173,7 @@
         """Each took a connection, until no descriptor was left."""
         self.fresh = False
         self.store = ScriptedStore()
-        server = StoreServer(self.store, self.cache)
+        server = StoreServer(self.store, self.cache, ManualClock())
         for _ in range(MAX_DIRECT_READS + 1):
             link = FakeLink()
             server.receive(link, StoreQuery(1, '', None, timedelta()))
