Bound what follows the head of a request and is no body

Callers saw a host end: it ran out of memory. A trailer line, a chunk extension or trailers without end behind a chunked body had no limit. The parser keeps a line until it ends, and its bytes counted nowhere, so the bound on all requests did not hold either. A trailer was also taken for a header of the request and passed on.

Bytes since the last part of the body are counted. Trailers are dropped.

--- a/packages/core/almonddock_core/framing/__init__.py
+++ b/packages/core/almonddock_core/framing/__init__.py
@@ -6,9 +6,14 @@
     FrameReader,
     add_length_prefix,
 )
-from almonddock_core.framing._replies import MAX_REPLY_BYTES, is_oversized
+from almonddock_core.framing._replies import (
+    CHUNK_OVERHEAD,
+    MAX_REPLY_BYTES,
+    is_oversized,
+)
 
 __all__ = [
+    'CHUNK_OVERHEAD',
     'MAX_FRAME_BYTES',
     'MAX_REPLY_BYTES',
     'BadFrameError',
--- a/packages/gateway/almonddock_gateway/http/_request_reader.py
+++ b/packages/gateway/almonddock_gateway/http/_request_reader.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from almonddock_core.framing import CHUNK_OVERHEAD
 from almonddock_core.routing import CallerLimits
 from almonddock_gateway.http._messages import PARSED_AT_ONCE_BYTES
 
@@ -81,6 +82,10 @@
         self._body = bytearray()
         self._body_bytes = 0
         self._head_bytes = 0
+        # What arrived after the head and is no body: chunk sizes, extensions
+        # and trailers. The parser keeps an unfinished line.
+        self._framing_bytes = 0
+        self._line_bytes = 0
         self._ended = False
         self._parser = httptools.HttpRequestParser(self)
 
@@ -92,7 +97,8 @@
     def estimate_memory(self) -> int:
         """Returns about how many bytes the incomplete request takes."""
         if self.reading_body:
-            return self._request.estimate_memory() + len(self._body)
+            whole = self._request.estimate_memory() + len(self._body)
+            return whole + self._line_bytes
         if not self.reading_head:
             return 0
         overhead = HEADER_OVERHEAD * len(self._request.headers)
@@ -116,10 +122,17 @@
         """Parses some bytes; raises what the parser raises."""
         if self.reading_head:
             self._head_bytes += len(part)
+        elif self.reading_body:
+            self._framing_bytes += len(part)
+            self._line_bytes += len(part)
         self._parser.feed_data(part)
         limit = self._get_limits().header_bytes
         if self.reading_head and self._head_bytes > limit:
             self._receiver.reject(HEADERS_TOO_LARGE)
+        elif self.reading_body and self._framing_bytes > (
+            limit + CHUNK_OVERHEAD * self._body_bytes
+        ):
+            self._receiver.reject(HEADERS_TOO_LARGE)
 
     def end(self) -> None:
         """Drops the incomplete request, and ignores all that follows."""
@@ -144,6 +157,8 @@
         self._body = bytearray()
         self._body_bytes = 0
         self._head_bytes = 0
+        self._framing_bytes = 0
+        self._line_bytes = 0
         self.reading_head = not self._ended
 
     def on_url(self, url: bytes) -> None:
@@ -151,8 +166,12 @@
         self._request.url += url
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Stores a header; called by the parser."""
-        if not self._ended:
+        """Stores a header, and drops a trailer; called by the parser.
+
+        The parser does not tell them apart. A trailer must not replace or add
+        to a header that routes the request (RFC 9110, 6.5.1).
+        """
+        if not (self._ended or self.reading_body):
             self._request.headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
@@ -176,6 +195,8 @@
     def on_body(self, part: bytes) -> None:
         """Stores a part of the body; called by the parser."""
         self._body_bytes += len(part)
+        self._framing_bytes -= len(part)
+        self._line_bytes = 0
         if self._body_bytes > self._get_limits().body_bytes:
             self._receiver.reject(BODY_TOO_LARGE)
         elif not self._ended:
