--- a/packages/gateway/almonddock_gateway/tests/test_request_reader.py
+++ b/packages/gateway/almonddock_gateway/tests/test_request_reader.py
@@ -76,7 +76,8 @@
     def test_body_in_chunks_of_one_byte_is_read_whole(self) -> None:
         """The least honest framing: five bytes for each of the body."""
         self.limits = replace(LIMITS, body_bytes=0x1000)
-        self.feed(HEAD + b'1\r\na\r\n' * 0x1000 + b'0\r\n\r\n')
+        chunks = b'1\r\na\r\n' * 0x1000
+        self.feed(b'%b%b0\r\n\r\n' % (HEAD, chunks))
         self.assertEqual(self.receiver.rejected, [])
         self.assertEqual(self.receiver.received[0].body, b'a' * 0x1000)
 
