Give a host's memory one owner

Callers saw a host end: long answers that many callers read slowly, beside other callers that nobody controls, took more memory than the machine has. Cause: twelve bounds of single parts, none of which knew memory_mb or the others, and nothing counted the connections themselves.

HostMemory divides four fifths of what the process leaves of the machine: no part gets more than half of that, nor more than before on any machine; together no more than all. Short of room it ends what has stalled, then what takes the most, and what belongs to the store last. Connections of callers may take a quarter. Logged as memory_full, with metrics and a page for operators.

--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 
 from almonddock_core.dispatch import DispatchContext, RetryBudget
+from almonddock_core.memory import HostMemory, ProcessSize
 from almonddock_core.model import AlmonddockError
 from almonddock_core.placement import ColdStartLimiter
 from almonddock_core.routing import (
@@ -16,7 +17,6 @@
     KnownTarget,
     TargetTable,
 )
-from almonddock_gateway._clock import MonotonicClock
 from almonddock_gateway.admin import build_admin_handler
 from almonddock_gateway.controllers import (
     ConfigurationController,
@@ -47,6 +47,7 @@
 from almonddock_gateway.telemetry import (
     GatewayMetrics,
     LineWriter,
+    MemoryReport,
     Telemetry,
 )
 
@@ -86,17 +87,19 @@
         decoders: Decoders,
         reload: Callable[[], GatewaySettings],
         output: int,
+        memory: HostMemory,
     ) -> None:
         """Creates all components.
 
         ``reload`` reads the settings again. ``output`` is the file descriptor
-        of the log, which becomes non-blocking.
+        of the log, which becomes non-blocking. ``memory`` bounds what all parts
+        hold, the store included.
         """
         #: The settings in force.
         self.settings = settings
         self._reload = reload
         self._callers = settings.callers
-        self._clock = MonotonicClock()
+        self._clock = memory.clock
         self.telemetry = Telemetry(
             LineWriter(
                 output,
@@ -105,6 +108,8 @@
             GatewayMetrics(),
             self._clock,
         )
+        self._memory = memory
+        self._memory_report = MemoryReport(memory, self.telemetry)
         self._state = EntryState()
         self._budget = RetryBudget(settings.budget)
         self._targets = TargetTable()
@@ -120,6 +125,7 @@
             self._report_reachability,
             lambda target: self._targets.is_usable(target, self._clock.now()),
             build_observer(settings.headers, self._clock, self.telemetry),
+            self._memory,
         )
         self._relays = RelayRouter(
             settings.data_centre,
@@ -192,6 +198,11 @@
             self._clock,
             self.telemetry,
             settings.max_sockets,
+            self._memory,
+        )
+        self._memory.measure_process = lambda: ProcessSize(
+            targets=len(self._targets),
+            connections=self._servers.open_connections,
         )
         self._readiness = self._build_readiness()
         self._links = HostLinks(
@@ -206,6 +217,7 @@
             self._following.server,
             self._hosts,
             self.telemetry,
+            self._memory,
         )
 
     @property
@@ -355,6 +367,7 @@
             'requests_running': self._entry.running,
             'reply_bytes_held': self._pools.held_bytes,
             **self._servers.count_held_bytes(),
+            **self._memory_report.count_state(),
         }
 
     def _reload_settings(self) -> None:
@@ -366,6 +379,7 @@
             return
         self.settings = settings
         self._budget.update_limits(settings.budget)
+        self._memory.machine_bytes = settings.memory_bytes
         self.telemetry.log_event('settings_reloaded', budget=settings.budget)
 
     async def _run_links(self) -> None:
@@ -398,6 +412,7 @@
             self._pools.check_waiting()
             self._pools.close_idle()
             self._servers.enforce_timeouts()
+            self._memory_report.log_shortage()
 
     async def _flush_logs(self) -> None:
         while True:
--- a/packages/gateway/almonddock_gateway/http/_request_memory.py
+++ b/packages/gateway/almonddock_gateway/http/_request_memory.py
@@ -3,14 +3,17 @@
 from datetime import timedelta
 from typing import Protocol
 
+from almonddock_core.memory import (
+    Candidate,
+    HostMemory,
+    PartLimits,
+    rank_holder,
+)
 from almonddock_core.model import Clock
 
 #: The most bytes that all requests take together, unless set otherwise.
 MAX_REQUEST_BYTES = 0x1800000
 
-#: A request of which nothing has arrived for this long counts as stalled.
-STALL = timedelta(seconds=1)
-
 
 class RequestHolder(Protocol):
     """A connection that holds requests."""
@@ -42,14 +45,18 @@
         self,
         clock: Clock,
         max_bytes: int = MAX_REQUEST_BYTES,
+        memory: HostMemory | None = None,
+        name: str = 'requests',
     ) -> None:
+        """Takes a share of ``memory``, which is called ``name`` there."""
         #: The bytes that all requests take now.
         self.held = 0
         #: How many connections were refused.
         self.refused = 0
         self._clock = clock
-        self._max_bytes = max_bytes
         self._holders: dict[RequestHolder, int] = {}
+        owner = HostMemory(clock) if memory is None else memory
+        self._share = owner.register(self, PartLimits(name, max_bytes))
 
     def update(self, holder: RequestHolder, size: int) -> None:
         """Sets the bytes that a connection holds, without a check."""
@@ -60,23 +67,30 @@
     def hold(self, holder: RequestHolder, size: int) -> None:
         """Sets the bytes that a connection holds, and keeps the bound."""
         self.update(holder, size)
-        while self.held > self._max_bytes:
-            refused = self._choose()
-            self.refused += 1
-            if refused is None:
-                holder.refuse()
-                return
-            self.update(refused, 0)
-            refused.refuse()
-
-    def _choose(self) -> RequestHolder | None:
-        """Returns the connection to refuse, None if all are being served."""
+        if not self._share.keep_bound():
+            self._refuse(holder)
+
+    def find_candidate(self) -> Candidate | None:
+        """Returns what to refuse first, None if all are being served."""
         now = self._clock.now()
 
         def rank(holder: RequestHolder) -> tuple[timedelta, int]:
-            silent = now - holder.progress_at
-            stalled = silent if silent > STALL else timedelta()
-            return stalled, self._holders[holder]
+            return rank_holder(now - holder.progress_at, self._holders[holder])
 
         waiting = (one for one in self._holders if not one.serving)
-        return max(waiting, key=rank, default=None)
+        chosen = max(waiting, key=rank, default=None)
+        if chosen is None:
+            return None
+        return Candidate(
+            now - chosen.progress_at,
+            self._share.estimate(self._holders[chosen]),
+            lambda: self._end(chosen),
+        )
+
+    def _end(self, holder: RequestHolder) -> None:
+        self.update(holder, 0)
+        self._refuse(holder)
+
+    def _refuse(self, holder: RequestHolder) -> None:
+        self.refused += 1
+        holder.refuse()
--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from almonddock_core.framing import MAX_FRAME_BYTES
+from almonddock_core.memory import HostMemory, PartLimits
 from almonddock_gateway.controllers import HostController
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.relays import (
@@ -31,6 +32,9 @@
 #: length.
 MAX_HELD_BYTES = 4 * MAX_FRAME_BYTES
 
+#: The bytes of memory that a held byte takes: a frame is copied to be decoded.
+HELD_FACTOR = 2
+
 #: The pause between two checks of the links, in seconds.
 CHECK_INTERVAL_S = 0.25
 
@@ -45,13 +49,17 @@
         store_server: StoreServer,
         hosts: HostController,
         telemetry: Telemetry,
+        memory: HostMemory,
     ) -> None:
         self._settings = settings
         self._hosts = hosts
         self._telemetry = telemetry
-        self._relay_server = RelayServer(relay_settings)
+        self._relay_server = RelayServer(relay_settings, memory)
         self._store_server = store_server
-        self._memory = ReplyMemory(MAX_HELD_BYTES)
+        self._memory = ReplyMemory(
+            memory=memory,
+            limits=PartLimits('links', MAX_HELD_BYTES, HELD_FACTOR),
+        )
         self._accepted: set[Link] = set()
         self._server: asyncio.Server | None = None
         self._peers: PeerLinks | None = None
--- a/packages/gateway/almonddock_gateway/relays/_server.py
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -11,6 +11,7 @@
     find_threshold,
     merge_records,
 )
+from almonddock_core.memory import Candidate, HostMemory, PartLimits
 from almonddock_core.model import Clock
 from almonddock_core.routing import Costs, KnownTarget, TargetTable
 from almonddock_gateway.http import HttpReply, ReplyMatch
@@ -135,11 +136,14 @@
 class RelayServer:
     """Runs the queries that arrive over links."""
 
-    def __init__(self, settings: RelaySettings) -> None:
+    def __init__(self, settings: RelaySettings, memory: HostMemory) -> None:
         self._settings = settings
         self._running: dict[tuple[MessageLink, int], _RelayedQuery] = {}
         #: The bytes that all queries in progress take.
-        self._held = 0
+        self.held = 0
+        self._share = memory.register(
+            self, PartLimits('relayed_queries', MAX_RELAYED_BYTES)
+        )
         self._alive_at = settings.clock.now()
         #: The costs that were last sent over each link.
         self._sent_costs: dict[MessageLink, Costs] = {}
@@ -149,6 +153,9 @@
         """Whether a query of another host is in progress."""
         return bool(self._running)
 
+    def find_candidate(self) -> Candidate | None:
+        """Returns nothing: queries in progress end by themselves."""
+
     def record_alive(self) -> None:
         """Records that this host runs; called a few times within a stall."""
         self._alive_at = self._settings.clock.now()
@@ -176,11 +183,11 @@
     def _start(self, link: MessageLink, query: RelayQuery) -> None:
         relayed = _RelayedQuery(link, query, self._settings.clock.now())
         is_repeated = (link, query.number) in self._running
-        if is_repeated or self._held + relayed.size > MAX_RELAYED_BYTES:
+        if is_repeated or not self._share.has_room(relayed.size):
             _refuse(link, query)
             return
         self._running[(link, query.number)] = relayed
-        self._held += relayed.size
+        self.held += relayed.size
         for part, target_id in enumerate(query.targets):
             self._send_to_target(relayed, part, target_id)
         self._send_if_due(relayed)
@@ -298,7 +305,7 @@
 
     def _end(self, relayed: _RelayedQuery) -> None:
         if self._running.pop((relayed.link, relayed.query.number), None):
-            self._held -= relayed.size
+            self.held -= relayed.size
 
     def _send(self, relayed: _RelayedQuery) -> None:
         if not (relayed.replies or relayed.failures):
--- a/packages/gateway/almonddock_gateway/serving.py
+++ b/packages/gateway/almonddock_gateway/serving.py
@@ -5,6 +5,11 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from almonddock_core.memory import (
+    HostMemory,
+    PartLimits,
+    count_affordable_connections,
+)
 from almonddock_core.model import Clock
 from almonddock_core.routing import CallerLimits
 from almonddock_gateway.http import (
@@ -27,11 +32,14 @@
 LISTEN_PAUSE = timedelta(milliseconds=LISTEN_PAUSE_MS)
 
 #: The most bytes of the requests of callers, and of the answers that they have
-#: not read. The sums of all bounds fit the smallest machine (300 MB); see
-#: docs/incidents/029-bodies-of-many-callers.md.
+#: not read, on machines whose memory has room for them.
 CALLER_REQUEST_BYTES = 0x1800000
 CALLER_ANSWER_BYTES = 0x1800000
 
+#: The bytes of memory that an unread byte takes: the buffer of an answer frees
+#: the part that was read late.
+ANSWER_FACTOR = 2
+
 #: The same for readiness checks and metrics scrapes, which need little and must
 #: be answered while callers take all of theirs.
 ADMIN_REQUEST_BYTES = 0x100000
@@ -42,6 +50,9 @@
 #: targets, other hosts and the store.
 CALLER_SOCKET_SHARE = 0.75
 
+#: The share of the host's memory that connections without a request may take.
+CONNECTION_MEMORY_SHARE = 0.25
+
 #: Common limits of HTTP servers, until the configuration is known.
 START_HEADER_BYTES = 16_384
 START_BODY_BYTES = 262_144
@@ -76,25 +87,26 @@
         clock: Clock,
         telemetry: Telemetry,
         max_sockets: int,
+        memory: HostMemory,
     ) -> None:
         """Listens nowhere yet.
 
         ``max_sockets`` is how many sockets the process may open, for whatever
-        purpose.
+        purpose; ``memory`` bounds what callers make it hold.
         """
         self._telemetry = telemetry
         self._get_limits = get_limits
         self._is_stopping = is_stopping
         self._clock = clock
         self._for_callers = _Bounds(
-            ConnectionLimit(max(1, round(max_sockets * CALLER_SOCKET_SHARE))),
-            RequestMemory(clock, CALLER_REQUEST_BYTES),
-            ReplyMemory(CALLER_ANSWER_BYTES),
+            ConnectionLimit(_limit_connections(max_sockets, memory)),
+            RequestMemory(clock, CALLER_REQUEST_BYTES, memory),
+            _build_answers(memory, 'answers', CALLER_ANSWER_BYTES),
         )
         self._for_admin = _Bounds(
             ConnectionLimit(ADMIN_CONNECTIONS),
-            RequestMemory(clock, ADMIN_REQUEST_BYTES),
-            ReplyMemory(ADMIN_ANSWER_BYTES),
+            RequestMemory(clock, ADMIN_REQUEST_BYTES, memory, 'admin_requests'),
+            _build_answers(memory, 'admin_answers', ADMIN_ANSWER_BYTES),
         )
         #: The refused requests and aborted answers that were logged.
         self._logged = 0, 0
@@ -106,6 +118,11 @@
         """Whether a connection has an unfinished request or answer."""
         return any(not connection.idle for connection in self._connections)
 
+    @property
+    def open_connections(self) -> int:
+        """How many connections are open."""
+        return len(self._connections)
+
     def is_listening(self, address: Address) -> bool:
         """Whether connections are accepted at an address."""
         return address in self._servers
@@ -207,3 +224,18 @@
             return fault
         self._servers[address] = server
         return None
+
+
+def _limit_connections(max_sockets: int, memory: HostMemory) -> int:
+    """Returns how many connections callers may open."""
+    affordable = count_affordable_connections(
+        memory.machine_bytes, CONNECTION_MEMORY_SHARE
+    )
+    return max(1, min(round(max_sockets * CALLER_SOCKET_SHARE), affordable))
+
+
+def _build_answers(
+    memory: HostMemory, name: str, max_bytes: int
+) -> ReplyMemory:
+    limits = PartLimits(name, max_bytes, ANSWER_FACTOR)
+    return ReplyMemory(memory=memory, limits=limits)
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -6,6 +6,7 @@
 from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit
 
 from almonddock_core.dispatch import BudgetLimits
+from almonddock_core.memory import DEFAULT_MACHINE_BYTES
 
 
 def get_descriptor_limit() -> int:
@@ -94,3 +95,5 @@
     shutdown_time: timedelta
     #: How many sockets the process may open.
     max_sockets: int = field(default_factory=get_descriptor_limit)
+    #: The memory that the process may take.
+    memory_bytes: int = DEFAULT_MACHINE_BYTES
--- a/packages/gateway/almonddock_gateway/targets/_pools.py
+++ b/packages/gateway/almonddock_gateway/targets/_pools.py
@@ -2,11 +2,19 @@
 
 from collections.abc import Callable
 
+from almonddock_core.memory import HostMemory, PartLimits
 from almonddock_core.routing import KnownTarget
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.targets._availability import ObserveReply
 from almonddock_gateway.targets._pool import PoolSettings, TargetPool
 
+#: The most bytes that targets make the host hold: incomplete replies, and
+#: requests that they do not read.
+MAX_HELD_BYTES = 0x2000000
+
+#: A whole reply is copied once when it is passed on.
+REPLY_LIMITS = PartLimits('replies', MAX_HELD_BYTES, factor=2)
+
 
 class TargetPools:
     """Creates pools on first use and removes unused ones."""
@@ -17,19 +25,21 @@
         report_reachability: Callable[[KnownTarget], None],
         is_usable: Callable[[KnownTarget], bool] = lambda target: True,
         observe: ObserveReply = lambda target, reply: None,
+        memory: HostMemory | None = None,
     ) -> None:
         """Initialises without pools.
 
         ``get_limit`` returns the connection limit for a target of a service;
         ``report_reachability`` is called when a target becomes reachable or
         unreachable; ``is_usable`` says whether it may get new work; ``observe``
-        records what a reply says of its target.
+        records what a reply says of its target; ``memory`` bounds what targets
+        make the host hold.
         """
         self._observe = observe
         self._is_usable = is_usable
         self._get_limit = get_limit
         self._report_reachability = report_reachability
-        self._memory = ReplyMemory()
+        self._memory = ReplyMemory(memory=memory, limits=REPLY_LIMITS)
         self._may_wait = True
         self._pools: dict[int, TargetPool] = {}
 
--- a/packages/gateway/almonddock_gateway/telemetry/__init__.py
+++ b/packages/gateway/almonddock_gateway/telemetry/__init__.py
@@ -5,6 +5,7 @@
     NonBlockingText,
 )
 from almonddock_gateway.telemetry._lines import LineBudget, LineWriter
+from almonddock_gateway.telemetry._memory import MemoryReport
 from almonddock_gateway.telemetry._metrics import GatewayMetrics
 from almonddock_gateway.telemetry._telemetry import Telemetry
 
@@ -13,6 +14,7 @@
     'LibraryMessages',
     'LineBudget',
     'LineWriter',
+    'MemoryReport',
     'NonBlockingText',
     'Telemetry',
 ]
--- a/packages/gateway/almonddock_gateway/tests/test_linking.py
+++ b/packages/gateway/almonddock_gateway/tests/test_linking.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from unittest import mock
 
+from almonddock_core.memory import HostMemory
 from almonddock_core.model import ManualClock
 from almonddock_core.routing import TargetTable
 from almonddock_gateway import linking
@@ -28,6 +29,7 @@
             StoreServer(store, StoreCache('', bool)),
             HostController(SETTINGS, store, clock, telemetry),
             telemetry,
+            HostMemory(clock),
         )
         await self.links.open()
         assert self.links._server is not None
--- a/packages/gateway/almonddock_gateway/tests/test_relays.py
+++ b/packages/gateway/almonddock_gateway/tests/test_relays.py
@@ -10,6 +10,7 @@
     Send,
     TargetReply,
 )
+from almonddock_core.memory import HostMemory
 from almonddock_core.model import ManualClock
 from almonddock_core.routing import Costs, TargetTable
 from almonddock_core.tests.dispatch_cases import THERE, make_entry
@@ -47,6 +48,7 @@
     def make_server(self, costs: CostExchange) -> None:
         self.server = RelayServer(
             RelaySettings(NAMES, self.targets, self.pools, self.clock, costs),
+            HostMemory(self.clock),
         )
 
     def start(self, *targets: str) -> None:
--- a/packages/gateway/almonddock_gateway/tests/test_request_memory.py
+++ b/packages/gateway/almonddock_gateway/tests/test_request_memory.py
@@ -3,10 +3,13 @@
 import unittest
 from datetime import timedelta
 
+from almonddock_core.memory import HostMemory, ProcessSize, estimate_process
 from almonddock_core.model import ManualClock
-from almonddock_gateway.http import RequestMemory
+from almonddock_gateway.http import ReplyMemory, RequestMemory
 
 MAX_BYTES = 1000
+MEBIBYTE = 0x100000
+PROCESS_BYTES = estimate_process(ProcessSize())
 
 
 class FakeHolder:
@@ -22,6 +25,17 @@
         self.refused = True
 
 
+class FakeReply:
+    """A connection that records whether it was aborted."""
+
+    def __init__(self) -> None:
+        self.aborted = False
+
+    def abort(self) -> None:
+        """Records the end."""
+        self.aborted = True
+
+
 class RequestMemoryTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock()
@@ -68,6 +82,25 @@
             self.assertFalse(holder.refused)
         self.assertEqual(self.memory.held, 0)
 
+    def test_large_reply_is_ended_before_a_small_request(self) -> None:
+        """Both have room of their own, and not together."""
+        owner = HostMemory(self.clock, PROCESS_BYTES + 5 * MEBIBYTE)
+        replies = ReplyMemory(memory=owner)
+        answers = ReplyMemory(memory=owner)
+        requests = RequestMemory(self.clock, memory=owner)
+        largest, smaller = FakeReply(), FakeReply()
+        replies.hold(largest, 2 * MEBIBYTE)
+        answers.hold(smaller, MEBIBYTE)
+        first = FakeHolder(self.clock.now(), serving=False)
+        requests.hold(first, MEBIBYTE)
+        self.assertFalse(largest.aborted)
+        last = FakeHolder(self.clock.now(), serving=False)
+        requests.hold(last, 1)
+        self.assertTrue(largest.aborted)
+        self.assertFalse(smaller.aborted)
+        self.assertFalse(first.refused or last.refused)
+        self.assertEqual(owner.ended, 1)
+
 
 if __name__ == '__main__':
     unittest.main()
