Count connections until they are closed

A host with a limit of 333 connections of callers had up to 908 descriptors open. A connection that was refused stays open for a second and no longer counted; one whose caller does not read its last answer could not be refused and was forgotten; and up to 1,024 connections are accepted before the limit is checked.

A connection now counts until it is closed, one in eight may linger beyond the limit, an answer that nobody reads is aborted first, and 64 connections are accepted in a turn of the event loop.

Two new tests of test_caller_connection failed before.

--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -100,6 +100,11 @@
         busy = self._current is not None or self._waiting or self._ended
         return not (busy or self._reader.reading)
 
+    @property
+    def ended(self) -> bool:
+        """Whether the last answer was written, and the connection closes."""
+        return self._ended and self._current is None
+
     @property
     def serving(self) -> bool:
         """Whether a request is being served."""
@@ -132,11 +137,6 @@
             self._start_next()
         self._settings.requests.update(self, self._estimate_memory())
 
-    def abort(self) -> None:
-        """Closes the connection immediately, even during a request."""
-        if self._transport is not None:
-            self._transport.abort()
-
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in progress."""
         if self.idle and self._transport is not None:
@@ -254,8 +254,7 @@
     def _count_unread_answers(self) -> None:
         """Keeps the bound on the answers that callers have not read."""
         if self._transport is not None:
-            unread = self._transport.get_write_buffer_size()
-            self._settings.answers.hold(self, unread)
+            self._settings.answers.hold(self, self.unread_bytes)
 
     def _linger(self) -> None:
         """Closes the connection after the caller has had time to read."""
--- a/packages/gateway/almonddock_gateway/http/_flow.py
+++ b/packages/gateway/almonddock_gateway/http/_flow.py
@@ -11,6 +11,18 @@
         #: Whether written bytes wait for the peer to read.
         self._is_paused = False
 
+    @property
+    def unread_bytes(self) -> int:
+        """The written bytes that the peer has not read."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    def abort(self) -> None:
+        """Closes the connection immediately, even during an exchange."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def pause_writing(self) -> None:
         """Stops reading; called once many written bytes wait."""
         self._is_paused = True
--- a/packages/gateway/almonddock_gateway/serving.py
+++ b/packages/gateway/almonddock_gateway/serving.py
@@ -1,6 +1,7 @@
 """The listening sockets of a host, and the accepted connections."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -27,6 +28,10 @@
 #: The most connections that the kernel queues until they are accepted.
 BACKLOG = 1024
 
+#: The most connections that are accepted in one turn of the event loop: each
+#: takes a descriptor and memory before the limit on them is checked.
+ACCEPTED_AT_ONCE = 64
+
 #: The pause between two tries to listen at an address.
 LISTEN_PAUSE_MS = 200
 LISTEN_PAUSE = timedelta(milliseconds=LISTEN_PAUSE_MS)
@@ -213,15 +218,15 @@
     ) -> OSError | None:
         """Returns the error if the address cannot be used now."""
         try:
-            server = await asyncio.get_running_loop().create_server(
-                lambda: CallerConnection(shared),
-                address.host,
-                address.port,
-                backlog=BACKLOG,
-                reuse_address=True,
-            )
+            listening = socket.create_server((address.host, address.port))
         except OSError as fault:
             return fault
+        server = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(shared),
+            sock=listening,
+            backlog=ACCEPTED_AT_ONCE,
+        )
+        listening.listen(BACKLOG)
         self._servers[address] = server
         return None
 
--- a/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_caller_connection.py
@@ -6,6 +6,7 @@
 import weakref
 from dataclasses import replace
 from datetime import timedelta
+from unittest.mock import patch
 
 from almonddock_core.model import ManualClock
 from almonddock_gateway.http import (
@@ -458,6 +459,31 @@
         self.connect(self.transport).data_received(GET)
         self.assertEqual(len(self.requests), 2)
 
+    async def test_refused_callers_count_until_they_are_gone(self) -> None:
+        """Each stayed open for a second, beyond the limit."""
+        limit = ConnectionLimit(2)
+        self.settings = replace(self.settings, opened=limit.add)
+        transports = [FakeTransport() for _ in range(8)]
+        for transport in transports:
+            self.clock.advance(timedelta(seconds=1))
+            self.connect(transport).data_received(GET[:20])
+        still_open = [one for one in transports if not one.closed]
+        self.assertLessEqual(len(still_open), 3)
+        self.assertFalse(transports[-1].ended)
+
+    async def test_caller_that_reads_no_answer_makes_room(self) -> None:
+        """Its connection was left open until it had read all."""
+        limit = ConnectionLimit(1)
+        self.settings = replace(self.settings, opened=limit.add)
+        unread = FakeTransport()
+        first = self.connect(unread)
+        first.data_received(GET)
+        first.send(200, (), b'long')
+        unread.unread = 100
+        with patch.object(unread, 'abort') as abort:
+            self.connect(FakeTransport())
+        abort.assert_called_once_with()
+
     async def test_head_gets_no_body(self) -> None:
         self.connection.data_received(GET.replace(b'GET', b'HEAD'))
         self.connection.send(200, (), b'body')
