Order waiting requests by what their organisations took

Cause: where room is short, whoever asks most often gets most: queues know ranks and arrival only. Change: FairShares delays the turn of an organisation that took more than its share lately, and of lower ranks, by 2 s at most; queues for connections, here and on the host that asks for another, follow the turns. Without organisations the order is as before. Nothing at the entry takes a turn yet: it needs the callers that the part for keys brings.

--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -6,12 +6,14 @@
 
 from almonddock_core.dispatch._budget import RetryBudget
 from almonddock_core.dispatch._hedging import HedgeHistory
+from almonddock_core.fairness import FairShares
 from almonddock_core.placement import (
     ColdStartLimiter,
     QueryPlacement,
     TypicalLatency,
 )
 from almonddock_core.routing import (
+    Caller,
     KnownTarget,
     Route,
     RoutingTable,
@@ -29,6 +31,8 @@
     budget: RetryBudget
     cold: ColdStartLimiter
     hedges: HedgeHistory = field(default_factory=HedgeHistory)
+    #: What organisations have taken, where they share.
+    shares: FairShares = field(default_factory=FairShares)
     #: The configuration in force, for the routes that lead to a service and
     #: the limits of cold targets; None before the first one.
     table: RoutingTable | None = None
@@ -48,6 +52,21 @@
             self._latencies[route.name] = latency
         return latency
 
+    def take_turn(
+        self, caller: Caller, shards: int, now: timedelta
+    ) -> timedelta | None:
+        """Counts a request, and returns the delay of its turn.
+
+        ``shards`` is how many targets work on it. Returns None where the
+        configuration has no organisations.
+        """
+        if self.table is None or self.table.organisations is None:
+            return None
+        delay = self.shares.measure_delay(caller, now)
+        latency = timedelta(seconds=self.get_latency(caller.route).seconds)
+        self.shares.record(caller, latency * shards, now)
+        return delay
+
     def apply_configuration(self, table: RoutingTable) -> None:
         """Applies a configuration; drops latencies of routes that it lacks."""
         self.table = table
--- a/packages/core/almonddock_core/dispatch/_requests.py
+++ b/packages/core/almonddock_core/dispatch/_requests.py
@@ -22,12 +22,25 @@
     deadline: timedelta
     #: The organisation of the caller; None if callers need no keys.
     organisation: Organisation | None = None
+    #: How much later than its arrival its turn is; None where organisations do
+    #: not share.
+    delay: timedelta | None = None
 
     @property
     def priority(self) -> int:
-        """The rank among requests that wait; 0 is the most urgent."""
+        """The rank among requests that wait; 0 is the most urgent.
+
+        A delay says all about the order where there is one.
+        """
+        if self.delay is not None:
+            return 0
         return Caller(self.route, self.organisation).priority
 
+    @property
+    def turn(self) -> timedelta:
+        """The moment up to which requests that arrive later may go first."""
+        return timedelta() if self.delay is None else self.arrived + self.delay
+
 
 class ReplyKind(enum.Enum):
     """What a target's reply says about the request."""
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -182,6 +182,7 @@
                 top=dispatch.request.route.top_records,
                 threshold=threshold,
                 priority=dispatch.request.priority,
+                delay=dispatch.request.delay,
                 targets=tuple(send.target.entry.target_id for send in sends),
                 typical_latency=timedelta(seconds=dispatch.latency.seconds),
             ),
@@ -210,6 +211,7 @@
             fail=lambda failure: self._fail(number, failure),
             fresh_only=not request.route.idempotent,
             priority=request.priority,
+            turn=request.turn.total_seconds(),
             without_body=self._outgoing.method == b'HEAD',
         )
         self._attempts[number] = (pool, attempt)
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -394,6 +394,7 @@
             )
             self._budget.drop_idle(now)
             self._context.hedges.drop_idle(now)
+            self._context.shares.drop_idle(now)
             self._target_controller.drop_lapsed()
             self._isolation.check()
             self._pools.check_waiting()
--- a/packages/gateway/almonddock_gateway/links/_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_codec.py
@@ -116,6 +116,8 @@
     query.priority = message.priority
     query.targets = message.targets
     query.typicalLatency = min(MAX_UINT32, message.typical_latency // US)
+    if message.delay is not None:
+        query.delayPlusOne = min(MAX_UINT32, message.delay // US + 1)
 
 
 def _read_query(query: Any) -> RelayQuery:
@@ -131,6 +133,7 @@
         priority=query.priority,
         targets=read_column(query.targets),
         typical_latency=query.typicalLatency * US,
+        delay=(query.delayPlusOne - 1) * US if query.delayPlusOne else None,
     )
 
 
--- a/packages/gateway/almonddock_gateway/links/messages.capnp
+++ b/packages/gateway/almonddock_gateway/links/messages.capnp
@@ -31,6 +31,9 @@
   floor @9 :Data;
   # Microseconds in which targets typically answer; 0 if unknown.
   typicalLatency @10 :UInt32;
+  # One more than the microseconds by which its turn is later than its arrival; 0
+  # where organisations do not share.
+  delayPlusOne @11 :UInt32;
 }
 
 struct RelayCancel {
--- a/packages/gateway/almonddock_gateway/relays/_messages.py
+++ b/packages/gateway/almonddock_gateway/relays/_messages.py
@@ -71,6 +71,9 @@
     targets: tuple[str, ...]
     #: The typical time in which targets answer such requests; 0 if unknown.
     typical_latency: timedelta = timedelta()
+    #: How much later than its arrival the turn of the query is; None where
+    #: organisations do not share.
+    delay: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/almonddock_gateway/relays/_server.py
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -234,6 +234,7 @@
             fail,
             fresh_only=False,
             priority=query.priority,
+            turn=_find_turn(relayed),
         )
         sub_query.attempt = attempt
         sub_query.begin()
@@ -329,6 +330,12 @@
         return costs
 
 
+def _find_turn(relayed: _RelayedQuery) -> float:
+    if relayed.query.delay is None:
+        return 0
+    return (relayed.arrived + relayed.query.delay).total_seconds()
+
+
 def _refuse(link: MessageLink, query: RelayQuery) -> None:
     """Reports that no part of a query was sent to its target."""
     unsent = tuple(
--- a/packages/gateway/almonddock_gateway/targets/_attempts.py
+++ b/packages/gateway/almonddock_gateway/targets/_attempts.py
@@ -22,6 +22,9 @@
     fresh_only: bool
     #: The priority among attempts that wait for a connection; 0 is highest.
     priority: int
+    #: Among attempts of one priority, those with an earlier turn go first: a
+    #: time in seconds, zero where organisations do not share.
+    turn: float = 0
     #: Whether the method is HEAD.
     without_body: bool = False
     #: The connection that carries the request; None until it is sent.
--- a/packages/gateway/almonddock_gateway/targets/_waiting.py
+++ b/packages/gateway/almonddock_gateway/targets/_waiting.py
@@ -8,10 +8,10 @@
 
 
 class WaitingAttempts:
-    """A queue by priority; attempts that have ended are skipped."""
+    """A queue by priority and turn; attempts that have ended are skipped."""
 
     def __init__(self) -> None:
-        self._ranked: list[tuple[int, int, TargetAttempt]] = []
+        self._ranked: list[tuple[int, float, int, TargetAttempt]] = []
         self._order = itertools.count()
 
     def __len__(self) -> int:
@@ -19,8 +19,9 @@
         return len(self._ranked)
 
     def push(self, attempt: TargetAttempt) -> None:
-        """Adds an attempt behind those of its priority."""
-        ranked = (attempt.priority, next(self._order), attempt)
+        """Adds an attempt behind those of its priority and turn."""
+        number = next(self._order)
+        ranked = (attempt.priority, attempt.turn, number, attempt)
         heapq.heappush(self._ranked, ranked)
 
     def pop(self) -> TargetAttempt | None:
@@ -35,8 +36,8 @@
         """Removes all attempts and reports their failure."""
         ranked = self._ranked
         self._ranked = []
-        for _, _, attempt in ranked:
-            fail_unsent(attempt, failure)
+        for entry in ranked:
+            fail_unsent(entry[-1], failure)
 
 
 def fail_unsent(attempt: TargetAttempt, failure: Failure) -> None:
--- a/packages/gateway/almonddock_gateway/tests/link_messages.py
+++ b/packages/gateway/almonddock_gateway/tests/link_messages.py
@@ -39,6 +39,8 @@
         costs=(('t1', 1.5), ('t2', 12.0)),
     ),
     replace(make_query('t1'), typical_latency=25 * MS),
+    replace(make_query('t1'), delay=timedelta()),
+    replace(make_query('t1'), delay=250 * MS),
     StoreQuery(1, 'prefix/', None, timedelta()),
     StoreQuery(1, 'prefix/', 0, 3000 * MS, costs=(('t1', 3.0),)),
     StoreReply(
--- a/packages/gateway/almonddock_gateway/tests/test_pool.py
+++ b/packages/gateway/almonddock_gateway/tests/test_pool.py
@@ -94,6 +94,7 @@
         name: bytes = b'x',
         *,
         priority: int = 1,
+        turn: float = 0,
         fresh_only: bool = False,
     ) -> TargetAttempt:
         attempt = TargetAttempt(
@@ -102,6 +103,7 @@
             fail=self.failures.append,
             fresh_only=fresh_only,
             priority=priority,
+            turn=turn,
         )
         self.pool.submit(attempt)
         await self.run_tasks()
@@ -129,6 +131,14 @@
         self.loop.connections[0].data_received(REPLY)
         self.assertEqual(self.list_written(), [b'ad', b'b'])
 
+    async def test_queue_of_one_priority_is_ordered_by_turn(self) -> None:
+        """Requests of an organisation that took most waited like others."""
+        for name, turn in ((b'a', 1), (b'b', 2), (b'c', 9), (b'd', 4)):
+            await self.submit(name, turn=turn)
+        self.loop.connections[0].data_received(REPLY)
+        self.loop.connections[0].data_received(REPLY)
+        self.assertEqual(self.list_written(), [b'adc', b'b'])
+
     async def test_long_idle_connection_carries_no_fresh_only_attempt(
         self,
     ) -> None:
