--- a/packages/core/almonddock_core/fairness/_shares.py
+++ b/packages/core/almonddock_core/fairness/_shares.py
@@ -1,5 +1,6 @@
 """The work that each organisation has taken lately, and what follows of it."""
 
+import math
 from datetime import timedelta
 
 from almonddock_core.routing import Caller
@@ -93,7 +94,8 @@
         return min(max(0, own * others / taken - 1), limit)
 
     def _grow(self, now: timedelta) -> float:
-        return HALVING ** -((now - self._epoch) / HALF_LIFE)
+        half_lives: float = (now - self._epoch) / HALF_LIFE
+        return math.pow(HALVING, -half_lives)
 
     def _rescale(self, now: timedelta) -> None:
         passed = (now - self._epoch) / HALF_LIFE
