--- /dev/null
+++ b/bench/fairness/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on the order in which organisations are served."""
