--- a/bench/fairness/contention.py
+++ b/bench/fairness/contention.py
@@ -48,6 +48,15 @@
     seed: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    """A request that waits for room."""
+
+    arrived: float
+    organisation: int
+    host: int
+
+
 @experiment('fairness.contention', seconds=300)
 def measure_contention() -> Iterator[Measurement]:
     """Compares turns with the order of arrival, over hosts that know little."""
@@ -85,7 +94,7 @@
         Caller(ROUTE, Organisation(str(number)))
         for number in range(ORGANISATIONS)
     ]
-    waiting: list[tuple[float, int, float, int, int]] = []
+    waiting: list[tuple[float, int, _Waiting]] = []
     served = dict.fromkeys(range(ORGANISATIONS), 0)
     order = itertools.count()
     places = round(sum(rates) * ROOM * LENGTH_S)
@@ -99,14 +108,17 @@
             turn = arrived
             if load.is_fair:
                 turn += _take_turn(known[host], callers[number], arrived)
-            heapq.heappush(waiting, (turn, next(order), arrived, number, host))
+            request = _Waiting(arrived, number, host)
+            heapq.heappush(waiting, (turn, next(order), request))
             following = next(upcoming, None)
         while waiting:
-            _, _, arrived, number, host = heapq.heappop(waiting)
-            if now - arrived <= PATIENCE_S:
+            request = heapq.heappop(waiting)[-1]
+            number = request.organisation
+            if now - request.arrived <= PATIENCE_S:
                 served[number] += 1
                 break
-            known[host].record(callers[number], -WORK, timedelta(seconds=now))
+            shares = known[request.host]
+            shares.record(callers[number], -WORK, timedelta(seconds=now))
     return [
         count / round(rate * LENGTH_S)
         for count, rate in zip(served.values(), rates, strict=True)
