Give each request of an organisation its turn

Cause: queues could follow turns, and nothing at the entry took one. Change: the entry counts a request's work for its organisation and passes the delay of its turn on to queues, also of hosts that ask targets for it; work of a request that is refused unrun is given back. Where the configuration has no organisations nothing is counted.

--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -6,7 +6,7 @@
 
 from almonddock_core.dispatch._budget import RetryBudget
 from almonddock_core.dispatch._hedging import HedgeHistory
-from almonddock_core.fairness import FairShares
+from almonddock_core.fairness import FairShares, Turn
 from almonddock_core.placement import (
     ColdStartLimiter,
     QueryPlacement,
@@ -52,20 +52,24 @@
             self._latencies[route.name] = latency
         return latency
 
-    def take_turn(
-        self, caller: Caller, shards: int, now: timedelta
-    ) -> timedelta | None:
-        """Counts a request, and returns the delay of its turn.
+    def take_turn(self, caller: Caller, shards: int, now: timedelta) -> Turn:
+        """Counts a request, and returns its turn.
 
-        ``shards`` is how many targets work on it. Returns None where the
-        configuration has no organisations.
+        ``shards`` is how many targets work on it. The turn has no delay where
+        the configuration has no organisations.
         """
         if self.table is None or self.table.organisations is None:
-            return None
+            return Turn(caller)
         delay = self.shares.measure_delay(caller, now)
         latency = timedelta(seconds=self.get_latency(caller.route).seconds)
-        self.shares.record(caller, latency * shards, now)
-        return delay
+        turn = Turn(caller, latency * shards, delay)
+        self.shares.record(caller, turn.work, now)
+        return turn
+
+    def give_back(self, turn: Turn, now: timedelta) -> None:
+        """Takes back the work of a request that was refused."""
+        if turn.delay is not None:
+            self.shares.record(turn.caller, -turn.work, now)
 
     def apply_configuration(self, table: RoutingTable) -> None:
         """Applies a configuration; drops latencies of routes that it lacks."""
--- a/packages/core/almonddock_core/fairness/__init__.py
+++ b/packages/core/almonddock_core/fairness/__init__.py
@@ -11,9 +11,10 @@
 that is left for all.
 """
 
-from almonddock_core.fairness._shares import MAX_DELAY, FairShares
+from almonddock_core.fairness._shares import MAX_DELAY, FairShares, Turn
 
 __all__ = [
     'MAX_DELAY',
     'FairShares',
+    'Turn',
 ]
--- a/packages/core/almonddock_core/fairness/_shares.py
+++ b/packages/core/almonddock_core/fairness/_shares.py
@@ -1,6 +1,7 @@
 """The work that each organisation has taken lately, and what follows of it."""
 
 import math
+from dataclasses import dataclass
 from datetime import timedelta
 
 from almonddock_core.routing import Caller
@@ -34,6 +35,18 @@
 PUBLIC = ''
 
 
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """When a request's turn is, and what its organisation is charged."""
+
+    caller: Caller
+    #: The time for which it takes a place at targets, over all shards.
+    work: timedelta = timedelta()
+    #: How much later than its arrival its turn is; None where organisations do
+    #: not share.
+    delay: timedelta | None = None
+
+
 class FairShares:
     """Tracks what organisations take, and delays those that took most.
 
--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -10,6 +10,7 @@
     Dispatch,
     DispatchContext,
     DispatchedRequest,
+    Refusal,
 )
 from almonddock_core.routing import (
     Caller,
@@ -194,14 +195,17 @@
     ) -> Exchange:
         names = self._settings.names
         now = self._settings.clock.now()
+        services = self._state.pick_services(routed.route)
+        turn = self._context.take_turn(caller, len(services), now)
         dispatch = Dispatch(
             DispatchedRequest(
                 request_id=routed.request_id,
                 route=routed.route,
-                services=self._state.pick_services(routed.route),
+                services=services,
                 arrived=now,
                 deadline=now + routed.timeout,
                 organisation=caller.organisation,
+                delay=turn.delay,
             ),
             self._context,
         )
@@ -219,6 +223,8 @@
 
         def finish(exchange: TargetExchange, answer: Answer | None) -> None:
             self._exchanges.pop(exchange, None)
+            if isinstance(answer, Refusal) and answer.not_run:
+                self._context.give_back(turn, self._settings.clock.now())
             version = table.version
             status = 0
             if answer is not None:
