Decide on quotas over all hosts, without a network

Cause: an organisation's limit holds over all hosts, through crashes, cuts, freezes, joins and changes of the limit; nothing limits it.

--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_quotas.py
@@ -0,0 +1,329 @@
+"""Tests of quotas over all hosts, without a network."""
+
+import itertools
+import unittest
+from collections.abc import Sequence
+from datetime import timedelta
+from functools import partial
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from almonddock_core.quotas import (
+    LAPSE,
+    AskGrantor,
+    Bucket,
+    CreditReply,
+    CreditSource,
+    HostPlace,
+    HostSet,
+    LetIn,
+    Quotas,
+    QuotaSettings,
+    StartState,
+    count_allowed,
+    divide_quota,
+    limit_count,
+)
+from almonddock_core.routing import Organisation, Quota
+from almonddock_core.tests.quota_fleet import (
+    MS,
+    SECOND,
+    SETTINGS,
+    Fleet,
+    find_worst_window,
+)
+
+#: When traffic starts: hosts of a first start know each other by then.
+START = 16 * SECOND
+#: Its burst is most of what a window may hold.
+QUOTA = Quota(2, 60)
+
+#: Requests a second while they come.
+BURST_RATE = 80
+
+FAULTS = ('cut', 'cut_from_store', 'freeze', 'kill', 'stop', 'join', 'limit')
+
+Fault = tuple[str, int, int, int]
+
+
+def schedule(fleet: Fleet, fault: Fault) -> None:
+    """Schedules a fault: its kind, host, start and length in half seconds."""
+    kind, number, start, length = fault
+    name = f'host-{number % len(fleet.processes)}'
+    begin = START + start * SECOND / 2
+    end = begin + length * SECOND / 2
+    place = fleet.processes[name].place
+
+    def restart() -> None:
+        fleet.processes[name].lives = False
+        fleet.start(name, place.data_centre)
+
+    match kind:
+        case 'cut':
+            fleet.at(begin, lambda: fleet.cut_from_hosts.add(name))
+            fleet.at(begin, lambda: fleet.cut_from_store.add(name))
+            fleet.at(end, lambda: fleet.cut_from_hosts.discard(name))
+            fleet.at(end, lambda: fleet.cut_from_store.discard(name))
+        case 'cut_from_store':
+            fleet.at(begin, lambda: fleet.cut_from_store.add(name))
+            fleet.at(end, lambda: fleet.cut_from_store.discard(name))
+        case 'freeze':
+            fleet.at(begin, lambda: fleet.freeze(name, end - begin))
+        case 'kill':
+            fleet.at(begin, lambda: fleet.kill(name))
+            fleet.at(end, restart)
+        case 'stop':
+            fleet.at(begin, lambda: fleet.stop(name))
+            fleet.at(end, restart)
+        case 'join':
+            fleet.at(begin, lambda: fleet.start(f'new-{number}', 'dc-1'))
+        case 'limit':
+            quota = Quota(number % 12, length % 9 * 8)
+            fleet.at(begin, lambda: fleet.set_quotas(['o'], quota))
+
+
+def send(fleet: Fleet, seconds: int, hosts: int, pause: int) -> None:
+    """Sends bursts to some hosts, those that joined included."""
+    at = START
+
+    def request() -> None:
+        names = list(fleet.processes)
+        chosen = names[-hosts:] if hosts < len(names) else names
+        fleet.request(fleet.random.choice(chosen), 'o')
+
+    while at < START + seconds * SECOND:
+        at += fleet.random.expovariate(BURST_RATE) * SECOND
+        if not pause or (at // SECOND) % (pause + 1) == 0:
+            fleet.at(at, request)
+
+
+def find_excess(fleet: Fleet) -> int:
+    """Returns by how many requests the worst window exceeds its bound.
+
+    A window is bound by the highest limit in force since some time before it.
+    """
+    worst = -1000
+    window = SETTINGS.window
+    times = sorted(fleet.let_in['o'])
+    changes = [*fleet.limits, (timedelta.max, Quota(0, 0))]
+    for first, when in enumerate(times):
+        within = sum(other - when <= window for other in times[first:])
+        begin = when - window - 2 * SECOND
+        allowed = max(
+            count_allowed(quota, SETTINGS)
+            for (since, quota), (until, _) in itertools.pairwise(changes)
+            if since <= when + window and until > begin
+        )
+        worst = max(worst, within - allowed)
+    return worst
+
+
+class BucketTest(unittest.TestCase):
+    @settings(derandomize=True)
+    @given(
+        st.integers(0, 12),
+        st.floats(0, 8),
+        st.lists(st.floats(0, 2), max_size=120),
+    )
+    def test_no_window_has_more(
+        self, count: int, burst: float, pauses: Sequence[float]
+    ) -> None:
+        allowance = limit_count(count, burst, 5 * SECOND)
+        bucket = Bucket(timedelta())
+        now = timedelta()
+        taken = []
+        for pause in pauses:
+            now += pause * SECOND
+            if bucket.take(1, allowance, now):
+                taken.append(now)
+        self.assertLessEqual(find_worst_window(taken, 5 * SECOND), count)
+
+    def test_a_changed_limit_is_no_fresh_one(self) -> None:
+        """A version that raises and lowers a limit by turns adds nothing."""
+        high = limit_count(8, 8, 5 * SECOND)
+        low = limit_count(2, 2, 5 * SECOND)
+        bucket = Bucket(timedelta())
+        self.assertEqual(bucket.take(9, high, timedelta()), 8)
+        self.assertEqual(bucket.take(1, low, 10 * MS), 0)
+        self.assertEqual(bucket.take(1, high, 20 * MS), 0)
+
+    def test_what_is_given_back_counts_no_more(self) -> None:
+        allowance = limit_count(1, 1, 5 * SECOND)
+        bucket = Bucket(timedelta())
+        self.assertEqual(bucket.take(1, allowance, timedelta()), 1)
+        bucket.give_back(1, allowance)
+        self.assertEqual(bucket.take(1, allowance, timedelta()), 1)
+
+
+class DivisionTest(unittest.TestCase):
+    def test_parts_stay_within_the_bound(self) -> None:
+        limits = (Quota(0.05, 0), Quota(0.4, 3), Quota(11, 7), Quota(900, 90))
+        for quota, hosts, slack in itertools.product(
+            limits, (1, 4, 31, 300), (0, 3, 20)
+        ):
+            bounds = QuotaSettings(5 * SECOND, 0.1, slack)
+            names = [f'h{number}' for number in range(hosts)]
+            known = HostSet(names, names[:6])
+            parts = [
+                divide_quota('o', quota, name, known, bounds) for name in names
+            ]
+            total = 0
+            for part in parts:
+                for allowance, window in (
+                    (part.granted, bounds.grant_window),
+                    (part.own, bounds.window),
+                ):
+                    seconds = window.total_seconds()
+                    total += int(allowance.burst + allowance.rate * seconds)
+            with self.subTest(quota=quota, hosts=hosts, slack=slack):
+                self.assertLessEqual(total, count_allowed(quota, bounds))
+                self.assertGreater(total, 0.8 * count_allowed(quota, bounds))
+
+
+class FleetTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(
+        st.integers(0, 1000),
+        st.sampled_from((4, 7, 13)),
+        st.sampled_from((2, 5, 100)),
+        st.integers(0, 4),
+        st.lists(
+            st.tuples(
+                st.sampled_from(FAULTS),
+                st.integers(0, 12),
+                st.integers(0, 50),
+                st.integers(1, 60),
+            ),
+            max_size=10,
+        ),
+    )
+    def test_no_window_exceeds_the_bound(
+        self,
+        seed: int,
+        hosts: int,
+        used: int,
+        pause: int,
+        faults: Sequence[Fault],
+    ) -> None:
+        """Faults and changes of every kind, far above the limit."""
+        fleet = Fleet(hosts, seed, QUOTA)
+        fleet.set_quotas(['o'], QUOTA)
+        for fault in faults:
+            schedule(fleet, fault)
+        send(fleet, 50, used, pause)
+        fleet.run(START + 51 * SECOND)
+        self.assertLessEqual(find_excess(fleet), 0)
+
+    def test_a_restarted_host_grants_no_second_burst(self) -> None:
+        """A process that has just started does not know what it granted."""
+        fleet = Fleet(4, 1, QUOTA)
+        fleet.set_quotas(['o'], QUOTA)
+        for number in range(3):
+            schedule(fleet, ('kill', number, 2, 1))
+        send(fleet, 4, 4, 0)
+        fleet.run(START + 5 * SECOND)
+        self.assertLessEqual(find_excess(fleet), 0)
+
+    def test_a_joined_host_waits_for_one_that_cannot_know_of_it(self) -> None:
+        """Both would hold one part, each for the hosts that it reaches."""
+        fleet = Fleet(12, 1, QUOTA)
+        fleet.set_quotas(['o'], QUOTA)
+        fleet.run(10 * SECOND)
+        others = [name for name in fleet.processes if name != 'host-1']
+        grantors = set(fleet.processes['host-1'].quotas.hosts.current.grantors)
+        fleet.cut_from_store |= grantors
+        for number in range(12):
+            fleet.start(f'new-{number}', f'dc-{number % 3}')
+        self.assertTrue(others)
+        send(fleet, 8, 100, 0)
+        fleet.run(START + 9 * SECOND)
+        self.assertLessEqual(find_excess(fleet), 0)
+
+    def test_a_late_grant_is_not_used(self) -> None:
+        """Its window may be over when a frozen host reads it."""
+        place = HostPlace('a', 'dc')
+        quotas = Quotas(place, SETTINGS, StartState(timedelta()), bool)
+        quotas.update_quotas([Organisation('o', quota=QUOTA)])
+        quotas.update_hosts([place, HostPlace('b', 'dc')], START, START)
+        ticket, actions = quotas.admit('o', START)
+        self.assertIsInstance(actions[0], AskGrantor)
+        reply = CreditReply(1, 'o', 1, timedelta(), grants=True)
+        late = quotas.receive_reply(reply, START + SECOND)
+        self.assertNotIn(LetIn(ticket, CreditSource.GRANTED), late)
+
+    def test_a_host_without_news_uses_no_part(self) -> None:
+        """Others may hold its part by then."""
+        fleet = Fleet(4, 1, QUOTA)
+        fleet.run(START)
+        known = fleet.processes['host-0'].quotas.hosts
+        self.assertTrue(known.may_grant(fleet.now))
+        self.assertTrue(known.may_spend(fleet.now))
+        fleet.cut_from_store.add('host-0')
+        fleet.run(START + LAPSE + SECOND)
+        self.assertFalse(known.may_grant(fleet.now))
+        self.assertFalse(known.may_spend(fleet.now))
+
+    def test_a_restart_of_all_hosts_recovers(self) -> None:
+        """Nobody is left who knows the others."""
+        fleet = Fleet(7, 1, QUOTA)
+        fleet.set_quotas(['o'], QUOTA)
+        for number in range(7):
+            schedule(fleet, ('kill', number, 0, 4))
+        fleet.run(START + 10 * SECOND)
+        request = fleet.request('host-1', 'o') or (0, 0)
+        fleet.run(START + 11 * SECOND)
+        self.assertTrue(fleet.answers[request])
+
+    def test_hosts_that_restart_in_turn_keep_granting(self) -> None:
+        """They deregister; the others know how long they have granted."""
+        fleet = Fleet(7, 1, QUOTA)
+        fleet.set_quotas(['o'], QUOTA)
+        for number in range(7):
+            schedule(fleet, ('stop', number, 30 + 4 * number, 4))
+        served = []
+        for half in range(30, 80):
+
+            def send_one() -> None:
+                host = f'host-{fleet.random.randrange(7)}'
+                request = fleet.request(host, 'o')
+                if request is not None:
+                    served.append(request)
+
+            fleet.at(START + half * SECOND / 2, send_one)
+        fleet.run(START + 41 * SECOND)
+        self.assertTrue(all(fleet.answers[one] for one in served))
+
+    def test_what_is_owed_is_served_in_calm(self) -> None:
+        """However few hosts its callers reach, and however few ask."""
+        for hosts, used in ((4, 1), (31, 1), (31, 31)):
+            fleet = Fleet(hosts, 1, QUOTA)
+            fleet.set_quotas(['o'], Quota(3, 3))
+            for number in range(90):
+                host = f'host-{number % used}'
+                when = START + number * SECOND / 3
+                fleet.at(when, partial(fleet.send, host, 'o'))
+            fleet.run(START + 31 * SECOND)
+            with self.subTest(hosts=hosts, used=used):
+                self.assertEqual(len(fleet.let_in['o']), 90)
+
+    def test_without_quotas_nothing_is_sent_or_held(self) -> None:
+        fleet = Fleet(4, 1, QUOTA)
+        fleet.run(START)
+        for _ in range(100):
+            fleet.request('host-1', 'o')
+        self.assertEqual(len(fleet.let_in['o']), 100)
+        self.assertEqual(fleet.messages, 0)
+        held = [one.quotas.held for one in fleet.processes.values()]
+        self.assertEqual(sum(held), 0)
+
+    def test_organisations_without_requests_are_forgotten(self) -> None:
+        fleet = Fleet(4, 1, QUOTA)
+        names = [f'o{number}' for number in range(1000)]
+        fleet.set_quotas(names, QUOTA)
+        fleet.run(START)
+        for name in names:
+            fleet.request('host-1', name)
+        fleet.run(START + 40 * SECOND)
+        held = [one.quotas.held for one in fleet.processes.values()]
+        self.assertEqual(sum(held), 0)
