Enforce quotas at the entry, with credits over links

Cause: nothing limits an organisation over all hosts. Change: where the settings bound quotas and the configuration has some, a request over its organisation's is refused with 429 and a Retry-After before anything is spent on it; queries for credits pass on links to the grantors, on which nothing is relayed. Hosts that enforce quotas register under keys of their own, which earlier releases ignore; an unknown kind of message no longer closes a link. Without these settings nothing more is sent, registered or read.

--- a/packages/core/almonddock_core/quotas/_hosts.py
+++ b/packages/core/almonddock_core/quotas/_hosts.py
@@ -50,8 +50,6 @@
     #: Whether all hosts start for the first time, so that none has let in
     #: requests before.
     is_first: bool = False
-    #: Whether the host granted before a restart, by its registration.
-    has_granted: bool = False
 
 
 class KnownHosts:
@@ -73,6 +71,7 @@
         self._registered_since: timedelta | None = None
         self._grantor_since: dict[str, timedelta] = {}
         self._is_vouched = False
+        self._has_granted_before = False
         self._returned: set[str] = set()
         #: The hosts that share quotas.
         self.current = HostSet((own.name,), (own.name,))
@@ -99,6 +98,13 @@
         self._data_centres.update(places)
         self._choose_grantors(now)
 
+    def note_earlier_grants(self) -> None:
+        """Notes that this host granted before a restart.
+
+        That is read from its registration, which outlives its process.
+        """
+        self._has_granted_before = True
+
     def note_vouched(self, known_for: timedelta) -> None:
         """Notes how long another host has known this one as a grantor."""
         if known_for >= self.settle_time:
@@ -139,6 +145,14 @@
         is_old = self._is_vouched or now - since >= self.settle_time
         return is_old or (self._is_early(since) and self._is_known())
 
+    def is_grantor(self, now: timedelta) -> bool:
+        """Whether this host grants, or will again soon after a restart."""
+        since = self._grantor_since.get(self._own.name)
+        if since is None or not self._is_current(now):
+            return False
+        is_early = self._is_early(since) and self._is_known()
+        return is_early or self.may_grant(now)
+
     def may_spend(self, now: timedelta) -> bool:
         """Whether this host may use its own part without a grant."""
         since = self._registered_since
@@ -180,7 +194,7 @@
         return since - self._start.started < self._forget_after
 
     def _is_known(self) -> bool:
-        return self._start.is_first or self._start.has_granted
+        return self._start.is_first or self._has_granted_before
 
     def _choose_grantors(self, now: timedelta) -> None:
         chosen = _choose_spread(self._data_centres)
--- a/packages/core/almonddock_core/tests/quota_fleet.py
+++ b/packages/core/almonddock_core/tests/quota_fleet.py
@@ -112,14 +112,12 @@
         """Starts a process; a host that was killed forgets everything."""
         place = HostPlace(name, data_centre)
         found = self.registered.get(name)
-        state = StartState(
-            self.now,
-            is_first=is_first,
-            has_granted=found is not None and found.grants,
-        )
+        state = StartState(self.now, is_first=is_first)
         quotas = Quotas(
             place, SETTINGS, state, lambda other: self.reaches(name, other)
         )
+        if found is not None and found.grants:
+            quotas.hosts.note_earlier_grants()
         process = Process(place, quotas, next(self._order))
         self.processes[name] = process
         self._learn(process)
@@ -236,7 +234,7 @@
         process.quotas.drop_idle(self.now)
         found = self.registered.get(name)
         if found is not None:
-            grants = process.quotas.hosts.may_grant(self.now)
+            grants = process.quotas.hosts.is_grantor(self.now)
             self.registered[name] = replace(found, grants=grants)
 
     def _renew(self, process: Process) -> None:
--- a/packages/gateway/almonddock_gateway/controllers/__init__.py
+++ b/packages/gateway/almonddock_gateway/controllers/__init__.py
@@ -7,6 +7,11 @@
 from almonddock_gateway.controllers._follower import Follower, FollowSettings
 from almonddock_gateway.controllers._hosts import HostController, Peer
 from almonddock_gateway.controllers._isolation import IsolationController
+from almonddock_gateway.controllers._quotas import (
+    QuotaController,
+    QuotaDependencies,
+    build_quota_controller,
+)
 from almonddock_gateway.controllers._targets import (
     DecodeTarget,
     TargetController,
@@ -25,7 +30,10 @@
     'HostController',
     'IsolationController',
     'Peer',
+    'QuotaController',
+    'QuotaDependencies',
     'TargetController',
     'WarmthController',
     'WarmthDependencies',
+    'build_quota_controller',
 ]
--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -8,7 +8,7 @@
 import asyncio
 import ipaddress
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -16,6 +16,7 @@
 
 from almonddock_core.model import Clock
 from almonddock_core.news import WATCHERS_PER_DATA_CENTRE
+from almonddock_core.quotas import HostPlace
 from almonddock_gateway.settings import GatewaySettings
 from almonddock_gateway.store import (
     LeaseEndedError,
@@ -61,6 +62,16 @@
     port: int
 
 
+@dataclass(frozen=True, slots=True)
+class GrantorRegistration:
+    """How a host that enforces quotas registers beside its address."""
+
+    #: Whether it grants.
+    is_grantor: Callable[[], bool]
+    #: Called once if it granted before its process started.
+    note_earlier_grants: Callable[[], None]
+
+
 class HostController:
     """Registers this host, and tracks the number and addresses of all."""
 
@@ -80,6 +91,12 @@
         self.count = 1
         self._counts: deque[tuple[timedelta, int]] = deque()
         self._registrations: dict[str, StoreItem] = {}
+        #: How this host registers for quotas; None if it enforces none.
+        self.grantor: GrantorRegistration | None = None
+        self._has_read_own = False
+        self._told_grantor: bool | None = None
+        #: The hosts that enforce quotas, by key.
+        self._quota_hosts: dict[str, HostPlace] = {}
         #: The other hosts as of the last read.
         self.peers: frozenset[Peer] = frozenset()
 
@@ -90,6 +107,11 @@
         others = sum(peer.data_centre == here for peer in self.peers)
         return others >= WATCHERS_PER_DATA_CENTRE
 
+    @property
+    def quota_hosts(self) -> tuple[HostPlace, ...]:
+        """The hosts that enforce quotas, this one included."""
+        return tuple(self._quota_hosts.values())
+
     async def run(self) -> None:
         """Keeps this host registered until cancelled."""
         while True:
@@ -112,12 +134,14 @@
     def apply_snapshot(self, view: StoreView) -> None:
         """Replaces the known hosts with those in the store."""
         self._registrations = {}
+        self._quota_hosts = {}
         self.apply_changes(view)
 
     def apply_changes(self, view: StoreView) -> None:
         """Applies added, changed and removed registrations."""
         prefix = self._settings.keys.host_prefix
         for item in view.items:
+            self._apply_quota_host(item)
             if not item.key.startswith(prefix):
                 continue
             if item.content is None:
@@ -155,8 +179,60 @@
                 store_revision=revision,
             )
 
+    def _apply_quota_host(self, item: StoreItem) -> None:
+        prefix = self._settings.keys.grantor_prefix
+        if not item.key.startswith(prefix):
+            return
+        self._quota_hosts.pop(item.key, None)
+        if item.content is None:
+            return
+        name = item.key.removeprefix(prefix)
+        try:
+            place, _ = _decode_quota_host(name, item.content)
+        except (ValueError, TypeError) as fault:
+            self._telemetry.log_event(
+                'host_unreadable',
+                peer=name,
+                store_revision=item.revision,
+                reason=str(fault),
+            )
+            return
+        self._quota_hosts[item.key] = place
+
+    async def _read_own(self, grantor: GrantorRegistration) -> None:
+        """Reads what an earlier process of this host has registered."""
+        own = f'{self._settings.keys.grantor_prefix}{self._settings.host}'
+        view = await self._store.read_prefix(own)
+        for item in view.items:
+            if item.key == own and item.content is not None:
+                try:
+                    _, grants = _decode_quota_host(own, item.content)
+                except (ValueError, TypeError):
+                    continue
+                if grants:
+                    grantor.note_earlier_grants()
+        self._has_read_own = True
+
+    async def _register_grantor(self, lease: int) -> None:
+        """Tells whether this host grants, if that has changed."""
+        if self.grantor is None:
+            return
+        is_grantor = self.grantor.is_grantor()
+        if is_grantor == self._told_grantor:
+            return
+        settings = self._settings
+        content = {'data_centre': settings.data_centre, 'grants': is_grantor}
+        await self._store.put(
+            f'{settings.keys.grantor_prefix}{settings.host}',
+            orjson.dumps(content),
+            lease,
+        )
+        self._told_grantor = is_grantor
+
     async def _renew(self) -> None:
         prefix = self._settings.keys.host_prefix
+        if self.grantor is not None and not self._has_read_own:
+            await self._read_own(self.grantor)
         if self._lease is None:
             lease = await self._store.grant_lease(REGISTRATION_TTL)
             await self._store.put(
@@ -165,8 +241,10 @@
                 lease,
             )
             self._lease = lease
+            self._told_grantor = None
         else:
             await self._store.renew_lease(self._lease)
+        await self._register_grantor(self._lease)
 
     def _encode_registration(self) -> bytes:
         settings = self._settings
@@ -195,6 +273,22 @@
                 )
 
 
+def _decode_quota_host(name: str, content: bytes) -> tuple[HostPlace, bool]:
+    """Returns a host that enforces quotas, and whether it grants.
+
+    Raises:
+        ValueError: the registration is not JSON.
+        TypeError: a field is missing or has the wrong type.
+    """
+    found = orjson.loads(content)
+    if not isinstance(found, dict):
+        raise TypeError('expected an object')
+    data_centre = found.get('data_centre')
+    if not isinstance(data_centre, str):
+        raise TypeError('expected the name of a data centre')
+    return HostPlace(name, data_centre), found.get('grants') is True
+
+
 def _decode_peer(name: str, content: bytes) -> Peer:
     """Returns the host that a registration describes.
 
--- a/packages/gateway/almonddock_gateway/entry/_answers.py
+++ b/packages/gateway/almonddock_gateway/entry/_answers.py
@@ -15,12 +15,13 @@
 from almonddock_gateway.settings import HeaderNames
 
 OK = 200
+TOO_MANY_REQUESTS = 429
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
 
 #: A caller takes these as the promise that its request has not run.
-NOT_RUN_STATUSES = frozenset((408, 421, 429, UNAVAILABLE))
+NOT_RUN_STATUSES = frozenset((408, 421, TOO_MANY_REQUESTS, UNAVAILABLE))
 
 FIRST_SUCCESS = 200
 FIRST_AFTER_SUCCESS = 300
--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -1,5 +1,6 @@
 """Accepts requests from callers and starts their dispatch."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -8,10 +9,18 @@
     Dispatch,
     DispatchContext,
     DispatchedRequest,
+    Refusal,
+)
+from almonddock_core.routing import (
+    Caller,
+    Rejected,
+    Route,
+    RoutingTable,
+    WeightedRotation,
 )
-from almonddock_core.routing import Route, RoutingTable, WeightedRotation
 from almonddock_gateway.entry._answers import (
     BAD_GATEWAY,
+    TOO_MANY_REQUESTS,
     UNAVAILABLE,
     build_answer,
 )
@@ -20,12 +29,18 @@
     TargetExchange,
     build_outgoing,
 )
+from almonddock_gateway.entry._quota_gate import (
+    GatedSteps,
+    GiveBack,
+    QuotaGate,
+)
 from almonddock_gateway.entry._requests import (
     Rejection,
+    RoutedRequest,
     format_head,
     route_request,
 )
-from almonddock_gateway.http import CallerConnection, CallerRequest
+from almonddock_gateway.http import CallerConnection, CallerRequest, Exchange
 from almonddock_gateway.telemetry import Telemetry
 
 #: The Retry-After of a host that has not read a configuration yet. The store
@@ -76,6 +91,28 @@
         return (rotation.choose_service(),)
 
 
+#: Returns whom a request is from.
+Identify = Callable[[CallerRequest, Route, RoutingTable], Caller]
+
+
+def identify_nobody(
+    request: CallerRequest, route: Route, table: RoutingTable
+) -> Caller:
+    """Returns a caller of no organisation."""
+    return Caller(route)
+
+
+@dataclass(frozen=True, slots=True)
+class _Arrival:
+    """A request with its route, and the connection that it came on."""
+
+    request: CallerRequest
+    connection: CallerConnection
+    routed: RoutedRequest
+    table: RoutingTable
+    arrived: timedelta
+
+
 class Entry:
     """Starts an exchange for each request and sends its answer."""
 
@@ -85,7 +122,12 @@
         context: DispatchContext,
         settings: ExchangeSettings,
         telemetry: Telemetry,
+        gate: QuotaGate | None = None,
+        identify: Identify = identify_nobody,
     ) -> None:
+        """Lets everything in without a ``gate``."""
+        self._gate = QuotaGate(None, settings.clock) if gate is None else gate
+        self._identify = identify
         self._state = state
         self._context = context
         self._settings = settings
@@ -95,13 +137,14 @@
     @property
     def running(self) -> int:
         """The number of requests in progress."""
-        return len(self._exchanges)
+        return len(self._exchanges) + self._gate.waiting
 
     def give_up(self) -> None:
         """Answers all requests in progress, because the process ends.
 
         After an unexpected error, whether a request has run is not known.
         """
+        self._gate.give_up()
         for exchange, connection in tuple(self._exchanges.items()):
             try:
                 exchange.give_up()
@@ -116,7 +159,7 @@
         self,
         request: CallerRequest,
         connection: CallerConnection,
-    ) -> TargetExchange | None:
+    ) -> Exchange | None:
         """Returns the started exchange, None if answered at once."""
         names = self._settings.names
         table = self._state.table
@@ -133,38 +176,68 @@
             connection.send(routed.status, (), b'')
             return None
         now = self._settings.clock.now()
+        arrival = _Arrival(request, connection, routed, table, now)
+        caller = self._identify(request, routed.route, table)
+        steps = GatedSteps(
+            start=lambda give_back: self._dispatch(arrival, give_back),
+            reject=lambda rejected: self._reject(arrival, caller, rejected),
+            fail=lambda: connection.send(BAD_GATEWAY, (), b''),
+        )
+        return self._gate.pass_request(caller, steps)
+
+    def _dispatch(self, arrival: _Arrival, give_back: GiveBack) -> Exchange:
+        names = self._settings.names
+        routed = arrival.routed
         dispatch = Dispatch(
             DispatchedRequest(
                 request_id=routed.request_id,
                 route=routed.route,
                 services=self._state.pick_services(routed.route),
-                arrived=now,
-                deadline=now + routed.timeout,
+                arrived=arrival.arrived,
+                deadline=arrival.arrived + routed.timeout,
             ),
             self._context,
         )
         attempt_id = routed.request_id.encode('latin-1')
         outgoing = build_outgoing(
-            request,
-            format_head(request, names),
+            arrival.request,
+            format_head(arrival.request, names),
             attempt_id,
         )
 
         def finish(exchange: TargetExchange, answer: Answer | None) -> None:
             self._exchanges.pop(exchange, None)
-            version = table.version
+            version = arrival.table.version
             status = 0
+            if isinstance(answer, Refusal) and answer.not_run:
+                give_back()
             if answer is not None:
                 raw = build_answer(answer, routed.route, names)
                 status = raw[0]
-                connection.send(*raw)
+                arrival.connection.send(*raw)
             self._telemetry.log_finished(exchange, status, version)
 
         exchange = TargetExchange(dispatch, outgoing, self._settings, finish)
-        self._exchanges[exchange] = connection
+        self._exchanges[exchange] = arrival.connection
         exchange.start()
         return exchange
 
+    def _reject(
+        self, arrival: _Arrival, caller: Caller, rejected: Rejected
+    ) -> None:
+        retry_after = rejected.retry_after or timedelta()
+        organisation = caller.organisation
+        self._telemetry.log_over_quota(
+            arrival.routed.request_id,
+            '' if organisation is None else organisation.name,
+            retry_after,
+            arrival.table.version,
+        )
+        seconds = f'{retry_after.total_seconds():.3f}'.encode()
+        arrival.connection.send(
+            TOO_MANY_REQUESTS, ((b'retry-after', seconds),), b''
+        )
+
     def _send_unavailable(
         self,
         request: CallerRequest,
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -24,11 +24,18 @@
     DecodeTarget,
     HostController,
     IsolationController,
+    QuotaDependencies,
     TargetController,
     WarmthController,
     WarmthDependencies,
+    build_quota_controller,
+)
+from almonddock_gateway.entry import (
+    Entry,
+    EntryState,
+    ExchangeSettings,
+    QuotaGate,
 )
-from almonddock_gateway.entry import Entry, EntryState, ExchangeSettings
 from almonddock_gateway.following import FollowingDependencies, StoreFollowing
 from almonddock_gateway.linking import HostLinks
 from almonddock_gateway.readiness import Readiness
@@ -126,6 +133,23 @@
             settings.data_centre,
             self._build_cost_exchange(),
         )
+        self._hosts = HostController(
+            settings,
+            store,
+            self._clock,
+            self.telemetry,
+        )
+        self._quotas = build_quota_controller(
+            QuotaDependencies(
+                settings=settings,
+                hosts=self._hosts,
+                get_table=lambda: self._state.table,
+                get_links=lambda: self._relays.links,
+                get_news=lambda: self._following.news_time,
+                clock=self._clock,
+                telemetry=self.telemetry,
+            ),
+        )
         self._entry = Entry(
             self._state,
             self._context,
@@ -136,12 +160,7 @@
                 self._relays,
             ),
             self.telemetry,
-        )
-        self._hosts = HostController(
-            settings,
-            store,
-            self._clock,
-            self.telemetry,
+            QuotaGate(self._quotas, self._clock),
         )
         self._isolation = IsolationController(
             self._context,
@@ -207,6 +226,7 @@
             self._following.server,
             self._hosts,
             self.telemetry,
+            self._quotas,
         )
 
     @property
@@ -356,6 +376,7 @@
             'requests_running': self._entry.running,
             'reply_bytes_held': self._pools.held_bytes,
             **self._servers.count_held_bytes(),
+            **(self._quotas.count_state() if self._quotas else {}),
         }
 
     def _reload_settings(self) -> None:
@@ -395,6 +416,8 @@
             self._budget.drop_idle(now)
             self._context.hedges.drop_idle(now)
             self._target_controller.drop_lapsed()
+            if self._quotas is not None:
+                self._quotas.update()
             self._isolation.check()
             self._pools.check_waiting()
             self._pools.close_idle()
--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from almonddock_core.framing import MAX_FRAME_BYTES
-from almonddock_gateway.controllers import HostController
+from almonddock_core.quotas import CreditQuery
+from almonddock_gateway.controllers import HostController, QuotaController
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.relays import (
     Leaving,
@@ -45,7 +46,10 @@
         store_server: StoreServer,
         hosts: HostController,
         telemetry: Telemetry,
+        quotas: QuotaController | None = None,
     ) -> None:
+        """Answers no queries for credits without ``quotas``."""
+        self._quotas = quotas
         self._settings = settings
         self._hosts = hosts
         self._telemetry = telemetry
@@ -90,6 +94,7 @@
             lambda: self._hosts.peers,
             self._telemetry,
             self._memory,
+            tuple if self._quotas is None else self._quotas.list_grantors,
         )
         self._peers = peers
         return peers
@@ -119,6 +124,8 @@
     def _receive(self, link: MessageLink, message: LinkMessage) -> None:
         self._relay_server.receive(link, message)
         self._store_server.receive(link, message)
+        if isinstance(message, CreditQuery) and self._quotas is not None:
+            link.send(self._quotas.answer(message))
 
     def _forget(self, link: 'Link') -> None:
         self._accepted.discard(link)
--- a/packages/gateway/almonddock_gateway/links/_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_codec.py
@@ -9,8 +9,15 @@
 import capnp
 
 from almonddock_core.framing import BadFrameError
+from almonddock_core.quotas import CreditQuery, CreditReply
 from almonddock_gateway.links._columns import read_column
 from almonddock_gateway.links._cost_codec import read_costs, write_costs
+from almonddock_gateway.links._credit_codec import (
+    read_credit_query,
+    read_credit_reply,
+    write_credit_query,
+    write_credit_reply,
+)
 from almonddock_gateway.links._store_codec import (
     read_store_query,
     read_store_reply,
@@ -28,6 +35,7 @@
     RelayReply,
     StoreQuery,
     StoreReply,
+    UnknownMessage,
 )
 
 capnp.remove_import_hook()
@@ -74,11 +82,12 @@
 
 
 def _read(frame: Any) -> LinkMessage:
-    which = str(frame.which())
-    reader = _READERS.get(which)
-    if reader is None:
-        raise BadFrameError(f'a frame of an unknown kind: {which}')
-    return reader(getattr(frame, which))
+    try:
+        which = str(frame.which())
+    except capnp.KjException:
+        # The host at the other end is of a later release.
+        return UnknownMessage()
+    return _READERS[which](getattr(frame, which))
 
 
 def _write_ping(frame: Any, message: Ping) -> None:
@@ -168,6 +177,8 @@
 _WRITERS: Mapping[type[LinkMessage], Callable[[Any, Any], None]] = (
     MappingProxyType(
         {
+            CreditQuery: write_credit_query,
+            CreditReply: write_credit_reply,
             Leaving: _write_leaving,
             Ping: _write_ping,
             Pong: _write_pong,
@@ -183,6 +194,8 @@
 _READERS: Mapping[str, Callable[[Any], LinkMessage]] = MappingProxyType(
     {
         'cancel': _read_cancel,
+        'creditQuery': read_credit_query,
+        'creditReply': read_credit_reply,
         'leaving': lambda _: Leaving(),
         'ping': Ping,
         'pong': Pong,
--- a/packages/gateway/almonddock_gateway/links/_link.py
+++ b/packages/gateway/almonddock_gateway/links/_link.py
@@ -10,9 +10,16 @@
     OversizedFrameError,
     add_length_prefix,
 )
+from almonddock_core.quotas import CreditQuery
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.links._codec import decode, encode
-from almonddock_gateway.relays import LinkMessage, Ping, Pong, RelayQuery
+from almonddock_gateway.relays import (
+    LinkMessage,
+    Ping,
+    Pong,
+    RelayQuery,
+    UnknownMessage,
+)
 
 #: The time without received data after which a link is pinged, in seconds.
 PING_AFTER_S = 0.4
@@ -102,7 +109,7 @@
         if transport is None or transport.is_closing():
             return
         if (
-            isinstance(message, Ping | RelayQuery)
+            isinstance(message, Ping | RelayQuery | CreditQuery)
             and self._unanswered_since is None
         ):
             self._unanswered_since = self._loop.time()
@@ -121,7 +128,7 @@
         transport.write(packed + flushed)
         self._count_held()
 
-    def check(self) -> None:
+    def check(self, ping_after_s: float = PING_AFTER_S) -> None:
         """Pings an idle link, and closes an unresponsive one."""
         now = self._loop.time()
         if (
@@ -129,7 +136,7 @@
             and now - self._unanswered_since > CLOSE_AFTER_S
         ):
             self.close()
-        elif now - self._last_received > PING_AFTER_S:
+        elif now - self._last_received > ping_after_s:
             self.ping()
 
     def ping(self) -> None:
@@ -212,7 +219,7 @@
         self._has_received = True
         if isinstance(message, Ping):
             self.send(Pong(message.number))
-        elif not isinstance(message, Pong):
+        elif not isinstance(message, Pong | UnknownMessage):
             self._receive(self, message)
 
     def _count_held(self) -> None:
--- a/packages/gateway/almonddock_gateway/links/_peers.py
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -7,9 +7,10 @@
 import itertools
 import zlib
 from collections import defaultdict
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 
 from almonddock_core.news import choose_watchers
+from almonddock_core.quotas import CreditQuery, CreditReply
 from almonddock_gateway.controllers import Peer
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.links._link import Link
@@ -28,6 +29,11 @@
 #: The number of hosts that this host links to in each other data centre.
 LINKS_PER_DATA_CENTRE = 2
 
+#: The time without received data after which a link that only credits are
+#: asked over is pinged, in seconds. A query without an answer shows sooner that
+#: it is dead.
+CREDIT_PING_AFTER_S = 2.0
+
 #: The timeout for opening a link, and the pause after a failure, in seconds.
 DIAL_TIMEOUT_S = 0.5
 
@@ -44,13 +50,20 @@
         list_peers: Callable[[], Iterable[Peer]],
         telemetry: Telemetry,
         memory: ReplyMemory,
+        list_grantors: Callable[[], Collection[str]] = tuple,
     ) -> None:
-        """Creates no link yet; ``memory`` bounds what all links hold."""
+        """Creates no link yet; ``memory`` bounds what all links hold.
+
+        ``list_grantors`` names the hosts that credits are asked of.
+        """
         self._own_name = own_name
         self._data_centre = data_centre
         self._list_peers = list_peers
         self._telemetry = telemetry
         self._memory = memory
+        self._list_grantors = list_grantors
+        # Those that are linked to for nothing but credits.
+        self._credit_peers: frozenset[Peer] = frozenset()
         self._links: dict[Peer, Link] = {}
         self._leaving: set[Link] = set()
         self._reply_handlers: dict[tuple[MessageLink, int], HandleReply] = {}
@@ -65,6 +78,7 @@
                 link
                 for peer, link in self._links.items()
                 if peer.data_centre == data_centre
+                and peer not in self._credit_peers
             ],
         )
 
@@ -72,6 +86,13 @@
         """Returns a usable link to any host, None without one."""
         return self._pick_round_robin(list(self._links.values()))
 
+    def find_link_to(self, name: str) -> MessageLink | None:
+        """Returns a usable link to one host, None without one."""
+        for peer, link in self._links.items():
+            if peer.name == name and link.usable:
+                return None if link in self._leaving else link
+        return None
+
     def find_watcher(self) -> MessageLink | None:
         """Returns a usable link to a watcher, None without one."""
         watchers = self._list_watchers()
@@ -86,7 +107,7 @@
     def send_query(
         self,
         link: MessageLink,
-        query: RelayQuery | StoreQuery,
+        query: RelayQuery | StoreQuery | CreditQuery,
         handle: HandleReply,
     ) -> None:
         """Sends a query; ``handle`` gets each reply, or None at link loss.
@@ -108,13 +129,20 @@
 
     def check(self) -> None:
         """Opens, checks and closes links; called several times a second."""
-        wanted = self._choose_peers()
+        needed = self._choose_peers()
+        self._credit_peers = (
+            _select_peers(self._list_peers(), self._list_grantors()) - needed
+        )
+        wanted = needed | self._credit_peers
         for peer in wanted:
             if peer not in self._links and peer not in self._dialling:
                 dial = asyncio.create_task(self._dial(peer))
                 self._dialling[peer] = dial
-        for link in self._links.values():
-            link.check()
+        for peer, link in self._links.items():
+            if peer in self._credit_peers:
+                link.check(CREDIT_PING_AFTER_S)
+            else:
+                link.check()
         self._close_unwanted(wanted)
 
     def _close_unwanted(self, wanted: set[Peer]) -> None:
@@ -126,7 +154,7 @@
         """
         served = {
             peer.data_centre
-            for peer in wanted
+            for peer in wanted - self._credit_peers
             if peer in self._links and self._links[peer].usable
         }
         busy = {link for link, _ in self._reply_handlers}
@@ -199,7 +227,7 @@
     def _receive(self, link: Link, message: LinkMessage) -> None:
         if isinstance(message, Leaving):
             self._leaving.add(link)
-        elif isinstance(message, RelayReply | StoreReply):
+        elif isinstance(message, RelayReply | StoreReply | CreditReply):
             handle = self._reply_handlers.get((link, message.number))
             if handle is not None:
                 handle(message)
@@ -215,3 +243,11 @@
         lost = [key for key in self._reply_handlers if key[0] is link]
         for key in lost:
             self._reply_handlers.pop(key)(None)
+
+
+def _select_peers(
+    peers: Iterable[Peer], names: Collection[str]
+) -> frozenset[Peer]:
+    if not names:
+        return frozenset()
+    return frozenset(peer for peer in peers if peer.name in names)
--- a/packages/gateway/almonddock_gateway/links/messages.capnp
+++ b/packages/gateway/almonddock_gateway/links/messages.capnp
@@ -12,6 +12,8 @@
     reply @5 :RelayReply;
     storeQuery @6 :StoreQuery;
     storeReply @7 :StoreReply;
+    creditQuery @8 :CreditQuery;
+    creditReply @9 :CreditReply;
   }
 }
 
@@ -80,3 +82,22 @@
   costlyTargets @8 :List(Text);
   costs @9 :List(UInt8);
 }
+
+struct CreditQuery {
+  number @0 :UInt32;
+  # Empty in a greeting, which asks for no credits.
+  organisation @1 :Text;
+  wanted @2 :UInt32;
+  # Microseconds for which the sender has known the receiver as a grantor.
+  knownFor @3 :UInt64;
+}
+
+struct CreditReply {
+  number @0 :UInt32;
+  organisation @1 :Text;
+  granted @2 :UInt32;
+  # Microseconds until the next credit.
+  wait @3 :UInt64;
+  # Whether the sender grants.
+  grants @4 :Bool;
+}
--- a/packages/gateway/almonddock_gateway/relays/__init__.py
+++ b/packages/gateway/almonddock_gateway/relays/__init__.py
@@ -22,6 +22,7 @@
     StoreOutcome,
     StoreQuery,
     StoreReply,
+    UnknownMessage,
 )
 from almonddock_gateway.relays._relay import Relay
 from almonddock_gateway.relays._router import (
@@ -54,4 +55,5 @@
     'StoreQuery',
     'StoreReply',
     'StoreServer',
+    'UnknownMessage',
 ]
--- a/packages/gateway/almonddock_gateway/relays/_messages.py
+++ b/packages/gateway/almonddock_gateway/relays/_messages.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Protocol
 
+from almonddock_core.quotas import CreditQuery, CreditReply
 from almonddock_core.routing import Costs
 from almonddock_gateway.store import StoreView
 
@@ -46,6 +47,11 @@
     """The sender is stopping and accepts no new queries."""
 
 
+@dataclass(frozen=True, slots=True)
+class UnknownMessage:
+    """A message of a later release, which is ignored."""
+
+
 @dataclass(frozen=True, slots=True)
 class RelayQuery:
     """A query to send to some targets and answer with merged records."""
@@ -158,4 +164,7 @@
     | RelayReply
     | StoreQuery
     | StoreReply
+    | CreditQuery
+    | CreditReply
+    | UnknownMessage
 )
--- a/packages/gateway/almonddock_gateway/relays/_router.py
+++ b/packages/gateway/almonddock_gateway/relays/_router.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from almonddock_core.dispatch import Action, Send
+from almonddock_core.quotas import CreditQuery
 from almonddock_core.routing import Costs
 from almonddock_gateway.relays._messages import (
     LinkMessage,
@@ -49,6 +50,10 @@
         """
         ...
 
+    def find_link_to(self, name: str) -> MessageLink | None:
+        """Returns a usable link to one host, None without one."""
+        ...
+
     def allocate_number(self) -> int:
         """Returns the number of a new query."""
         ...
@@ -56,7 +61,7 @@
     def send_query(
         self,
         link: MessageLink,
-        query: RelayQuery | StoreQuery,
+        query: RelayQuery | StoreQuery | CreditQuery,
         handle: HandleReply,
     ) -> None:
         """Sends a query; ``handle`` gets each reply, or None at link loss."""
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -6,6 +6,7 @@
 from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit
 
 from almonddock_core.dispatch import BudgetLimits
+from almonddock_core.quotas import QuotaSettings
 
 
 def get_descriptor_limit() -> int:
@@ -65,6 +66,8 @@
     target_prefix: str
     #: The prefix of the host registrations.
     host_prefix: str
+    #: The prefix of the keys that say which hosts enforce quotas.
+    grantor_prefix: str = 'grantors/'
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,5 +95,10 @@
     max_propagation_time: timedelta
     #: The time from SIGTERM until the process is killed.
     shutdown_time: timedelta
+    #: How far organisations may exceed their quotas; None if quotas are not
+    #: enforced.
+    quota: QuotaSettings | None = None
+    #: Whether all hosts start for the first time.
+    is_first_start: bool = False
     #: How many sockets the process may open.
     max_sockets: int = field(default_factory=get_descriptor_limit)
--- a/packages/gateway/almonddock_gateway/telemetry/_metrics.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_metrics.py
@@ -25,6 +25,13 @@
             buckets=list(LATENCY_BUCKETS_S),
             registry=self._registry,
         )
+        #: Requests over the quota of their organisation. Only those with the
+        #: highest quotas are named.
+        self.over_quota = Counter(
+            'almonddock_gateway_over_quota_total',
+            'Requests over the quota of their organisation.',
+            registry=self._registry,
+        )
         #: Attempts beyond the first for each service, by route.
         self.extra_tries = Counter(
             'almonddock_gateway_extra_tries_total',
--- a/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
@@ -19,6 +19,7 @@
 from almonddock_gateway.telemetry._metrics import GatewayMetrics
 
 FIRST_FAILURE_STATUS = 300
+TOO_MANY_REQUESTS = 429
 UNAVAILABLE = 503
 MS = timedelta(milliseconds=1)
 
@@ -108,6 +109,30 @@
             reason=reason,
         )
 
+    def log_over_quota(
+        self,
+        request_id: str,
+        organisation: str,
+        retry_after: timedelta,
+        version: int,
+    ) -> None:
+        """Logs a request over the quota of its organisation.
+
+        These lines may be many and displace none on other failures.
+        """
+        if not self._lines.has_room(LineBudget.ROUTINE):
+            self._lines.count_dropped('request_over_quota')
+            return
+        self._lines.write(
+            LineBudget.ROUTINE,
+            'request_over_quota',
+            request_id=request_id,
+            organisation=organisation,
+            status=TOO_MANY_REQUESTS,
+            retry_after_ms=_count_ms(retry_after),
+            configuration=version,
+        )
+
     def log_finished(
         self,
         exchange: FinishedExchange,
--- a/packages/gateway/almonddock_gateway/tests/link_messages.py
+++ b/packages/gateway/almonddock_gateway/tests/link_messages.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from datetime import timedelta
 
+from almonddock_core.quotas import CreditQuery, CreditReply
 from almonddock_core.tests.mutations import decode_mutations
 from almonddock_gateway.links import decode, encode
 from almonddock_gateway.relays import (
@@ -51,6 +52,8 @@
         ),
         costs=(('t1', 3.0),),
     ),
+    CreditQuery(4, 'north', 3, 2000 * MS),
+    CreditReply(4, 'north', 2, 40 * MS, grants=True),
 )
 
 #: Messages in the packed encoding: a ping, a cancel and a store query.
--- a/packages/gateway/almonddock_gateway/tests/test_link_codec.py
+++ b/packages/gateway/almonddock_gateway/tests/test_link_codec.py
@@ -6,10 +6,13 @@
 from almonddock_core.tests.mutations import run_module
 from almonddock_gateway.links import decode, encode
 from almonddock_gateway.links._columns import MAX_ENTRIES
-from almonddock_gateway.relays import RelayCancel
+from almonddock_gateway.relays import Ping, RelayCancel, UnknownMessage
 from almonddock_gateway.tests.link_messages import MESSAGES, PACKED, main
 from almonddock_gateway.tests.relay_cases import make_query
 
+#: The number of no kind of message.
+MAX_KIND = 0xFF
+
 
 class CodecTest(unittest.TestCase):
     def test_every_message_round_trips(self) -> None:
@@ -17,6 +20,14 @@
             with self.subTest(message=message):
                 self.assertEqual(decode(encode(message)), message)
 
+    def test_messages_of_a_later_release_are_no_fault(self) -> None:
+        """A host that asks for more than others know loses no link."""
+        whole = encode(Ping(1))
+        # The kind of a message follows the header and the number of a ping.
+        later = bytearray(whole)
+        later[24] = MAX_KIND
+        self.assertEqual(decode(bytes(later)), UnknownMessage())
+
     def test_malformed_frames_are_rejected(self) -> None:
         for encoded in (b'', b'rubbish', encode(make_query('t1'))[:9]):
             with self.subTest(encoded=encoded):
--- a/packages/gateway/almonddock_gateway/tests/test_links.py
+++ b/packages/gateway/almonddock_gateway/tests/test_links.py
@@ -239,6 +239,14 @@
         link._input = _Decompressor()
         link.data_received(transport.written)
 
+    async def test_links_for_credits_carry_nothing_else(self) -> None:
+        """All hosts link to the same few, which would relay for all."""
+        peer, link, _ = self.add_link('kyu-2')
+        self.listed = [peer, Peer('kyu-3', 'b', '10.0.0.1', 1)]
+        self.peers._credit_peers = frozenset((peer,))
+        self.assertIsNone(self.peers.find_link('b'))
+        self.assertIs(self.peers.find_link_to('kyu-2'), link)
+
     async def test_leaving_host_gets_no_new_queries(self) -> None:
         _, link, transport = self.add_link('kyu-2')
         self.assertIs(self.peers.find_link('b'), link)
