--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -52,25 +52,33 @@
             self._latencies[route.name] = latency
         return latency
 
-    def take_turn(self, caller: Caller, shards: int, now: timedelta) -> Turn:
+    def take_turn(
+        self, caller: Caller, shards: int, now: timedelta
+    ) -> Turn | None:
         """Counts a request, and returns its turn.
 
-        ``shards`` is how many targets work on it. The turn has no delay where
-        the configuration has no organisations.
+        ``shards`` is how many targets work on it. Returns None where the
+        configuration has no organisations.
         """
         if self.table is None or self.table.organisations is None:
-            return Turn(caller)
+            return None
         delay = self.shares.measure_delay(caller, now)
         latency = timedelta(seconds=self.get_latency(caller.route).seconds)
         turn = Turn(caller, latency * shards, delay)
         self.shares.record(caller, turn.work, now)
         return turn
 
-    def give_back(self, turn: Turn, now: timedelta) -> None:
+    def give_back(self, turn: Turn | None, now: timedelta) -> None:
         """Takes back the work of a request that was refused."""
-        if turn.delay is not None:
+        if turn is not None:
             self.shares.record(turn.caller, -turn.work, now)
 
+    def drop_idle(self, now: timedelta) -> None:
+        """Drops what was counted without a recent event."""
+        self.budget.drop_idle(now)
+        self.hedges.drop_idle(now)
+        self.shares.drop_idle(now)
+
     def apply_configuration(self, table: RoutingTable) -> None:
         """Applies a configuration; drops latencies of routes that it lacks."""
         self.table = table
--- a/packages/core/almonddock_core/fairness/_shares.py
+++ b/packages/core/almonddock_core/fairness/_shares.py
@@ -41,10 +41,9 @@
 
     caller: Caller
     #: The time for which it takes a place at targets, over all shards.
-    work: timedelta = timedelta()
-    #: How much later than its arrival its turn is; None where organisations do
-    #: not share.
-    delay: timedelta | None = None
+    work: timedelta
+    #: How much later than its arrival its turn is.
+    delay: timedelta
 
 
 class FairShares:
--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -29,10 +29,16 @@
 )
 from almonddock_gateway.entry._exchange import (
     ExchangeSettings,
+    OutgoingRequest,
     TargetExchange,
     build_outgoing,
 )
 from almonddock_gateway.entry._key_checks import KeyChecks
+from almonddock_gateway.entry._quota_gate import (
+    GatedSteps,
+    GiveBack,
+    QuotaGate,
+)
 from almonddock_gateway.entry._requests import (
     Rejection,
     RoutedRequest,
@@ -73,6 +79,18 @@
     checked_since: timedelta | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Admitted:
+    """A request whose caller is known."""
+
+    arrival: _Arrival
+    routed: RoutedRequest
+    caller: Caller
+    #: The configuration in force when it arrived.
+    table: RoutingTable
+    arrived: timedelta
+
+
 @dataclass(slots=True)
 class EntryState:
     """The state that controllers publish and request handling reads."""
@@ -100,6 +118,17 @@
         return (rotation.choose_service(),)
 
 
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """What decides whether a caller's request is let in."""
+
+    access: CallerAccess
+    #: Reads the configuration in force again.
+    check_configuration: Callable[[], Awaitable[None]]
+    #: Holds back, or refuses, what exceeds the quota of its organisation.
+    gate: QuotaGate
+
+
 class Entry:
     """Starts an exchange for each request and sends its answer."""
 
@@ -108,28 +137,26 @@
         state: EntryState,
         context: DispatchContext,
         settings: ExchangeSettings,
-        access: CallerAccess,
+        admission: Admission,
         telemetry: Telemetry,
-        check_configuration: Callable[[], Awaitable[None]],
     ) -> None:
-        """Starts without requests.
-
-        ``check_configuration`` reads the configuration in force again.
-        """
+        """Starts without requests."""
+        self._gate = admission.gate
         self._state = state
         self._context = context
         self._settings = settings
-        self._access = access
+        self._access = admission.access
         self._telemetry = telemetry
         self._key_checks = KeyChecks(
-            check_configuration, settings.clock, telemetry
+            admission.check_configuration, settings.clock, telemetry
         )
         self._exchanges: dict[TargetExchange, CallerConnection] = {}
 
     @property
     def running(self) -> int:
         """The number of requests in progress."""
-        return len(self._exchanges) + self._key_checks.waiting
+        waiting = self._key_checks.waiting + self._gate.waiting
+        return len(self._exchanges) + waiting
 
     @property
     def key_checks(self) -> int:
@@ -142,6 +169,7 @@
         After an unexpected error, whether a request has run is not known.
         """
         self._key_checks.resume_all()
+        self._gate.give_up()
         for exchange, connection in tuple(self._exchanges.items()):
             try:
                 exchange.give_up()
@@ -184,60 +212,73 @@
         if isinstance(caller, Rejected):
             self._reject(arrival, routed, caller, table)
             return None
-        return self._dispatch(arrival, routed, caller, table)
+        admitted = _Admitted(arrival, routed, caller, table, self._now())
+        steps = GatedSteps(
+            start=lambda give_back: self._dispatch(admitted, give_back),
+            reject=lambda over: self._reject_over_quota(admitted, over),
+            fail=lambda: arrival.connection.send(BAD_GATEWAY, (), b''),
+        )
+        return self._gate.pass_request(caller, steps)
 
-    def _dispatch(
-        self,
-        arrival: _Arrival,
-        routed: RoutedRequest,
-        caller: Caller,
-        table: RoutingTable,
-    ) -> Exchange:
+    def _dispatch(self, admitted: _Admitted, give_back: GiveBack) -> Exchange:
         names = self._settings.names
-        now = self._settings.clock.now()
-        services = self._state.pick_services(routed.route)
-        turn = self._context.take_turn(caller, len(services), now)
-        dispatch = Dispatch(
-            DispatchedRequest(
-                request_id=routed.request_id,
-                route=routed.route,
-                services=services,
-                arrived=now,
-                deadline=now + routed.timeout,
-                organisation=caller.organisation,
-                delay=turn.delay,
-            ),
-            self._context,
-        )
-        attempt_id = routed.request_id.encode('latin-1')
-        outgoing = build_outgoing(
-            arrival.request,
-            format_head(
-                arrival.request,
-                names,
-                keyed=table.organisations is not None,
-                organisation=caller.organisation,
-            ),
-            attempt_id,
-        )
+        route = admitted.routed.route
+        connection = admitted.arrival.connection
+        request = self._plan_request(admitted)
 
         def finish(exchange: TargetExchange, answer: Answer | None) -> None:
             self._exchanges.pop(exchange, None)
             if isinstance(answer, Refusal) and answer.not_run:
-                self._context.give_back(turn, self._settings.clock.now())
-            version = table.version
+                self._context.give_back(request.turn, self._now())
+                give_back()
             status = 0
             if answer is not None:
-                raw = build_answer(answer, routed.route, names)
+                raw = build_answer(answer, route, names)
                 status = raw[0]
-                arrival.connection.send(*raw)
+                connection.send(*raw)
+            version = admitted.table.version
             self._telemetry.log_finished(exchange, status, version)
 
-        exchange = TargetExchange(dispatch, outgoing, self._settings, finish)
-        self._exchanges[exchange] = arrival.connection
+        exchange = TargetExchange(
+            Dispatch(request, self._context),
+            self._build_outgoing(admitted),
+            self._settings,
+            finish,
+        )
+        self._exchanges[exchange] = connection
         exchange.start()
         return exchange
 
+    def _plan_request(self, admitted: _Admitted) -> DispatchedRequest:
+        """Returns what the dispatch needs, with the request's turn."""
+        routed = admitted.routed
+        services = self._state.pick_services(routed.route)
+        return DispatchedRequest(
+            request_id=routed.request_id,
+            route=routed.route,
+            services=services,
+            arrived=admitted.arrived,
+            deadline=admitted.arrived + routed.timeout,
+            organisation=admitted.caller.organisation,
+            turn=self._context.take_turn(
+                admitted.caller, len(services), self._now()
+            ),
+        )
+
+    def _build_outgoing(self, admitted: _Admitted) -> OutgoingRequest:
+        request = admitted.arrival.request
+        head = format_head(
+            request,
+            self._settings.names,
+            keyed=admitted.table.organisations is not None,
+            organisation=admitted.caller.organisation,
+        )
+        attempt_id = admitted.routed.request_id.encode('latin-1')
+        return build_outgoing(request, head, attempt_id)
+
+    def _now(self) -> timedelta:
+        return self._settings.clock.now()
+
     def _wait_for_check(
         self, arrival: _Arrival, routed: RoutedRequest, table: RoutingTable
     ) -> Exchange | None:
@@ -256,6 +297,19 @@
             self._reject(arrival, routed, UNPROVEN, table)
         return waiting
 
+    def _reject_over_quota(
+        self, admitted: _Admitted, rejected: Rejected
+    ) -> None:
+        organisation = admitted.caller.organisation
+        self._telemetry.log_over_quota(
+            admitted.routed.request_id,
+            '' if organisation is None else organisation.name,
+            rejected.retry_after or timedelta(),
+            admitted.table.version,
+        )
+        raw = build_rejection(rejected, self._settings.names)
+        admitted.arrival.connection.send(*raw)
+
     def _reject(
         self,
         arrival: _Arrival,
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -211,7 +211,7 @@
             fail=lambda failure: self._fail(number, failure),
             fresh_only=not request.route.idempotent,
             priority=request.priority,
-            turn=request.turn.total_seconds(),
+            turn=request.waits_until.total_seconds(),
             without_body=self._outgoing.method == b'HEAD',
         )
         self._attempts[number] = (pool, attempt)
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -22,18 +22,22 @@
     ConfigurationController,
     HostController,
     IsolationController,
+    QuotaDependencies,
     TargetController,
     WarmthController,
     WarmthDependencies,
+    build_quota_controller,
 )
 from almonddock_gateway.entry import (
+    Admission,
     CallerAccess,
     Entry,
     EntryState,
     ExchangeSettings,
+    QuotaGate,
 )
 from almonddock_gateway.following import FollowingDependencies, StoreFollowing
-from almonddock_gateway.linking import HostLinks
+from almonddock_gateway.linking import HostLinks, LinkServers
 from almonddock_gateway.readiness import Readiness
 from almonddock_gateway.relays import CostExchange, RelayRouter, RelaySettings
 from almonddock_gateway.serving import START_LIMITS, CallerServers, Handle
@@ -118,6 +122,23 @@
             adapter.suspended_clock,
             settings.revocation_bound,
         )
+        self._hosts = HostController(
+            settings,
+            adapter.store,
+            self._clock,
+            self.telemetry,
+        )
+        self._quotas = build_quota_controller(
+            QuotaDependencies(
+                settings=settings,
+                hosts=self._hosts,
+                get_table=lambda: self._state.table,
+                get_links=lambda: self._relays.links,
+                get_news=lambda: self._following.news_time,
+                clock=self._clock,
+                telemetry=self.telemetry,
+            ),
+        )
         self._entry = Entry(
             self._state,
             self._context,
@@ -127,14 +148,11 @@
                 self._clock,
                 self._relays,
             ),
-            self._access,
-            self.telemetry,
-            lambda: self._following.check_configuration(),
-        )
-        self._hosts = HostController(
-            settings,
-            adapter.store,
-            self._clock,
+            Admission(
+                self._access,
+                lambda: self._following.check_configuration(),
+                QuotaGate(self._quotas, self._clock),
+            ),
             self.telemetry,
         )
         self._isolation = IsolationController(
@@ -205,7 +223,7 @@
                 self._clock,
                 self._relays.costs,
             ),
-            self._following.server,
+            LinkServers(self._following.server, self._quotas),
             self._hosts,
             self.telemetry,
             self._memory,
@@ -362,6 +380,7 @@
             'reply_bytes_held': self._pools.held_bytes,
             **self._servers.count_held_bytes(),
             **self._memory_report.count_state(),
+            **(self._quotas.count_state() if self._quotas else {}),
         }
 
     def _reload_settings(self) -> None:
@@ -399,10 +418,10 @@
                     if target.cold_until > now
                 ],
             )
-            self._budget.drop_idle(now)
-            self._context.hedges.drop_idle(now)
-            self._context.shares.drop_idle(now)
+            self._context.drop_idle(now)
             self._target_controller.drop_lapsed()
+            if self._quotas is not None:
+                self._quotas.update()
             self._isolation.check()
             self._pools.check_waiting()
             self._pools.close_idle()
--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import importlib
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from almonddock_core.framing import MAX_FRAME_BYTES
 from almonddock_core.memory import HostMemory, PartLimits
-from almonddock_gateway.controllers import HostController
+from almonddock_core.quotas import CreditQuery
+from almonddock_gateway.controllers import HostController, QuotaController
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.relays import (
     Leaving,
@@ -39,6 +41,15 @@
 CHECK_INTERVAL_S = 0.25
 
 
+@dataclass(frozen=True, slots=True)
+class LinkServers:
+    """What answers the queries of other hosts, besides relayed ones."""
+
+    store: StoreServer
+    #: Answers queries for credits; None where quotas are not enforced.
+    quotas: QuotaController | None = None
+
+
 class HostLinks:
     """Serves the links of other hosts, and creates this host's own."""
 
@@ -46,16 +57,17 @@
         self,
         settings: GatewaySettings,
         relay_settings: RelaySettings,
-        store_server: StoreServer,
+        servers: LinkServers,
         hosts: HostController,
         telemetry: Telemetry,
         memory: HostMemory,
     ) -> None:
+        self._quotas = servers.quotas
         self._settings = settings
         self._hosts = hosts
         self._telemetry = telemetry
         self._relay_server = RelayServer(relay_settings, memory)
-        self._store_server = store_server
+        self._store_server = servers.store
         self._memory = ReplyMemory(
             memory=memory,
             limits=PartLimits('links', MAX_HELD_BYTES, HELD_FACTOR),
@@ -98,6 +110,7 @@
             lambda: self._hosts.peers,
             self._telemetry,
             self._memory,
+            tuple if self._quotas is None else self._quotas.list_grantors,
         )
         self._peers = peers
         return peers
@@ -127,6 +140,8 @@
     def _receive(self, link: MessageLink, message: LinkMessage) -> None:
         self._relay_server.receive(link, message)
         self._store_server.receive(link, message)
+        if isinstance(message, CreditQuery) and self._quotas is not None:
+            link.send(self._quotas.answer(message))
 
     def _forget(self, link: 'Link') -> None:
         self._accepted.discard(link)
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -7,6 +7,7 @@
 
 from almonddock_core.dispatch import BudgetLimits
 from almonddock_core.memory import DEFAULT_MACHINE_BYTES
+from almonddock_core.quotas import QuotaSettings
 
 
 def get_descriptor_limit() -> int:
@@ -70,6 +71,8 @@
     target_prefix: str
     #: The prefix of the host registrations.
     host_prefix: str
+    #: The prefix of the keys that say which hosts enforce quotas.
+    grantor_prefix: str = 'grantors/'
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +103,11 @@
     #: The time after which a withdrawn key lets nobody in, on no host; None if
     #: that is not bounded.
     revocation_bound: timedelta | None = None
+    #: How far organisations may exceed their quotas; None if quotas are not
+    #: enforced.
+    quota: QuotaSettings | None = None
+    #: Whether all hosts start for the first time.
+    is_first_start: bool = False
     #: How many sockets the process may open.
     max_sockets: int = field(default_factory=get_descriptor_limit)
     #: The memory that the process may take.
--- a/packages/gateway/almonddock_gateway/telemetry/_metrics.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_metrics.py
@@ -31,6 +31,13 @@
             'Callers that were not let in, by reason.',
             registry=self._registry,
         )
+        #: Requests over the quota of their organisation. Only those with the
+        #: highest quotas are named.
+        self.over_quota = Counter(
+            'almonddock_gateway_over_quota_total',
+            'Requests over the quota of their organisation.',
+            registry=self._registry,
+        )
         #: Attempts beyond the first for each service, by route.
         self.extra_tries = Counter(
             'almonddock_gateway_extra_tries_total',
--- a/packages/gateway/almonddock_gateway/tests/test_linking.py
+++ b/packages/gateway/almonddock_gateway/tests/test_linking.py
@@ -26,7 +26,9 @@
         self.links = linking.HostLinks(
             replace(SETTINGS, links=Address('127.0.0.1', 0)),
             RelaySettings(NAMES, TargetTable(), FakePools(), clock),
-            StoreServer(store, StoreCache('', bool), ManualClock()),
+            linking.LinkServers(
+                StoreServer(store, StoreCache('', bool), ManualClock())
+            ),
             HostController(SETTINGS, store, clock, telemetry),
             telemetry,
             HostMemory(clock),
