Let fair shares begin on a machine that has run for long

Cause: amounts grow with the time since zero of the machine's clock, and only the count of a request set that time anew. Evidence: the new test (ERROR, OverflowError) and the test of quotas over three hosts, whose log shows the failed loop. Result: both pass.

--- a/packages/core/almonddock_core/fairness/_shares.py
+++ b/packages/core/almonddock_core/fairness/_shares.py
@@ -87,6 +87,7 @@
 
     def drop_idle(self, now: timedelta) -> None:
         """Forgets organisations that have taken next to nothing lately."""
+        self._rescale(now)
         least = NEGLIGIBLE.total_seconds() * self._grow(now)
         self._amounts = {
             name: amount
@@ -120,7 +121,7 @@
             for name, amount in self._amounts.items()
             if factor
         }
-        self.drop_idle(now)
+        self._total = sum(self._amounts.values())
 
 
 def _get_name(caller: Caller) -> str:
--- a/packages/core/almonddock_core/tests/test_fairness.py
+++ b/packages/core/almonddock_core/tests/test_fairness.py
@@ -119,6 +119,13 @@
         shares.record(hot, -WORK * 9, SECOND)
         self.assertFalse(shares.measure_delay(hot, SECOND))
 
+    def test_machine_may_have_run_for_long(self) -> None:
+        """The clock of a machine does not begin with the process."""
+        now = timedelta(days=400)
+        shares = FairShares()
+        shares.drop_idle(now)
+        self.assertEqual(len(shares), 0)
+
     def test_work_is_forgotten_over_days(self) -> None:
         shares = FairShares()
         hot, other = build_caller('hot'), build_caller('other')
