--- a/packages/core/almonddock_core/quotas/_credits.py
+++ b/packages/core/almonddock_core/quotas/_credits.py
@@ -27,7 +27,7 @@
 #: How long a grantor that did not answer is not asked again.
 UNANSWERED_PAUSE = timedelta(seconds=1)
 
-#: The longest that a request waits for grantors that do not answer.
+#: The longest that a request waits for a credit.
 MAX_TICKET_WAIT_MS = 200
 MAX_TICKET_WAIT = timedelta(milliseconds=MAX_TICKET_WAIT_MS)
 
@@ -103,19 +103,16 @@
         usage = self._usages.get(organisation)
         if usage is None or usage.asking is not None:
             return []
+        actions = self._turn_late_away(organisation, now - MAX_TICKET_WAIT, now)
         wanted = len(usage.waiting) + usage.uncovered
         if not wanted:
-            return []
+            return actions
         grantor = self._choose_grantor(organisation, usage, now)
-        if grantor is not None:
-            ask = self.ask(grantor, organisation, wanted, now)
-            usage.asking = ask.query.number
-            return [ask]
-        actions: list[QuotaAction] = []
-        while usage.waiting:
-            ticket = usage.waiting.popleft()
-            actions.append(self._turn_away(organisation, ticket, now))
-        return actions
+        if grantor is None:
+            return actions + self._turn_late_away(organisation, now, now)
+        ask = self.ask(grantor, organisation, wanted, now)
+        usage.asking = ask.query.number
+        return [*actions, ask]
 
     def ask(
         self, grantor: str, organisation: str, wanted: int, now: timedelta
@@ -177,7 +174,9 @@
         actions: list[QuotaAction] = []
         for number, pending in tuple(self._pending.items()):
             age = now - pending.sent
-            if age > QUERY_TIMEOUT and self._is_due(number, pending):
+            usage = self._usages.get(pending.organisation)
+            is_due = usage is not None and usage.asking == number
+            if age > QUERY_TIMEOUT and is_due:
                 # A late answer can still be used.
                 actions += self._replace(number, pending, now)
             elif age > CREDIT_MAX_AGE:
@@ -192,10 +191,6 @@
             if name not in pending and usage.is_idle(own, now):
                 del self._usages[name]
 
-    def _is_due(self, number: int, pending: PendingQuery) -> bool:
-        usage = self._usages.get(pending.organisation)
-        return usage is not None and usage.asking == number
-
     def _replace(
         self, number: int, pending: PendingQuery, now: timedelta
     ) -> list[QuotaAction]:
@@ -206,12 +201,7 @@
         if usage.asking != number:
             return []
         usage.asking = None
-        waiting = usage.waiting
-        actions: list[QuotaAction] = []
-        while waiting and now - waiting[0].arrived > MAX_TICKET_WAIT:
-            ticket = waiting.popleft()
-            actions.append(self._turn_away(pending.organisation, ticket, now))
-        return actions + self.pursue(pending.organisation, now)
+        return self.pursue(pending.organisation, now)
 
     def _choose_grantor(
         self, organisation: str, usage: Usage, now: timedelta
@@ -233,6 +223,17 @@
             default=None,
         )
 
+    def _turn_late_away(
+        self, organisation: str, since: timedelta, now: timedelta
+    ) -> list[QuotaAction]:
+        """Turns away what has waited since a time or longer."""
+        waiting = self._usages[organisation].waiting
+        actions: list[QuotaAction] = []
+        while waiting and waiting[0].arrived <= since:
+            ticket = waiting.popleft()
+            actions.append(self._turn_away(organisation, ticket, now))
+        return actions
+
     def _turn_away(
         self, organisation: str, ticket: Ticket, now: timedelta
     ) -> TurnAway:
--- a/packages/core/almonddock_core/quotas/_division.py
+++ b/packages/core/almonddock_core/quotas/_division.py
@@ -63,11 +63,11 @@
     spare, extra = divmod(total - held, len(known.hosts))
     if extra and _rank(organisation, host, known.hosts) < extra:
         spare += 1
-    per_second = RATE_HEADROOM * quota.rate / len(known.grantors)
-    regained = per_second * settings.grant_window.total_seconds()
     return Division(
         granted=limit_count(
-            granted, granted + 1 - regained, settings.grant_window
+            granted,
+            _choose_burst(quota, granted, known, settings),
+            settings.grant_window,
         ),
         own=limit_count(spare, math.ceil(spare / 2), settings.window),
     )
@@ -92,6 +92,15 @@
     return min(wanted, total // len(known.grantors))
 
 
+def _choose_burst(
+    quota: Quota, granted: int, known: HostSet, settings: QuotaSettings
+) -> float:
+    """Returns how much of a grantor's part may be granted at once."""
+    per_second = RATE_HEADROOM * quota.rate / len(known.grantors)
+    regained = per_second * settings.grant_window.total_seconds()
+    return max(granted + 1 - regained, quota.burst / len(known.grantors))
+
+
 def _rank(organisation: str, host: str, hosts: Sequence[str]) -> int:
     """Returns a host's place, which differs between organisations.
 
--- a/packages/core/almonddock_core/tests/test_quotas.py
+++ b/packages/core/almonddock_core/tests/test_quotas.py
@@ -31,6 +31,7 @@
     SECOND,
     SETTINGS,
     Fleet,
+    Request,
     find_worst_window,
 )
 
@@ -307,6 +308,22 @@
             with self.subTest(hosts=hosts, used=used):
                 self.assertEqual(len(fleet.let_in['o']), 90)
 
+    def test_no_request_waits_long_for_credits(self) -> None:
+        """Grantors that gave a few each kept a busy host's for seconds."""
+        quota = Quota(90, 90)
+        fleet = Fleet(31, 1, quota)
+        fleet.set_quotas(['o'], quota)
+        requests: list[Request | None] = []
+
+        def send_one() -> None:
+            requests.append(fleet.request('host-1', 'o'))
+
+        for number in range(500):
+            fleet.at(START + number * 8 * MS, send_one)
+        fleet.run(START + 4 * SECOND + 500 * MS)
+        unanswered = [one for one in requests if one not in fleet.answers]
+        self.assertEqual(unanswered, [])
+
     def test_without_quotas_nothing_is_sent_or_held(self) -> None:
         fleet = Fleet(4, 1, QUOTA)
         fleet.run(START)
