Read the store at once where a watcher or a cut watch cost proof

What callers saw: 503 from hosts that could reach the store.

Cause: each read waited up to a second for a useless watcher first, so reads were 2 s apart at least; then the store cut their waiting watches, and they asked peers, whose watches had been cut as well, before they called again.

Change: where the age of knowledge is bounded, no watcher is asked for 3 s after one that was of no use, and a call whose connection ended is made again at once. Deployments without the bound read as before.

--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -27,6 +27,7 @@
 )
 from almonddock_gateway.relays._store_cache import StoreCache
 from almonddock_gateway.store import (
+    CallCutError,
     HistoryLostError,
     Store,
     StoreLostError,
@@ -67,6 +68,10 @@
 #: watcher's answer is too old and the store is read instead.
 MAX_AGE_SHARE = 0.6
 
+#: Where it is bounded, how long no watcher is asked after one that was of no
+#: use: waiting for it makes the knowledge older by a second each time.
+WATCHER_REST = timedelta(seconds=3)
+
 
 class FallbackStore:
     """A store whose reads may go through other hosts."""
@@ -90,6 +95,8 @@
         self._clock = clock
         #: The age that knowledge may reach; None if it is not bounded.
         self.age_bound: timedelta | None = None
+        # Until then no watcher is asked.
+        self._watchers_rest_until = timedelta()
         self._probing: asyncio.Task[None] | None = None
         #: Where the last answer came from; NONE before the first one, and
         #: after the store or a watcher failed.
@@ -148,7 +155,7 @@
             return view
         if self._probing is None:
             try:
-                view = await read_dated(read_directly, self._clock)
+                view = await self._read_directly(read_directly)
             except StoreLostError as lost:
                 self._start_probing(lost)
             else:
@@ -158,6 +165,21 @@
         self.source = ReadSource.PEER
         return view
 
+    async def _read_directly(
+        self, read: Callable[[], Awaitable[StoreView]]
+    ) -> StoreView:
+        """Reads the store, where age counts again if the call is cut.
+
+        The store may cut watches that wait. To read through peers takes longer
+        than a second call, and they may have been cut as well.
+        """
+        try:
+            return await read_dated(read, self._clock)
+        except CallCutError:
+            if self.age_bound is None:
+                raise
+        return await read_dated(read, self._clock)
+
     def _start_probing(self, lost: StoreLostError) -> None:
         self.source = ReadSource.NONE
         if self._router.links is None:
@@ -185,6 +207,8 @@
         self, query: StoreQuery
     ) -> StoreView | None:
         """Returns a watcher's answer, None if no watcher gives one."""
+        if self._clock.now() < self._watchers_rest_until:
+            return None
         links = self._router.links
         link = links.find_watcher() if links is not None else None
         if links is None or link is None:
@@ -197,6 +221,8 @@
             self._check_age(view)
         except StoreLostError as lost:
             self._note_watcher_lost(lost.message)
+            if self.age_bound is not None:
+                self._watchers_rest_until = self._clock.now() + WATCHER_REST
             return None
         costs.record(reply.costs)
         if self.source is not ReadSource.WATCHER:
--- a/packages/gateway/almonddock_gateway/store.py
+++ b/packages/gateway/almonddock_gateway/store.py
@@ -14,6 +14,10 @@
     code = 'store_lost'
 
 
+class CallCutError(StoreLostError):
+    """The connection of a call ended; the store may answer the next call."""
+
+
 class HistoryLostError(AlmonddockError):
     """The store no longer keeps the changes after the given revision."""
 
--- a/packages/gateway/almonddock_gateway/tests/test_watchers.py
+++ b/packages/gateway/almonddock_gateway/tests/test_watchers.py
@@ -18,9 +18,12 @@
 from almonddock_gateway.relays._fallback_store import (
     MAX_DIRECT_READS,
     MAX_QUERIES_A_LINK,
+    WATCHER_REST,
 )
 from almonddock_gateway.store import (
+    CallCutError,
     HistoryLostError,
+    StoreLostError,
     StoreView,
 )
 from almonddock_gateway.tests.fakes import FakeLink
@@ -96,6 +99,36 @@
             self.assertEqual(view, ONE)
             self.assertEqual(view.as_of, timedelta())
 
+    async def test_watcher_of_no_use_is_not_asked_at_once_again(self) -> None:
+        """Each wait for it made what the host knew a second older."""
+        fallback = self.make(ONE, ONE, ONE)
+        fallback.age_bound = timedelta(seconds=5)
+        clock = ManualClock()
+        fallback._clock = clock
+        self.connect()
+        self.links.has_watcher = True
+        lost = StoreReply(7, StoreOutcome.LOST, StoreView((), 0))
+        self.assertEqual(await self.ask_other_host(fallback, lost), ONE)
+        await fallback.watch('p/', 5, timedelta())
+        self.assertEqual(len(self.links.link.sent), 1)
+        clock.advance(WATCHER_REST)
+        self.links.handle = None
+        self.assertEqual(await self.ask_other_host(fallback, lost), ONE)
+        self.assertEqual(len(self.links.link.sent), 2)
+
+    async def test_call_that_is_cut_is_made_again(self) -> None:
+        """A store that cuts waiting watches answers the next call."""
+        for bound, calls in ((timedelta(seconds=5), 2), (None, 1)):
+            fallback = self.make(CallCutError('x'), ONE)
+            fallback.age_bound = bound
+            if bound is None:
+                with self.assertRaises(StoreLostError):
+                    await fallback.watch('p/', 5, timedelta())
+            else:
+                view = await fallback.watch('p/', 5, timedelta())
+                self.assertEqual(view, ONE)
+            self.assertEqual(len(self.store.calls), calls)
+
     async def test_time_on_the_way_makes_a_view_older(self) -> None:
         """A host that was frozen took an old reply for a fresh one."""
         clock = ManualClock()
