Refuse organisations whose names break a header

Cause: targets get the name in a header; one with a line break would add a header, or end the head. Change: such a name is a fault of the configuration.

--- a/packages/core/almonddock_core/routing/_organisations.py
+++ b/packages/core/almonddock_core/routing/_organisations.py
@@ -61,8 +61,9 @@
     """Builds the lookup of organisations, each with its keys.
 
     Raises:
-        ValueError: a name stands twice or is empty, or two organisations hold
-            one key; the message names the organisations, never the key.
+        ValueError: a name stands twice, is empty or can't stand in a header,
+            or two organisations hold one key; the message names the
+            organisations, never the key.
     """
     listed = [(one, tuple(keys)) for one, keys in organisations]
     _check_names([one.name for one, _ in listed])
@@ -81,3 +82,7 @@
     repeated = [name for name, count in Counter(names).items() if count > 1]
     if '' in names or repeated:
         raise ValueError(f'a name is empty or stands twice: {repeated}')
+    # Targets get the name in a header, which a line break would end.
+    odd = [name for name in names if not name.isprintable()]
+    if odd:
+        raise ValueError(f'a name has characters that are not printed: {odd}')
