Explain callers that were not let in from the log

Cause: almonddock explain did not know the event, so the request's id led to "the logs do not show the end". Change: one sentence with reason, status, version and its age; an unreadable configuration counts as a state of the host. Result: the new test of test_explain failed before (unknown event) and passes.

--- a/packages/cli/almonddock_cli/_causes.py
+++ b/packages/cli/almonddock_cli/_causes.py
@@ -23,6 +23,7 @@
         'isolated',
         'stopping',
         'data_centres_drained',
+        'configuration_unreadable',
     ),
 )
 
@@ -33,12 +34,18 @@
         ('store_shared', 'store_direct'),
         ('isolated', 'isolation_ended'),
         ('stopping', 'started'),
+        ('configuration_unreadable', 'configuration_in_force'),
     ),
 )
 
 #: Events that end a request.
 FINAL_EVENTS = frozenset(
-    ('request_finished', 'request_rejected', 'request_turned_away'),
+    (
+        'request_finished',
+        'request_rejected',
+        'request_turned_away',
+        'caller_not_admitted',
+    ),
 )
 
 
@@ -83,6 +90,8 @@
     if not ends:
         return 'the logs do not show the end of this request'
     end = ends[-1].fields
+    if ends[-1].event == 'caller_not_admitted':
+        return _explain_not_admitted(end)
     if ends[-1].event != 'request_finished':
         return f'it was not served: {end["reason"]} (status {end["status"]})'
     tries = [line.fields for line in request_lines if line.event == 'try_ended']
@@ -126,6 +135,15 @@
     return found
 
 
+def _explain_not_admitted(end: Mapping[str, Any]) -> str:
+    reason = _ADMISSION_REASONS.get(end['reason'], end['reason'])
+    return (
+        f'its caller was not let in: {reason} (status {end["status"]}, '
+        f'version {end["configuration"]}, last proven '
+        f'{end["configuration_age"]} before)'
+    )
+
+
 def _explain_no_target(
     end: Mapping[str, Any],
     tries: Sequence[Mapping[str, Any]],
@@ -228,6 +246,14 @@
     )
 
 
+#: By the reason of a ``caller_not_admitted`` line.
+_ADMISSION_REASONS = MappingProxyType(
+    {
+        'unknown_key': 'it stated no key of the version in force',
+        'unproven_key': 'the host could not know whether its key counted',
+    },
+)
+
 #: By the outcome of the request; ``_explain_reply`` covers the other outcomes.
 _EXPLAINERS = MappingProxyType(
     {
--- a/packages/cli/almonddock_cli/tests/test_explain.py
+++ b/packages/cli/almonddock_cli/tests/test_explain.py
@@ -13,7 +13,7 @@
 from almonddock_cli._log_lines import LogLine, parse_lines
 from almonddock_core.dispatch import Dispatch, Failure, ReplyKind
 from almonddock_core.model import ManualClock
-from almonddock_core.routing import TargetChange
+from almonddock_core.routing import Rejected, RejectionReason, TargetChange
 from almonddock_core.tests.dispatch_cases import (
     MS,
     SECOND,
@@ -156,6 +156,24 @@
             'it was not served: the host stops (status 503)',
         )
 
+    def test_caller_that_was_not_let_in(self) -> None:
+        for reason, status, expected in (
+            (RejectionReason.UNKNOWN_KEY, 401, 'it stated no key of the'),
+            (RejectionReason.UNPROVEN_KEY, 503, 'the host could not know'),
+        ):
+            self.setUp()
+            self.telemetry.log_not_admitted(
+                DispatchCase(make_route()).start().dispatch.request,
+                Rejected(reason),
+                status,
+                configuration=7,
+                configuration_age=2 * SECOND,
+            )
+            request_lines = select_request_lines(self.read_log(), 'request-1')
+            cause = describe_cause(request_lines)
+            self.assertIn(f'not let in: {expected}', cause)
+            self.assertIn(f'status {status}, version 7, last proven', cause)
+
     def test_host_events_are_left_out_after_recovery(self) -> None:
         self.telemetry.log_event('store_lost', reason='x')
         self.telemetry.log_event('isolated')
