--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -4,10 +4,10 @@
 import gc
 import signal
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 
 from almonddock_core.dispatch import DispatchContext, RetryBudget
+from almonddock_core.memory import ProcessSize
 from almonddock_core.model import AlmonddockError
 from almonddock_core.placement import ColdStartLimiter
 from almonddock_core.routing import (
@@ -16,12 +16,10 @@
     KnownTarget,
     TargetTable,
 )
-from almonddock_gateway._clock import MonotonicClock, SuspendedClock
+from almonddock_gateway.adapter import HostAdapter
 from almonddock_gateway.admin import build_admin_handler
 from almonddock_gateway.controllers import (
     ConfigurationController,
-    DecodeTable,
-    DecodeTarget,
     HostController,
     IsolationController,
     TargetController,
@@ -41,7 +39,6 @@
 from almonddock_gateway.serving import START_LIMITS, CallerServers, Handle
 from almonddock_gateway.settings import Address, GatewaySettings
 from almonddock_gateway.shutdown import ShutdownSteps, finish_requests
-from almonddock_gateway.store import Store
 from almonddock_gateway.supervision import (
     guard,
     keep_running,
@@ -53,6 +50,7 @@
 from almonddock_gateway.telemetry import (
     GatewayMetrics,
     LineWriter,
+    MemoryReport,
     Telemetry,
 )
 
@@ -74,43 +72,26 @@
 GC_THRESHOLD = 50_000
 
 
-@dataclass(frozen=True, slots=True)
-class Decoders:
-    """The adapter's decoders for the values in the store."""
-
-    table: DecodeTable
-    target: DecodeTarget
-
-
 class GatewayHost:
     """Creates the components of a gateway and runs them."""
 
-    def __init__(
-        self,
-        settings: GatewaySettings,
-        store: Store,
-        decoders: Decoders,
-        reload: Callable[[], GatewaySettings],
-        output: int,
-    ) -> None:
-        """Creates all components.
-
-        ``reload`` reads the settings again. ``output`` is the file descriptor
-        of the log, which becomes non-blocking.
-        """
+    def __init__(self, settings: GatewaySettings, adapter: HostAdapter) -> None:
+        """Creates all components."""
         #: The settings in force.
         self.settings = settings
-        self._reload = reload
+        self._reload = adapter.reload
         self._callers = settings.callers
-        self._clock = MonotonicClock()
+        self._clock = adapter.memory.clock
         self.telemetry = Telemetry(
             LineWriter(
-                output,
+                adapter.output,
                 {'host': settings.host, 'data_centre': settings.data_centre},
             ),
             GatewayMetrics(),
             self._clock,
         )
+        self._memory = adapter.memory
+        self._memory_report = MemoryReport(self._memory, self.telemetry)
         self._state = EntryState()
         self._budget = RetryBudget(settings.budget)
         self._targets = TargetTable()
@@ -126,6 +107,7 @@
             self._report_reachability,
             lambda target: self._targets.is_usable(target, self._clock.now()),
             build_observer(settings.headers, self._clock, self.telemetry),
+            self._memory,
         )
         self._relays = RelayRouter(
             settings.data_centre,
@@ -133,7 +115,7 @@
         )
         self._access = CallerAccess(
             settings.headers,
-            SuspendedClock(),
+            adapter.suspended_clock,
             settings.revocation_bound,
         )
         self._entry = Entry(
@@ -151,7 +133,7 @@
         )
         self._hosts = HostController(
             settings,
-            store,
+            adapter.store,
             self._clock,
             self.telemetry,
         )
@@ -162,14 +144,14 @@
         )
         configuration = ConfigurationController(
             settings.keys,
-            decoders.table,
+            adapter.decode_table,
             self._state,
             self._context,
             self.telemetry,
         )
         self._target_controller = TargetController(
             settings.keys,
-            decoders.target,
+            adapter.decode_target,
             self._targets,
             self._clock,
             self.telemetry,
@@ -177,7 +159,7 @@
         self._following = StoreFollowing(
             FollowingDependencies(
                 settings=settings,
-                store=store,
+                store=adapter.store,
                 relays=self._relays,
                 state=self._state,
                 configuration=configuration,
@@ -207,6 +189,11 @@
             self._clock,
             self.telemetry,
             settings.max_sockets,
+            self._memory,
+        )
+        self._memory.measure_process = lambda: ProcessSize(
+            targets=len(self._targets),
+            connections=self._servers.open_connections,
         )
         self._readiness = self._build_readiness()
         self._links = HostLinks(
@@ -221,6 +208,7 @@
             self._following.server,
             self._hosts,
             self.telemetry,
+            self._memory,
         )
 
     @property
@@ -373,6 +361,7 @@
             **self._access.count_state(),
             'reply_bytes_held': self._pools.held_bytes,
             **self._servers.count_held_bytes(),
+            **self._memory_report.count_state(),
         }
 
     def _reload_settings(self) -> None:
@@ -384,6 +373,7 @@
             return
         self.settings = settings
         self._budget.update_limits(settings.budget)
+        self._memory.machine_bytes = settings.memory_bytes
         self.telemetry.log_event('settings_reloaded', budget=settings.budget)
 
     async def _run_links(self) -> None:
@@ -411,11 +401,13 @@
             )
             self._budget.drop_idle(now)
             self._context.hedges.drop_idle(now)
+            self._context.shares.drop_idle(now)
             self._target_controller.drop_lapsed()
             self._isolation.check()
             self._pools.check_waiting()
             self._pools.close_idle()
             self._servers.enforce_timeouts()
+            self._memory_report.log_shortage()
 
     async def _flush_logs(self) -> None:
         while True:
