Recompute the hosts that share quotas only when they change

Cause: an update with the same hosts ranked them all again for 25 s after one had gone, and the experiment listed 300 registrations at each read.

--- a/packages/core/almonddock_core/quotas/_hosts.py
+++ b/packages/core/almonddock_core/quotas/_hosts.py
@@ -66,6 +66,8 @@
         #: The time after which no other host holds a part of this one.
         self.settle_time = LAPSE + NEWS_DELAY + settings.grant_window
         self._news: timedelta | None = None
+        # When the next host that is gone is forgotten.
+        self._forget_at = timedelta()
         self._registered: tuple[HostPlace, ...] = ()
         self._data_centres = {own.name: own.data_centre}
         self._gone_at: dict[str, timedelta] = {}
@@ -86,7 +88,8 @@
         """
         self._news = news
         registered = tuple(present)
-        if registered == self._registered and not self._gone_at:
+        is_due = bool(self._gone_at) and now >= self._forget_at
+        if registered == self._registered and not is_due:
             return
         self._registered = registered
         places = {place.name: place.data_centre for place in registered}
@@ -100,6 +103,8 @@
             if now - gone_at >= MEMORY and name != self._own.name:
                 del self._gone_at[name]
                 del self._data_centres[name]
+        oldest = min(self._gone_at.values(), default=now)
+        self._forget_at = oldest + MEMORY
         self._data_centres.update(places)
         self._choose_grantors(now)
 
--- a/packages/core/almonddock_core/tests/quota_fleet.py
+++ b/packages/core/almonddock_core/tests/quota_fleet.py
@@ -30,6 +30,8 @@
 READ_INTERVAL = 500 * MS
 RENEWAL_INTERVAL = 5 * SECOND
 REGISTRATION_TTL = 15 * SECOND
+#: How old a read of the store may be.
+LIST_INTERVAL = 100 * MS
 TICK_INTERVAL = 20 * MS
 
 
@@ -79,6 +81,8 @@
         self.cut_from_store: set[str] = set()
         self.cut_from_hosts: set[str] = set()
         self.registered: dict[str, Registration] = {}
+        self._listed: tuple[HostPlace, ...] = ()
+        self._listed_at = -LIST_INTERVAL
         self.organisations: list[Organisation] = []
         self._order = itertools.count()
         self._events: list[tuple[timedelta, int, Callable[[], None]]] = []
@@ -228,12 +232,8 @@
         if is_frozen or name in self.cut_from_store:
             return
         process.is_ready = True
-        present = [
-            each.place
-            for each in self.registered.values()
-            if each.expires > self.now
-        ]
-        actions = process.quotas.update_hosts(present, self.now, self.now)
+        present, news = self._list_present()
+        actions = process.quotas.update_hosts(present, news, self.now)
         self._run_actions(process, '', actions)
         process.quotas.drop_idle(self.now)
         found = self.registered.get(name)
@@ -241,6 +241,17 @@
             grants = process.quotas.hosts.is_grantor(self.now)
             self.registered[name] = replace(found, grants=grants)
 
+    def _list_present(self) -> tuple[tuple[HostPlace, ...], timedelta]:
+        """Returns the registered hosts, and as of when."""
+        if self.now - self._listed_at >= LIST_INTERVAL:
+            self._listed_at = self.now
+            self._listed = tuple(
+                each.place
+                for each in self.registered.values()
+                if each.expires > self.now
+            )
+        return self._listed, self._listed_at
+
     def _renew(self, process: Process) -> None:
         name = process.place.name
         if not process.lives:
