--- a/packages/core/almonddock_core/news/__init__.py
+++ b/packages/core/almonddock_core/news/__init__.py
@@ -9,11 +9,13 @@
         changes = ask_a_watcher(after=revision)
 """
 
+from almonddock_core.news._freshness import Freshness
 from almonddock_core.news._log import ChangeLog, LoggedItem
 from almonddock_core.news._pauses import (
     PauseInputs,
     ReadSource,
     choose_pause,
+    limit_pause,
 )
 from almonddock_core.news._timeouts import ReplyTimeout
 from almonddock_core.news._watchers import (
@@ -24,10 +26,12 @@
 __all__ = [
     'WATCHERS_PER_DATA_CENTRE',
     'ChangeLog',
+    'Freshness',
     'LoggedItem',
     'PauseInputs',
     'ReadSource',
     'ReplyTimeout',
     'choose_pause',
     'choose_watchers',
+    'limit_pause',
 ]
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -4,10 +4,10 @@
 import gc
 import signal
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 
 from almonddock_core.dispatch import DispatchContext, RetryBudget
+from almonddock_core.memory import ProcessSize
 from almonddock_core.model import AlmonddockError
 from almonddock_core.placement import ColdStartLimiter
 from almonddock_core.routing import (
@@ -16,12 +16,10 @@
     KnownTarget,
     TargetTable,
 )
-from almonddock_gateway._clock import MonotonicClock
+from almonddock_gateway.adapter import HostAdapter
 from almonddock_gateway.admin import build_admin_handler
 from almonddock_gateway.controllers import (
     ConfigurationController,
-    DecodeTable,
-    DecodeTarget,
     HostController,
     IsolationController,
     QuotaDependencies,
@@ -31,19 +29,20 @@
     build_quota_controller,
 )
 from almonddock_gateway.entry import (
+    Admission,
+    CallerAccess,
     Entry,
     EntryState,
     ExchangeSettings,
     QuotaGate,
 )
 from almonddock_gateway.following import FollowingDependencies, StoreFollowing
-from almonddock_gateway.linking import HostLinks
+from almonddock_gateway.linking import HostLinks, LinkServers
 from almonddock_gateway.readiness import Readiness
 from almonddock_gateway.relays import CostExchange, RelayRouter, RelaySettings
 from almonddock_gateway.serving import START_LIMITS, CallerServers, Handle
 from almonddock_gateway.settings import Address, GatewaySettings
 from almonddock_gateway.shutdown import ShutdownSteps, finish_requests
-from almonddock_gateway.store import Store
 from almonddock_gateway.supervision import (
     guard,
     keep_running,
@@ -55,6 +54,7 @@
 from almonddock_gateway.telemetry import (
     GatewayMetrics,
     LineWriter,
+    MemoryReport,
     Telemetry,
 )
 
@@ -76,43 +76,26 @@
 GC_THRESHOLD = 50_000
 
 
-@dataclass(frozen=True, slots=True)
-class Decoders:
-    """The adapter's decoders for the values in the store."""
-
-    table: DecodeTable
-    target: DecodeTarget
-
-
 class GatewayHost:
     """Creates the components of a gateway and runs them."""
 
-    def __init__(
-        self,
-        settings: GatewaySettings,
-        store: Store,
-        decoders: Decoders,
-        reload: Callable[[], GatewaySettings],
-        output: int,
-    ) -> None:
-        """Creates all components.
-
-        ``reload`` reads the settings again. ``output`` is the file descriptor
-        of the log, which becomes non-blocking.
-        """
+    def __init__(self, settings: GatewaySettings, adapter: HostAdapter) -> None:
+        """Creates all components."""
         #: The settings in force.
         self.settings = settings
-        self._reload = reload
+        self._reload = adapter.reload
         self._callers = settings.callers
-        self._clock = MonotonicClock()
+        self._clock = adapter.memory.clock
         self.telemetry = Telemetry(
             LineWriter(
-                output,
+                adapter.output,
                 {'host': settings.host, 'data_centre': settings.data_centre},
             ),
             GatewayMetrics(),
             self._clock,
         )
+        self._memory = adapter.memory
+        self._memory_report = MemoryReport(self._memory, self.telemetry)
         self._state = EntryState()
         self._budget = RetryBudget(settings.budget)
         self._targets = TargetTable()
@@ -128,14 +111,20 @@
             self._report_reachability,
             lambda target: self._targets.is_usable(target, self._clock.now()),
             build_observer(settings.headers, self._clock, self.telemetry),
+            self._memory,
         )
         self._relays = RelayRouter(
             settings.data_centre,
             self._build_cost_exchange(),
         )
+        self._access = CallerAccess(
+            settings.headers,
+            adapter.suspended_clock,
+            settings.revocation_bound,
+        )
         self._hosts = HostController(
             settings,
-            store,
+            adapter.store,
             self._clock,
             self.telemetry,
         )
@@ -159,8 +148,12 @@
                 self._clock,
                 self._relays,
             ),
+            Admission(
+                self._access,
+                lambda: self._following.check_configuration(),
+                QuotaGate(self._quotas, self._clock),
+            ),
             self.telemetry,
-            QuotaGate(self._quotas, self._clock),
         )
         self._isolation = IsolationController(
             self._context,
@@ -169,14 +162,14 @@
         )
         configuration = ConfigurationController(
             settings.keys,
-            decoders.table,
+            adapter.decode_table,
             self._state,
             self._context,
             self.telemetry,
         )
         self._target_controller = TargetController(
             settings.keys,
-            decoders.target,
+            adapter.decode_target,
             self._targets,
             self._clock,
             self.telemetry,
@@ -184,7 +177,7 @@
         self._following = StoreFollowing(
             FollowingDependencies(
                 settings=settings,
-                store=store,
+                store=adapter.store,
                 relays=self._relays,
                 state=self._state,
                 configuration=configuration,
@@ -192,6 +185,8 @@
                 hosts=self._hosts,
                 clock=self._clock,
                 telemetry=self.telemetry,
+                freshness=self._access.freshness,
+                suspended_clock=self._access.clock,
                 targets_updated=self._pools.check_waiting,
             ),
         )
@@ -212,6 +207,11 @@
             self._clock,
             self.telemetry,
             settings.max_sockets,
+            self._memory,
+        )
+        self._memory.measure_process = lambda: ProcessSize(
+            targets=len(self._targets),
+            connections=self._servers.open_connections,
         )
         self._readiness = self._build_readiness()
         self._links = HostLinks(
@@ -223,10 +223,10 @@
                 self._clock,
                 self._relays.costs,
             ),
-            self._following.server,
+            LinkServers(self._following.server, self._quotas),
             self._hosts,
             self.telemetry,
-            self._quotas,
+            self._memory,
         )
 
     @property
@@ -314,6 +314,7 @@
             'address': lambda: self._servers.is_listening(self._callers),
             'end_of_stop': lambda: not self._stopping.is_set(),
             'end_of_isolation': lambda: not self._isolation.isolated,
+            'proof_of_keys': lambda: self._access.can_serve(self._state.table),
         }
         return Readiness(
             conditions,
@@ -374,8 +375,11 @@
             'hosts': self._hosts.count,
             'connections_opened': self._pools.count_dials(),
             'requests_running': self._entry.running,
+            'key_checks': self._entry.key_checks,
+            **self._access.count_state(),
             'reply_bytes_held': self._pools.held_bytes,
             **self._servers.count_held_bytes(),
+            **self._memory_report.count_state(),
             **(self._quotas.count_state() if self._quotas else {}),
         }
 
@@ -388,6 +392,7 @@
             return
         self.settings = settings
         self._budget.update_limits(settings.budget)
+        self._memory.machine_bytes = settings.memory_bytes
         self.telemetry.log_event('settings_reloaded', budget=settings.budget)
 
     async def _run_links(self) -> None:
@@ -413,8 +418,7 @@
                     if target.cold_until > now
                 ],
             )
-            self._budget.drop_idle(now)
-            self._context.hedges.drop_idle(now)
+            self._context.drop_idle(now)
             self._target_controller.drop_lapsed()
             if self._quotas is not None:
                 self._quotas.update()
@@ -422,6 +426,7 @@
             self._pools.check_waiting()
             self._pools.close_idle()
             self._servers.enforce_timeouts()
+            self._memory_report.log_shortage()
 
     async def _flush_logs(self) -> None:
         while True:
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -6,6 +6,7 @@
 from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit
 
 from almonddock_core.dispatch import BudgetLimits
+from almonddock_core.memory import DEFAULT_MACHINE_BYTES
 from almonddock_core.quotas import QuotaSettings
 
 
@@ -50,6 +51,10 @@
     cold_for: bytes
     #: ``1`` in each reply of a target that leaves.
     leaving: bytes
+    #: The name of the caller's organisation, for targets.
+    organisation: bytes
+    #: The scheme of the credentials that hold a caller's key.
+    key_scheme: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +100,9 @@
     max_propagation_time: timedelta
     #: The time from SIGTERM until the process is killed.
     shutdown_time: timedelta
+    #: The time after which a withdrawn key lets nobody in, on no host; None if
+    #: that is not bounded.
+    revocation_bound: timedelta | None = None
     #: How far organisations may exceed their quotas; None if quotas are not
     #: enforced.
     quota: QuotaSettings | None = None
@@ -102,3 +110,5 @@
     is_first_start: bool = False
     #: How many sockets the process may open.
     max_sockets: int = field(default_factory=get_descriptor_limit)
+    #: The memory that the process may take.
+    memory_bytes: int = DEFAULT_MACHINE_BYTES
--- a/packages/gateway/almonddock_gateway/telemetry/_metrics.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_metrics.py
@@ -25,6 +25,12 @@
             buckets=list(LATENCY_BUCKETS_S),
             registry=self._registry,
         )
+        #: Callers that were not let in, by reason.
+        self.rejections = Counter(
+            'almonddock_gateway_callers_rejected_total',
+            'Callers that were not let in, by reason.',
+            registry=self._registry,
+        )
         #: Requests over the quota of their organisation. Only those with the
         #: highest quotas are named.
         self.over_quota = Counter(
--- a/packages/gateway/almonddock_gateway/tests/link_messages.py
+++ b/packages/gateway/almonddock_gateway/tests/link_messages.py
@@ -40,6 +40,8 @@
         costs=(('t1', 1.5), ('t2', 12.0)),
     ),
     replace(make_query('t1'), typical_latency=25 * MS),
+    replace(make_query('t1'), delay=timedelta()),
+    replace(make_query('t1'), delay=250 * MS),
     StoreQuery(1, 'prefix/', None, timedelta()),
     StoreQuery(1, 'prefix/', 0, 3000 * MS, costs=(('t1', 3.0),)),
     StoreReply(
@@ -50,6 +52,7 @@
             9,
             has_more=True,
         ),
+        view_age=-3 * MS,
         costs=(('t1', 3.0),),
     ),
     CreditQuery(4, 'north', 3, 2000 * MS),
