Take the age of known hosts from the read that shows them

Cause: the merge kept the time of the last answer and a clock that stands still while a machine is suspended, so that a host that wakes could use parts of quotas that others have got. Change: the freshness and the clock of the part for keys; the gate needs no clock.

--- a/packages/gateway/almonddock_gateway/controllers/_quotas.py
+++ b/packages/gateway/almonddock_gateway/controllers/_quotas.py
@@ -109,15 +109,17 @@
         self._decisions.pop(ticket, None)
         self._quotas.cancel(organisation.name, ticket)
 
-    def give_back(
-        self,
-        organisation: Organisation,
-        source: CreditSource,
-        let_in: timedelta,
-    ) -> None:
-        """Returns what a request took that was ``let_in`` and did not run."""
-        age = self._deps.clock.now() - let_in
-        self._quotas.give_back(organisation.name, source, age)
+    def keep_for_return(
+        self, organisation: Organisation, source: CreditSource
+    ) -> Callable[[], None]:
+        """Returns what gives back what a request has taken now."""
+        let_in = self._deps.clock.now()
+
+        def give_back() -> None:
+            age = self._deps.clock.now() - let_in
+            self._quotas.give_back(organisation.name, source, age)
+
+        return give_back
 
     def answer(self, query: CreditQuery) -> CreditReply:
         """Answers another host."""
--- a/packages/gateway/almonddock_gateway/entry/_quota_gate.py
+++ b/packages/gateway/almonddock_gateway/entry/_quota_gate.py
@@ -5,7 +5,6 @@
 from datetime import timedelta
 from typing import Protocol
 
-from almonddock_core.model import Clock
 from almonddock_core.quotas import CreditSource, LetIn, TurnAway
 from almonddock_core.routing import (
     Caller,
@@ -33,13 +32,10 @@
         """Forgets a request that waits, because its caller left."""
         ...
 
-    def give_back(
-        self,
-        organisation: Organisation,
-        source: CreditSource,
-        let_in: timedelta,
-    ) -> None:
-        """Returns what a request took that was ``let_in`` and did not run."""
+    def keep_for_return(
+        self, organisation: Organisation, source: CreditSource
+    ) -> 'GiveBack':
+        """Returns what gives back what a request has taken now."""
         ...
 
     def count_refused(self, organisation: Organisation) -> None:
@@ -66,10 +62,9 @@
 class QuotaGate:
     """The requests that wait for a decision on their quota."""
 
-    def __init__(self, quotas: QuotaDecisions | None, clock: Clock) -> None:
+    def __init__(self, quotas: QuotaDecisions | None) -> None:
         """Lets everything in if ``quotas`` is None."""
         self._quotas = quotas
-        self._clock = clock
         self._waiting: set[_GatedRequest] = set()
 
     @property
@@ -91,7 +86,7 @@
         if quotas is None or organisation is None or not organisation.quota:
             return steps.start(keep_credit)
         request = _GatedRequest(
-            organisation, quotas, steps, self._clock, self._waiting.discard
+            organisation, quotas, steps, self._waiting.discard
         )
         request.ticket = quotas.admit(organisation, request.decide)
         if request.is_decided:
@@ -109,7 +104,6 @@
         organisation: Organisation,
         quotas: QuotaDecisions,
         steps: GatedSteps,
-        clock: Clock,
         leave: 'Callable[[_GatedRequest], None]',
     ) -> None:
         self.ticket = 0
@@ -119,7 +113,6 @@
         self._organisation = organisation
         self._quotas = quotas
         self._steps = steps
-        self._clock = clock
         self._leave = leave
 
     def decide(self, decision: LetIn | TurnAway) -> None:
@@ -133,12 +126,11 @@
             over = RejectionReason.OVER_QUOTA
             self._steps.reject(Rejected(over, decision.retry_after))
             return
-        source = decision.source
-        let_in = self._clock.now()
+        give_back = self._quotas.keep_for_return(
+            self._organisation, decision.source
+        )
         try:
-            self.exchange = self._steps.start(
-                lambda: self._give_back(source, let_in)
-            )
+            self.exchange = self._steps.start(give_back)
         except Exception:
             if self.is_waiting:
                 self._steps.fail()
@@ -152,6 +144,3 @@
             self.is_decided = True
             self._leave(self)
             self._quotas.cancel(self._organisation, self.ticket)
-
-    def _give_back(self, source: CreditSource, let_in: timedelta) -> None:
-        self._quotas.give_back(self._organisation, source, let_in)
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -134,8 +134,8 @@
                 hosts=self._hosts,
                 get_table=lambda: self._state.table,
                 get_links=lambda: self._relays.links,
-                get_news=lambda: self._following.news_time,
-                clock=self._clock,
+                get_news=lambda: self._access.freshness.as_of,
+                clock=adapter.suspended_clock,
                 telemetry=self.telemetry,
             ),
         )
@@ -151,7 +151,7 @@
             Admission(
                 self._access,
                 lambda: self._following.check_configuration(),
-                QuotaGate(self._quotas, self._clock),
+                QuotaGate(self._quotas),
             ),
             self.telemetry,
         )
--- a/packages/gateway/almonddock_gateway/tests/test_quota_gate.py
+++ b/packages/gateway/almonddock_gateway/tests/test_quota_gate.py
@@ -106,14 +106,11 @@
         """Records that a caller left."""
         self.events.append('cancelled')
 
-    def give_back(
-        self,
-        organisation: Organisation,
-        source: CreditSource,
-        let_in: timedelta,
-    ) -> None:
-        """Records a credit that was not used."""
-        self.events.append(f'given back {source.value}')
+    def keep_for_return(
+        self, organisation: Organisation, source: CreditSource
+    ) -> GiveBack:
+        """Returns what records a credit that was not used."""
+        return partial(self.events.append, f'given back {source.value}')
 
     def count_refused(self, organisation: Organisation) -> None:
         """Records a refusal."""
@@ -134,7 +131,7 @@
 class GateTest(unittest.TestCase):
     def setUp(self) -> None:
         self.quotas = FakeQuotas()
-        self.gate = QuotaGate(self.quotas, ManualClock())
+        self.gate = QuotaGate(self.quotas)
         self.rejected: list[Rejected] = []
         self.credits: list[GiveBack] = []
 
