--- a/packages/core/almonddock_core/dispatch/_requests.py
+++ b/packages/core/almonddock_core/dispatch/_requests.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from almonddock_core.fairness import Turn
 from almonddock_core.routing import Caller, Organisation, Route
 
 
@@ -22,12 +23,29 @@
     deadline: timedelta
     #: The organisation of the caller; None if callers need no keys.
     organisation: Organisation | None = None
+    #: Its turn among those that wait, where organisations share.
+    turn: Turn | None = None
+
+    @property
+    def delay(self) -> timedelta | None:
+        """How much later than its arrival its turn is; None without one."""
+        return None if self.turn is None else self.turn.delay
 
     @property
     def priority(self) -> int:
-        """The rank among requests that wait; 0 is the most urgent."""
+        """The rank among requests that wait; 0 is the most urgent.
+
+        A delay says all about the order where there is one.
+        """
+        if self.delay is not None:
+            return 0
         return Caller(self.route, self.organisation).priority
 
+    @property
+    def waits_until(self) -> timedelta:
+        """The moment up to which requests that arrive later may go first."""
+        return timedelta() if self.delay is None else self.arrived + self.delay
+
 
 class ReplyKind(enum.Enum):
     """What a target's reply says about the request."""
--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -1,9 +1,10 @@
 """Accepts requests from callers and starts their dispatch."""
 
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
+from almonddock_core.access import UNPROVEN
 from almonddock_core.dispatch import (
     Answer,
     Dispatch,
@@ -18,17 +19,21 @@
     RoutingTable,
     WeightedRotation,
 )
+from almonddock_gateway.entry._access import CallerAccess
 from almonddock_gateway.entry._answers import (
     BAD_GATEWAY,
-    TOO_MANY_REQUESTS,
     UNAVAILABLE,
     build_answer,
+    build_rejection,
+    format_retry_after,
 )
 from almonddock_gateway.entry._exchange import (
     ExchangeSettings,
+    OutgoingRequest,
     TargetExchange,
     build_outgoing,
 )
+from almonddock_gateway.entry._key_checks import KeyChecks
 from almonddock_gateway.entry._quota_gate import (
     GatedSteps,
     GiveBack,
@@ -64,6 +69,28 @@
 STOPPING = Unavailability('the host stops', STOP_RETRY_AFTER)
 
 
+@dataclass(frozen=True, slots=True)
+class _Arrival:
+    """A request, and the connection that it is answered on."""
+
+    request: CallerRequest
+    connection: CallerConnection
+    #: When it arrived, if it has waited for a check of its key.
+    checked_since: timedelta | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _Admitted:
+    """A request whose caller is known."""
+
+    arrival: _Arrival
+    routed: RoutedRequest
+    caller: Caller
+    #: The configuration in force when it arrived.
+    table: RoutingTable
+    arrived: timedelta
+
+
 @dataclass(slots=True)
 class EntryState:
     """The state that controllers publish and request handling reads."""
@@ -91,26 +118,15 @@
         return (rotation.choose_service(),)
 
 
-#: Returns whom a request is from.
-Identify = Callable[[CallerRequest, Route, RoutingTable], Caller]
-
-
-def identify_nobody(
-    request: CallerRequest, route: Route, table: RoutingTable
-) -> Caller:
-    """Returns a caller of no organisation."""
-    return Caller(route)
-
-
 @dataclass(frozen=True, slots=True)
-class _Arrival:
-    """A request with its route, and the connection that it came on."""
+class Admission:
+    """What decides whether a caller's request is let in."""
 
-    request: CallerRequest
-    connection: CallerConnection
-    routed: RoutedRequest
-    table: RoutingTable
-    arrived: timedelta
+    access: CallerAccess
+    #: Reads the configuration in force again.
+    check_configuration: Callable[[], Awaitable[None]]
+    #: Holds back, or refuses, what exceeds the quota of its organisation.
+    gate: QuotaGate
 
 
 class Entry:
@@ -121,29 +137,38 @@
         state: EntryState,
         context: DispatchContext,
         settings: ExchangeSettings,
+        admission: Admission,
         telemetry: Telemetry,
-        gate: QuotaGate | None = None,
-        identify: Identify = identify_nobody,
     ) -> None:
-        """Lets everything in without a ``gate``."""
-        self._gate = QuotaGate(None, settings.clock) if gate is None else gate
-        self._identify = identify
+        """Starts without requests."""
+        self._gate = admission.gate
         self._state = state
         self._context = context
         self._settings = settings
+        self._access = admission.access
         self._telemetry = telemetry
+        self._key_checks = KeyChecks(
+            admission.check_configuration, settings.clock, telemetry
+        )
         self._exchanges: dict[TargetExchange, CallerConnection] = {}
 
     @property
     def running(self) -> int:
         """The number of requests in progress."""
-        return len(self._exchanges) + self._gate.waiting
+        waiting = self._key_checks.waiting + self._gate.waiting
+        return len(self._exchanges) + waiting
+
+    @property
+    def key_checks(self) -> int:
+        """How often the store was read because of unknown keys."""
+        return self._key_checks.count
 
     def give_up(self) -> None:
         """Answers all requests in progress, because the process ends.
 
         After an unexpected error, whether a request has run is not known.
         """
+        self._key_checks.resume_all()
         self._gate.give_up()
         for exchange, connection in tuple(self._exchanges.items()):
             try:
@@ -161,90 +186,152 @@
         connection: CallerConnection,
     ) -> Exchange | None:
         """Returns the started exchange, None if answered at once."""
-        names = self._settings.names
+        return self._handle(_Arrival(request, connection))
+
+    def _handle(self, arrival: _Arrival) -> Exchange | None:
+        request = arrival.request
         table = self._state.table
         if table is None:
-            self._send_unavailable(request, connection, NO_CONFIGURATION)
+            self._send_unavailable(arrival, NO_CONFIGURATION)
             return None
         if self._state.closing:
-            self._send_unavailable(request, connection, STOPPING)
+            self._send_unavailable(arrival, STOPPING)
             return None
+        names = self._settings.names
         routed = route_request(request, table, names)
         if isinstance(routed, Rejection):
             attempt_id = request.find(names.attempt_id) or b''
             self._telemetry.log_rejected(attempt_id, routed, table.version)
-            connection.send(routed.status, (), b'')
+            arrival.connection.send(routed.status, (), b'')
+            return None
+        caller = self._access.identify(
+            request, routed.route, table, checked_since=arrival.checked_since
+        )
+        if caller is None:
+            return self._wait_for_check(arrival, routed, table)
+        if isinstance(caller, Rejected):
+            self._reject(arrival, routed, caller, table)
             return None
-        now = self._settings.clock.now()
-        arrival = _Arrival(request, connection, routed, table, now)
-        caller = self._identify(request, routed.route, table)
+        admitted = _Admitted(arrival, routed, caller, table, self._now())
         steps = GatedSteps(
-            start=lambda give_back: self._dispatch(arrival, give_back),
-            reject=lambda rejected: self._reject(arrival, caller, rejected),
-            fail=lambda: connection.send(BAD_GATEWAY, (), b''),
+            start=lambda give_back: self._dispatch(admitted, give_back),
+            reject=lambda over: self._reject_over_quota(admitted, over),
+            fail=lambda: arrival.connection.send(BAD_GATEWAY, (), b''),
         )
         return self._gate.pass_request(caller, steps)
 
-    def _dispatch(self, arrival: _Arrival, give_back: GiveBack) -> Exchange:
+    def _dispatch(self, admitted: _Admitted, give_back: GiveBack) -> Exchange:
         names = self._settings.names
-        routed = arrival.routed
-        dispatch = Dispatch(
-            DispatchedRequest(
-                request_id=routed.request_id,
-                route=routed.route,
-                services=self._state.pick_services(routed.route),
-                arrived=arrival.arrived,
-                deadline=arrival.arrived + routed.timeout,
-            ),
-            self._context,
-        )
-        attempt_id = routed.request_id.encode('latin-1')
-        outgoing = build_outgoing(
-            arrival.request,
-            format_head(arrival.request, names),
-            attempt_id,
-        )
+        route = admitted.routed.route
+        connection = admitted.arrival.connection
+        request = self._plan_request(admitted)
 
         def finish(exchange: TargetExchange, answer: Answer | None) -> None:
             self._exchanges.pop(exchange, None)
-            version = arrival.table.version
-            status = 0
             if isinstance(answer, Refusal) and answer.not_run:
+                self._context.give_back(request.turn, self._now())
                 give_back()
+            status = 0
             if answer is not None:
-                raw = build_answer(answer, routed.route, names)
+                raw = build_answer(answer, route, names)
                 status = raw[0]
-                arrival.connection.send(*raw)
+                connection.send(*raw)
+            version = admitted.table.version
             self._telemetry.log_finished(exchange, status, version)
 
-        exchange = TargetExchange(dispatch, outgoing, self._settings, finish)
-        self._exchanges[exchange] = arrival.connection
+        exchange = TargetExchange(
+            Dispatch(request, self._context),
+            self._build_outgoing(admitted),
+            self._settings,
+            finish,
+        )
+        self._exchanges[exchange] = connection
         exchange.start()
         return exchange
 
-    def _reject(
-        self, arrival: _Arrival, caller: Caller, rejected: Rejected
+    def _plan_request(self, admitted: _Admitted) -> DispatchedRequest:
+        """Returns what the dispatch needs, with the request's turn."""
+        routed = admitted.routed
+        services = self._state.pick_services(routed.route)
+        return DispatchedRequest(
+            request_id=routed.request_id,
+            route=routed.route,
+            services=services,
+            arrived=admitted.arrived,
+            deadline=admitted.arrived + routed.timeout,
+            organisation=admitted.caller.organisation,
+            turn=self._context.take_turn(
+                admitted.caller, len(services), self._now()
+            ),
+        )
+
+    def _build_outgoing(self, admitted: _Admitted) -> OutgoingRequest:
+        request = admitted.arrival.request
+        head = format_head(
+            request,
+            self._settings.names,
+            keyed=admitted.table.organisations is not None,
+            organisation=admitted.caller.organisation,
+        )
+        attempt_id = admitted.routed.request_id.encode('latin-1')
+        return build_outgoing(request, head, attempt_id)
+
+    def _now(self) -> timedelta:
+        return self._settings.clock.now()
+
+    def _wait_for_check(
+        self, arrival: _Arrival, routed: RoutedRequest, table: RoutingTable
+    ) -> Exchange | None:
+        """Decides on the request again once the store has been read."""
+        checked = replace(arrival, checked_since=self._access.clock.now())
+
+        def start() -> Exchange | None:
+            try:
+                return self._handle(checked)
+            except Exception:
+                arrival.connection.send(BAD_GATEWAY, (), b'')
+                raise
+
+        waiting = self._key_checks.add(start)
+        if waiting is None:
+            self._reject(arrival, routed, UNPROVEN, table)
+        return waiting
+
+    def _reject_over_quota(
+        self, admitted: _Admitted, rejected: Rejected
     ) -> None:
-        retry_after = rejected.retry_after or timedelta()
-        organisation = caller.organisation
+        organisation = admitted.caller.organisation
         self._telemetry.log_over_quota(
-            arrival.routed.request_id,
+            admitted.routed.request_id,
             '' if organisation is None else organisation.name,
-            retry_after,
-            arrival.table.version,
+            rejected.retry_after or timedelta(),
+            admitted.table.version,
         )
-        seconds = f'{retry_after.total_seconds():.3f}'.encode()
-        arrival.connection.send(
-            TOO_MANY_REQUESTS, ((b'retry-after', seconds),), b''
+        raw = build_rejection(rejected, self._settings.names)
+        admitted.arrival.connection.send(*raw)
+
+    def _reject(
+        self,
+        arrival: _Arrival,
+        routed: RoutedRequest,
+        rejected: Rejected,
+        table: RoutingTable,
+    ) -> None:
+        raw = build_rejection(rejected, self._settings.names)
+        self._telemetry.log_not_admitted(
+            routed,
+            rejected,
+            raw[0],
+            configuration=table.version,
+            configuration_age=self._access.describe_belief().age,
         )
+        arrival.connection.send(*raw)
 
     def _send_unavailable(
-        self,
-        request: CallerRequest,
-        connection: CallerConnection,
-        unavailability: Unavailability,
+        self, arrival: _Arrival, unavailability: Unavailability
     ) -> None:
-        attempt_id = request.find(self._settings.names.attempt_id) or b''
+        names = self._settings.names
+        attempt_id = arrival.request.find(names.attempt_id) or b''
         self._telemetry.log_unavailable(attempt_id, unavailability.reason)
-        seconds = f'{unavailability.retry_after.total_seconds():.3f}'.encode()
-        connection.send(UNAVAILABLE, ((b'retry-after', seconds),), b'')
+        retry_after = format_retry_after(unavailability.retry_after)
+        arrival.connection.send(UNAVAILABLE, (retry_after,), b'')
--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import importlib
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from almonddock_core.framing import MAX_FRAME_BYTES
+from almonddock_core.memory import HostMemory, PartLimits
 from almonddock_core.quotas import CreditQuery
 from almonddock_gateway.controllers import HostController, QuotaController
 from almonddock_gateway.http import ReplyMemory
@@ -32,10 +34,22 @@
 #: length.
 MAX_HELD_BYTES = 4 * MAX_FRAME_BYTES
 
+#: The bytes of memory that a held byte takes: a frame is copied to be decoded.
+HELD_FACTOR = 2
+
 #: The pause between two checks of the links, in seconds.
 CHECK_INTERVAL_S = 0.25
 
 
+@dataclass(frozen=True, slots=True)
+class LinkServers:
+    """What answers the queries of other hosts, besides relayed ones."""
+
+    store: StoreServer
+    #: Answers queries for credits; None where quotas are not enforced.
+    quotas: QuotaController | None = None
+
+
 class HostLinks:
     """Serves the links of other hosts, and creates this host's own."""
 
@@ -43,19 +57,21 @@
         self,
         settings: GatewaySettings,
         relay_settings: RelaySettings,
-        store_server: StoreServer,
+        servers: LinkServers,
         hosts: HostController,
         telemetry: Telemetry,
-        quotas: QuotaController | None = None,
+        memory: HostMemory,
     ) -> None:
-        """Answers no queries for credits without ``quotas``."""
-        self._quotas = quotas
+        self._quotas = servers.quotas
         self._settings = settings
         self._hosts = hosts
         self._telemetry = telemetry
-        self._relay_server = RelayServer(relay_settings)
-        self._store_server = store_server
-        self._memory = ReplyMemory(MAX_HELD_BYTES)
+        self._relay_server = RelayServer(relay_settings, memory)
+        self._store_server = servers.store
+        self._memory = ReplyMemory(
+            memory=memory,
+            limits=PartLimits('links', MAX_HELD_BYTES, HELD_FACTOR),
+        )
         self._accepted: set[Link] = set()
         self._server: asyncio.Server | None = None
         self._peers: PeerLinks | None = None
--- a/packages/gateway/almonddock_gateway/links/messages.capnp
+++ b/packages/gateway/almonddock_gateway/links/messages.capnp
@@ -33,6 +33,9 @@
   floor @9 :Data;
   # Microseconds in which targets typically answer; 0 if unknown.
   typicalLatency @10 :UInt32;
+  # One more than the microseconds by which its turn is later than its arrival; 0
+  # where organisations do not share.
+  delayPlusOne @11 :UInt32;
 }
 
 struct RelayCancel {
@@ -81,6 +84,11 @@
   # Slow, failing or unreachable targets, with tenths of typical latencies.
   costlyTargets @8 :List(Text);
   costs @9 :List(UInt8);
+  # Whether viewAge is stated.
+  isDated @10 :Bool;
+  # Microseconds by which the read that shows the view was sent before the query
+  # arrived; negative if after it.
+  viewAge @11 :Int64;
 }
 
 struct CreditQuery {
--- a/packages/gateway/almonddock_gateway/relays/_messages.py
+++ b/packages/gateway/almonddock_gateway/relays/_messages.py
@@ -77,6 +77,9 @@
     targets: tuple[str, ...]
     #: The typical time in which targets answer such requests; 0 if unknown.
     typical_latency: timedelta = timedelta()
+    #: How much later than its arrival the turn of the query is; None where
+    #: organisations do not share.
+    delay: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +141,9 @@
     number: int
     outcome: StoreOutcome
     view: StoreView
+    #: How long before the query arrived the read was sent that shows the view;
+    #: negative if after it. None if the sender does not say.
+    view_age: timedelta | None = None
     #: The costs of targets that hosts of the data centre have observed.
     costs: Costs = ()
 
