Answer while the way back to the caller still fits into the goal

Cause: an answer with shards missing was due at 0.85 of the latency goal on the host's clock. The goal counts from the caller's first byte, so callers 6.4 ms away with a goal of 57.9 ms had most answers 0.3 to 2 ms late.

Change: the answer is due at that share, or earlier if the caller's round trip (twice on a new connection), the host's measured time to send, and the answer's time on the host's link would not fit. Never before half the goal.

--- a/packages/core/almonddock_core/dispatch/__init__.py
+++ b/packages/core/almonddock_core/dispatch/__init__.py
@@ -57,6 +57,7 @@
     ReplyKind,
     TargetReply,
 )
+from almonddock_core.dispatch._sending_delay import SendingDelay
 from almonddock_core.dispatch._timing import (
     HEDGE_SHARE,
     PARTIAL_SHARE,
@@ -91,6 +92,7 @@
     'ReplyKind',
     'RetryBudget',
     'Send',
+    'SendingDelay',
     'SlidingWindowCounter',
     'TargetReply',
     'UnavailableService',
--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -6,6 +6,7 @@
 
 from almonddock_core.dispatch._budget import RetryBudget
 from almonddock_core.dispatch._hedging import HedgeHistory
+from almonddock_core.dispatch._sending_delay import SendingDelay
 from almonddock_core.placement import (
     ColdStartLimiter,
     QueryPlacement,
@@ -33,6 +34,7 @@
     #: the limits of cold targets; None before the first one.
     table: RoutingTable | None = None
     _latencies: dict[str, TypicalLatency] = field(default_factory=dict)
+    _sending_delays: dict[str, SendingDelay] = field(default_factory=dict)
     #: Chooses the targets of all shards of a query.
     placement: QueryPlacement = field(init=False)
 
@@ -48,6 +50,10 @@
             self._latencies[route.name] = latency
         return latency
 
+    def get_sending_delay(self, route: Route) -> SendingDelay:
+        """Returns how long the answers of a route take to be sent."""
+        return self._sending_delays.setdefault(route.name, SendingDelay())
+
     def apply_configuration(self, table: RoutingTable) -> None:
         """Applies a configuration; drops latencies of routes that it lacks."""
         self.table = table
@@ -61,6 +67,11 @@
             for name, latency in self._latencies.items()
             if name in names
         }
+        self._sending_delays = {
+            name: delay
+            for name, delay in self._sending_delays.items()
+            if name in names
+        }
 
     def list_routes_to(self, service: str) -> tuple[str, ...]:
         """Returns the names of the routes that lead to a service."""
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -45,7 +45,8 @@
         context: DispatchContext,
     ) -> None:
         self.request = request
-        self.timing = plan_timing(request)
+        self.sending_delay = context.get_sending_delay(request.route)
+        self.timing = plan_timing(request, self.sending_delay.expected)
         #: The answer, once the dispatch has finished.
         self.answer: Answer | None = None
         #: Attempts beyond one for each service.
--- a/packages/core/almonddock_core/dispatch/_requests.py
+++ b/packages/core/almonddock_core/dispatch/_requests.py
@@ -22,6 +22,9 @@
     deadline: timedelta
     #: The organisation of the caller; None if callers need no keys.
     organisation: Organisation | None = None
+    #: The part of the latency goal that the network between the caller and this
+    #: host takes; zero if unknown.
+    way: timedelta = timedelta()
 
     @property
     def priority(self) -> int:
--- a/packages/core/almonddock_core/dispatch/_timing.py
+++ b/packages/core/almonddock_core/dispatch/_timing.py
@@ -12,6 +12,10 @@
 #: in time with some shards missing is worth more than complete and late.
 PARTIAL_SHARE = 0.85
 
+#: It never goes out before this share of the goal, because most hedges are
+#: still open. A caller whose way takes longer is late in any case.
+EARLIEST_PARTIAL_SHARE = 0.5
+
 #: An answer that had too few shards at the latency goal waits for missing
 #: ones until this share of it: it is late in any case, and more shards are
 #: worth the wait.
@@ -39,8 +43,14 @@
     give_up_at: timedelta
 
 
-def plan_timing(request: DispatchedRequest) -> DispatchTiming:
-    """Returns the points in time of a request."""
+def plan_timing(
+    request: DispatchedRequest,
+    sending_delay: timedelta = timedelta(),
+) -> DispatchTiming:
+    """Returns the points in time of a request.
+
+    ``sending_delay`` is the time that this host needs to send an answer.
+    """
     goal = request.route.latency_goal
     give_up_at = min(
         request.deadline - ANSWER_MARGIN,
@@ -48,7 +58,9 @@
     )
     return DispatchTiming(
         hedge_after=goal * HEDGE_SHARE,
-        partial_from=min(request.arrived + goal * PARTIAL_SHARE, give_up_at),
+        partial_from=min(
+            request.arrived + _plan_partial(request, sending_delay), give_up_at
+        ),
         late_partial_from=min(
             request.arrived + goal * LATE_PARTIAL_SHARE, give_up_at
         ),
@@ -56,6 +68,20 @@
     )
 
 
+def _plan_partial(
+    request: DispatchedRequest, sending_delay: timedelta
+) -> timedelta:
+    """Returns how long a request may wait for the last shards.
+
+    The latency goal includes the caller's way to this host and back.
+    """
+    goal = request.route.latency_goal
+    left = goal - request.way - sending_delay
+    if left < goal * EARLIEST_PARTIAL_SHARE:
+        return goal * PARTIAL_SHARE
+    return min(goal * PARTIAL_SHARE, left)
+
+
 def end_timing(timing: DispatchTiming, now: timedelta) -> DispatchTiming:
     """Returns the points in time of a request that is answered now."""
     return replace(
--- /dev/null
+++ b/packages/core/almonddock_core/tests/test_answer_due.py
@@ -0,0 +1,82 @@
+"""When an answer with shards missing goes out to callers far and near.
+
+Load: one of four shards does not answer, and the caller's goal includes its
+way to the host and the time that a busy host needs to send.
+"""
+
+import unittest
+from dataclasses import replace
+from datetime import timedelta
+
+from almonddock_core.dispatch import DispatchedRequest, SendingDelay
+from almonddock_core.dispatch._timing import plan_timing
+from almonddock_core.tests.dispatch_cases import (
+    MS,
+    SECOND,
+    DispatchCase,
+    make_route,
+)
+
+GOAL = 100 * MS
+
+
+def plan_partial(way: timedelta, delay: timedelta = timedelta()) -> timedelta:
+    """Returns when an answer may go out that waits for a last shard."""
+    route = make_route(4, latency_goal=GOAL)
+    request = DispatchedRequest(
+        'request-1', route, route.shards, timedelta(), SECOND
+    )
+    return plan_timing(replace(request, way=way), delay).partial_from
+
+
+class TestAnswerDue(unittest.TestCase):
+    """Answers go out while the way back still fits into the goal."""
+
+    def test_nearby_caller(self) -> None:
+        """A caller nearby, or of unknown distance, gets what it had."""
+        for way in (timedelta(), MS, 14 * MS):
+            self.assertEqual(85 * MS, plan_partial(way))
+
+    def test_distant_caller(self) -> None:
+        """The way and the time to send are left to the answer."""
+        self.assertEqual(70 * MS, plan_partial(30 * MS))
+        self.assertEqual(62 * MS, plan_partial(30 * MS, 8 * MS))
+
+    def test_caller_out_of_reach(self) -> None:
+        """A caller that gets no answer in time does not lose shards for it."""
+        self.assertEqual(85 * MS, plan_partial(51 * MS))
+
+    def test_delay_of_host(self) -> None:
+        """A host that was slow to send before answers earlier."""
+        case = DispatchCase(make_route(4, latency_goal=GOAL))
+        for _ in range(20):
+            delay = case.context.get_sending_delay(case.route)
+            delay.observe(11 * MS, 7 * MS)
+        case.start()
+        for attempt in range(3):
+            case.reply(attempt)
+        case.advance(84 * MS)
+        self.assertEqual(1, case.count_answers())
+
+
+class TestSendingDelay(unittest.TestCase):
+    """The delay follows what was observed."""
+
+    def test_steady(self) -> None:
+        """A steady delay is expected without a margin after a while."""
+        delay = SendingDelay()
+        for _ in range(50):
+            delay.observe(3 * MS, MS)
+        self.assertAlmostEqual(4, delay.expected / MS, places=1)
+
+    def test_pause(self) -> None:
+        """One pause of the process does not move answers for long."""
+        delay = SendingDelay()
+        delay.observe(5 * SECOND, timedelta())
+        for _ in range(20):
+            delay.observe(timedelta(), timedelta())
+        self.assertLess(delay.expected, 3 * MS)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/packages/gateway/almonddock_gateway/entry/_answers.py
+++ b/packages/gateway/almonddock_gateway/entry/_answers.py
@@ -44,6 +44,12 @@
     return build_refusal(answer)
 
 
+def count_bytes(answer: RawAnswer) -> int:
+    """Returns the size of an answer, without the names of its headers."""
+    _, headers, body = answer
+    return len(body) + sum(len(content) for _, content in headers)
+
+
 def _is_passed_on(reply: TargetReply) -> bool:
     """Whether a caller may rely on what the status of the reply says."""
     if reply.kind is ReplyKind.SUCCESS:
--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -14,6 +14,7 @@
     BAD_GATEWAY,
     UNAVAILABLE,
     build_answer,
+    count_bytes,
 )
 from almonddock_gateway.entry._exchange import (
     ExchangeSettings,
@@ -140,6 +141,7 @@
                 services=self._state.pick_services(routed.route),
                 arrived=now,
                 deadline=now + routed.timeout,
+                way=request.way,
             ),
             self._context,
         )
@@ -157,6 +159,7 @@
             if answer is not None:
                 raw = build_answer(answer, routed.route, names)
                 status = raw[0]
+                exchange.answer_bytes = count_bytes(raw)
                 connection.send(*raw)
             self._telemetry.log_finished(exchange, status, version)
 
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -1,5 +1,6 @@
 """Performs the actions that the dispatch of one request decides on."""
 
+import asyncio
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
@@ -54,6 +55,8 @@
     pools: TargetPools
     clock: Clock
     relays: RelayRouter
+    #: The time that a byte takes on this host's link; zero if unknown.
+    link_time: timedelta = timedelta()
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +81,8 @@
         finish: 'Callable[[TargetExchange, Answer | None], None]',
     ) -> None:
         self.dispatch = dispatch
+        #: The size of the answer, once it has been sent.
+        self.answer_bytes = 0
         self._outgoing = outgoing
         self._settings = settings
         self._finish = finish
@@ -264,8 +269,18 @@
         self._run(self.dispatch.fail(number, failure, now))
 
     def _tick(self) -> None:
+        due = self.dispatch.wake_at
         actions = self.dispatch.tick(self._settings.clock.now())
         self._run(self._relay_sends(actions, HEDGE_FLUSH_SHARE))
+        if self.dispatch.answer is not None:
+            # The answer leaves the host at the end of this turn of the loop.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._observe_sending, due)
+
+    def _observe_sending(self, due: timedelta) -> None:
+        delay = self._settings.clock.now() - due
+        transfer = self.answer_bytes * self._settings.link_time
+        self.dispatch.sending_delay.observe(delay, transfer)
 
 
 def _find_threshold(dispatch: Dispatch) -> bytes:
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -65,6 +65,8 @@
 #: The pause between writes of log lines.
 LOG_FLUSH = timedelta(milliseconds=100)
 
+BITS_PER_BYTE = 8
+
 #: The allocations after which the youngest generation is collected.
 GC_THRESHOLD = 50_000
 
@@ -134,6 +136,7 @@
                 self._pools,
                 self._clock,
                 self._relays,
+                _compute_link_time(settings),
             ),
             self.telemetry,
         )
@@ -446,3 +449,10 @@
             self.telemetry,
         )
         await run_once('deregistration', self._hosts.deregister, self.telemetry)
+
+
+def _compute_link_time(settings: GatewaySettings) -> timedelta:
+    """Returns the time that a byte takes on this host's link."""
+    if not settings.link_rate:
+        return timedelta()
+    return timedelta(seconds=BITS_PER_BYTE / settings.link_rate)
--- a/packages/gateway/almonddock_gateway/http/_caller_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_caller_connection.py
@@ -23,7 +23,7 @@
     CallerRequest,
     RequestReader,
 )
-from almonddock_gateway.http._sockets import set_user_timeout
+from almonddock_gateway.http._sockets import measure_way, set_user_timeout
 
 #: The most requests that wait on one connection behind the current one.
 MAX_PIPELINED = 16
@@ -93,6 +93,8 @@
         self._current: CallerRequest | None = None
         self._exchange: Exchange | None = None
         self._ended = False
+        #: Whether a request was served on this connection.
+        self._is_reused = False
 
     @property
     def idle(self) -> bool:
@@ -239,6 +241,8 @@
             return
         request = self._waiting.popleft()
         self._current = request
+        request.way = measure_way(self._transport, is_reused=self._is_reused)
+        self._is_reused = True
         exchange = self._settings.handle(request, self)
         if self._current is request:
             self._exchange = exchange
--- a/packages/gateway/almonddock_gateway/http/_request_reader.py
+++ b/packages/gateway/almonddock_gateway/http/_request_reader.py
@@ -27,6 +27,8 @@
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     body: bytes = b''
     keep_alive: bool = True
+    #: The network time of this request and its answer; zero if it is unknown.
+    way: timedelta = timedelta()
 
     def find(self, name: bytes) -> bytes | None:
         """Returns the first header with this name, None without one."""
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -94,3 +94,5 @@
     shutdown_time: timedelta
     #: How many sockets the process may open.
     max_sockets: int = field(default_factory=get_descriptor_limit)
+    #: The bits that this host's link carries each second; zero if unknown.
+    link_rate: float = 0
