Lend unused shares of the retry budget to hosts that need them

Cause: each host may use 1/hosts of half the slack. With 111 hosts that is 1.29 extra attempts a service and window; 22 to 27 hedges of each query of 90 shards were refused, while most hosts had no query at all.

Change: a host that wanted no extra attempt for a window lends its share to its watchers with its reads of the store. A host that has used its share up asks a watcher, which grants single attempts by service. Loans are counted by the lender until all that was granted from them has left the window, so the sum stays within the bound; property tests over late, lost and killed (two bounds; five mutations of the rule each fail them).

--- a/packages/core/almonddock_core/dispatch/__init__.py
+++ b/packages/core/almonddock_core/dispatch/__init__.py
@@ -31,9 +31,9 @@
 from almonddock_core.dispatch._budget import (
     BudgetLimits,
     RetryBudget,
-    SlidingWindowCounter,
 )
 from almonddock_core.dispatch._context import DispatchContext
+from almonddock_core.dispatch._counter import SlidingWindowCounter
 from almonddock_core.dispatch._decision_log import (
     AttemptOutcome,
     AttemptReason,
@@ -43,6 +43,8 @@
 )
 from almonddock_core.dispatch._dispatch import Dispatch
 from almonddock_core.dispatch._hedging import HedgeHistory
+from almonddock_core.dispatch._lending import Lending, LoanOffer
+from almonddock_core.dispatch._loans import GRANT_TERM
 from almonddock_core.dispatch._outcome import count_needed
 from almonddock_core.dispatch._records import (
     RECORD_BYTES,
@@ -84,7 +86,10 @@
     'Failure',
     'Finish',
     'ForwardedAnswer',
+    'GRANT_TERM',
     'HedgeHistory',
+    'Lending',
+    'LoanOffer',
     'MergedAnswer',
     'Refusal',
     'RefusalReason',
--- a/packages/core/almonddock_core/dispatch/_budget.py
+++ b/packages/core/almonddock_core/dispatch/_budget.py
@@ -3,16 +3,15 @@
 A service that turns slow or fails gets hedges and retries from every host at
 once, and would get a multiple of its load just then. The limit holds for all
 hosts together, so each uses the ratio of its own requests and its share of
-the slack.
+the slack, less what it has lent. Beyond that it asks a watcher.
 """
 
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
-#: Number of steps into which a sliding window is divided.
-WINDOW_STEPS = 20
+from almonddock_core.dispatch._counter import SlidingWindowCounter
+from almonddock_core.dispatch._loans import HostLoans
 
 #: The share of the slack that hosts use. The rest covers a host that forgets
 #: what it sent when it restarts, and an outdated number of hosts.
@@ -23,31 +22,6 @@
 SAFE_RATIO_SHARE = 0.9
 
 
-class SlidingWindowCounter:
-    """Counts events over a window that slides in steps."""
-
-    def __init__(self, window: timedelta) -> None:
-        self._step = window / WINDOW_STEPS
-        self._total = 0
-        self._steps: deque[tuple[int, int]] = deque()
-
-    def add(self, now: timedelta) -> None:
-        """Counts one event."""
-        step = now // self._step
-        self._total += 1
-        if self._steps and self._steps[-1][0] == step:
-            self._steps[-1] = (step, self._steps[-1][1] + 1)
-        else:
-            self._steps.append((step, 1))
-
-    def count(self, now: timedelta) -> int:
-        """Returns the events of the last window, rounded up to steps."""
-        oldest = now // self._step - WINDOW_STEPS
-        while self._steps and self._steps[0][0] < oldest:
-            self._total -= self._steps.popleft()[1]
-        return self._total
-
-
 @dataclass(frozen=True, slots=True)
 class BudgetLimits:
     """Limits on extra attempts at a service, for all hosts together."""
@@ -67,8 +41,17 @@
         self._limits = limits
         self._requests: dict[str, SlidingWindowCounter] = {}
         self._extras: dict[str, SlidingWindowCounter] = {}
+        #: When an extra attempt was last wanted.
+        self._wanted_at: timedelta | None = None
         #: Hosts that share the slack.
         self.hosts = 1
+        #: What this host has lent of its share.
+        self.loans = HostLoans(limits.window)
+
+    @property
+    def share(self) -> float:
+        """This host's share of the slack of each service."""
+        return self._limits.slack * SAFE_SLACK_SHARE / self.hosts
 
     def update_limits(self, limits: BudgetLimits) -> None:
         """Applies new limits and keeps the counts."""
@@ -89,6 +72,7 @@
         Returns whether it is. ``routes`` are the names of the routes that
         lead to the service.
         """
+        self._wanted_at = now
         extras = self._get_counter(self._extras, service)
         requests = sum(
             self._requests[route].count(now)
@@ -97,12 +81,17 @@
         )
         limits = self._limits
         allowed = limits.ratio * SAFE_RATIO_SHARE * requests
-        allowed += limits.slack * SAFE_SLACK_SHARE / self.hosts
+        allowed += max(0, self.share - self.loans.count_lent(now))
         if extras.count(now) + 1 > allowed:
             return False
         extras.add(now)
         return True
 
+    def is_needed(self, now: timedelta) -> bool:
+        """Whether an extra attempt was wanted in the last window."""
+        wanted_at = self._wanted_at
+        return wanted_at is not None and now - wanted_at <= self._limits.window
+
     def drop_idle(self, now: timedelta) -> None:
         """Drops counts of routes and services without a recent event."""
         for counts in (self._requests, self._extras):
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -1,6 +1,6 @@
 """The state machine of one request."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from datetime import timedelta
 
 from almonddock_core.dispatch._actions import (
@@ -60,6 +60,8 @@
         self.decisions = self._attempts.decisions
         #: Returns the successful replies so far.
         self.list_replies = self._attempts.list_replies
+        #: Services whose hedge was refused, until a watcher was asked for it.
+        self.unfunded: list[str] = []
         self._now = request.arrived
 
     @property
@@ -157,8 +159,13 @@
             return []
         return self._finish_if_decided(self._handle_failure(attempt, failure))
 
-    def tick(self, now: timedelta) -> list[Action]:
-        """Hedges, answers with shards missing, or gives up, when due."""
+    def tick(
+        self, now: timedelta, funded: Collection[str] = ()
+    ) -> list[Action]:
+        """Hedges, answers with shards missing, or gives up, when due.
+
+        ``funded`` are services at which a watcher has granted an attempt.
+        """
         self._now = now
         if self.answer is not None:
             return []
@@ -172,6 +179,13 @@
         for attempt in waiting:
             attempt.hedged = True
             actions.extend(self._hedge(attempt))
+        for branch in self._branches if funded else ():
+            if branch.service in funded and len(branch.open) == 1:
+                actions.extend(
+                    self._send_another(
+                        branch, AttemptReason.HEDGE, is_funded=True
+                    )
+                )
         return self._finish_if_decided(actions)
 
     def give_up(self, now: timedelta) -> list[Action]:
@@ -244,6 +258,8 @@
         self,
         branch: Branch,
         reason: AttemptReason = AttemptReason.RETRY,
+        *,
+        is_funded: bool = False,
     ) -> list[Action]:
         """Sends another attempt, if one is allowed and a target is left."""
         route = self.request.route
@@ -256,11 +272,14 @@
         target = choose_target(candidates, context.data_centre, self._now)
         if target is None:
             return []
-        if branch.sent:
+        if branch.sent and not is_funded:
             routes = context.list_routes_to(branch.service)
             if not context.budget.try_spend(branch.service, routes, self._now):
                 self.decisions.over_budget.append(branch.service)
+                if reason is AttemptReason.HEDGE:
+                    self.unfunded.append(branch.service)
                 return []
+        if branch.sent:
             self.extra_tries += 1
         context.record_sent(target, self._now)
         return [self._attempts.send(branch, target, self._now, reason)]
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -1,7 +1,7 @@
 """Performs the actions that the dispatch of one request decides on."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -25,6 +25,7 @@
 from almonddock_gateway.http import CallerRequest, HttpReply, ReplyMatch
 from almonddock_gateway.relays import (
     MessageLink,
+    ReceiveGrants,
     Relay,
     RelayQuery,
     RelayRouter,
@@ -55,6 +56,10 @@
     pools: TargetPools
     clock: Clock
     relays: RelayRouter
+    #: Asks a watcher for attempts that this host's budget does not allow.
+    ask_for_grants: Callable[[Sequence[str], ReceiveGrants], None] = (
+        lambda services, receive: None
+    )
     #: The time that a byte takes on this host's link; zero if unknown.
     link_time: timedelta = timedelta()
 
@@ -268,10 +273,16 @@
         now = self._settings.clock.now()
         self._run(self.dispatch.fail(number, failure, now))
 
-    def _tick(self) -> None:
+    def _tick(self, funded: Collection[str] = ()) -> None:
+        if self.dispatch.answer is not None:
+            return
         due = self.dispatch.wake_at
-        actions = self.dispatch.tick(self._settings.clock.now())
+        actions = self.dispatch.tick(self._settings.clock.now(), funded)
         self._run(self._relay_sends(actions, HEDGE_FLUSH_SHARE))
+        unfunded = self.dispatch.unfunded
+        if unfunded and self.dispatch.answer is None:
+            self.dispatch.unfunded = []
+            self._settings.ask_for_grants(unfunded, self._tick)
         if self.dispatch.answer is not None:
             # The answer leaves the host at the end of this turn of the loop.
             loop = asyncio.get_running_loop()
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from almonddock_core.model import Clock
@@ -19,6 +19,7 @@
 from almonddock_gateway.entry import EntryState
 from almonddock_gateway.relays import (
     FallbackStore,
+    LoanExchange,
     RelayRouter,
     StoreCache,
     StoreServer,
@@ -52,6 +53,8 @@
     telemetry: Telemetry
     #: Called after the targets, or the drained data centres, were updated.
     targets_updated: Callable[[], None]
+    #: For the parts of the retry budget that travel with reads of the store.
+    loans: LoanExchange = field(default_factory=LoanExchange)
 
 
 class StoreFollowing:
@@ -64,6 +67,7 @@
             deps.relays,
             deps.settings.keys.host_prefix,
             deps.telemetry,
+            deps.loans,
         )
         self._cache = StoreCache(ALL_KEYS, self._is_reading_directly)
         self._follower = Follower(
@@ -80,7 +84,9 @@
             deps.telemetry,
         )
         #: Answers the store queries of other hosts.
-        self.server = StoreServer(deps.store, self._cache, deps.relays.costs)
+        self.server = StoreServer(
+            deps.store, self._cache, deps.relays.costs, deps.loans
+        )
 
     @property
     def news_time(self) -> timedelta | None:
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from almonddock_core.dispatch import DispatchContext, RetryBudget
+from almonddock_core.dispatch import DispatchContext, Lending, RetryBudget
 from almonddock_core.model import AlmonddockError
 from almonddock_core.placement import ColdStartLimiter
 from almonddock_core.routing import (
@@ -32,7 +32,13 @@
 from almonddock_gateway.following import FollowingDependencies, StoreFollowing
 from almonddock_gateway.linking import HostLinks
 from almonddock_gateway.readiness import Readiness
-from almonddock_gateway.relays import CostExchange, RelayRouter, RelaySettings
+from almonddock_gateway.relays import (
+    Borrower,
+    CostExchange,
+    RelayRouter,
+    RelaySettings,
+    build_loan_exchange,
+)
 from almonddock_gateway.serving import START_LIMITS, CallerServers, Handle
 from almonddock_gateway.settings import Address, GatewaySettings
 from almonddock_gateway.shutdown import ShutdownSteps, finish_requests
@@ -110,6 +116,11 @@
         )
         self._state = EntryState()
         self._budget = RetryBudget(settings.budget)
+        self._lending = Lending(
+            self._budget,
+            settings.budget.window,
+            self._clock.now(),
+        )
         self._targets = TargetTable()
         self._cold_limiter = ColdStartLimiter(settings.host)
         self._context = DispatchContext(
@@ -136,6 +147,9 @@
                 self._pools,
                 self._clock,
                 self._relays,
+                Borrower(
+                    self._lending, lambda: self._relays.links, self._clock
+                ).ask,
                 _compute_link_time(settings),
             ),
             self.telemetry,
@@ -165,6 +179,7 @@
             self._clock,
             self.telemetry,
         )
+        loans = build_loan_exchange(self._lending, self._clock)
         self._following = StoreFollowing(
             FollowingDependencies(
                 settings=settings,
@@ -177,6 +192,7 @@
                 clock=self._clock,
                 telemetry=self.telemetry,
                 targets_updated=self._pools.check_waiting,
+                loans=loans,
             ),
         )
         self._warmth = WarmthController(
@@ -206,6 +222,7 @@
                 self._pools,
                 self._clock,
                 self._relays.costs,
+                loans,
             ),
             self._following.server,
             self._hosts,
@@ -388,6 +405,7 @@
                 [peer.name for peer in self._hosts.peers]
             )
             now = self._clock.now()
+            self._lending.drop_idle(now)
             self._cold_limiter.drop_warm(
                 [
                     target.entry.target_id
--- a/packages/gateway/almonddock_gateway/links/_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_codec.py
@@ -11,6 +11,12 @@
 from almonddock_core.framing import BadFrameError
 from almonddock_gateway.links._columns import read_column
 from almonddock_gateway.links._cost_codec import read_costs, write_costs
+from almonddock_gateway.links._loan_codec import (
+    read_grant_query,
+    read_grant_reply,
+    write_grant_query,
+    write_grant_reply,
+)
 from almonddock_gateway.links._store_codec import (
     read_store_query,
     read_store_reply,
@@ -18,6 +24,8 @@
     write_store_reply,
 )
 from almonddock_gateway.relays import (
+    GrantQuery,
+    GrantReply,
     Leaving,
     LinkMessage,
     PartFailure,
@@ -168,6 +176,8 @@
 _WRITERS: Mapping[type[LinkMessage], Callable[[Any, Any], None]] = (
     MappingProxyType(
         {
+            GrantQuery: write_grant_query,
+            GrantReply: write_grant_reply,
             Leaving: _write_leaving,
             Ping: _write_ping,
             Pong: _write_pong,
@@ -183,6 +193,8 @@
 _READERS: Mapping[str, Callable[[Any], LinkMessage]] = MappingProxyType(
     {
         'cancel': _read_cancel,
+        'grantQuery': read_grant_query,
+        'grantReply': read_grant_reply,
         'leaving': lambda _: Leaving(),
         'ping': Ping,
         'pong': Pong,
--- a/packages/gateway/almonddock_gateway/links/_peers.py
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -14,6 +14,8 @@
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.links._link import Link
 from almonddock_gateway.relays import (
+    GrantQuery,
+    GrantReply,
     Leaving,
     LinkMessage,
     MessageLink,
@@ -86,7 +88,7 @@
     def send_query(
         self,
         link: MessageLink,
-        query: RelayQuery | StoreQuery,
+        query: RelayQuery | StoreQuery | GrantQuery,
         handle: HandleReply,
     ) -> None:
         """Sends a query; ``handle`` gets each reply, or None at link loss.
@@ -199,7 +201,7 @@
     def _receive(self, link: Link, message: LinkMessage) -> None:
         if isinstance(message, Leaving):
             self._leaving.add(link)
-        elif isinstance(message, RelayReply | StoreReply):
+        elif isinstance(message, RelayReply | StoreReply | GrantReply):
             handle = self._reply_handlers.get((link, message.number))
             if handle is not None:
                 handle(message)
--- a/packages/gateway/almonddock_gateway/links/_store_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_store_codec.py
@@ -5,6 +5,10 @@
 
 from almonddock_gateway.links._columns import read_column
 from almonddock_gateway.links._cost_codec import read_costs, write_costs
+from almonddock_gateway.links._loan_codec import (
+    read_offer,
+    write_offer,
+)
 from almonddock_gateway.relays import StoreOutcome, StoreQuery, StoreReply
 from almonddock_gateway.store import StoreItem, StoreView
 
@@ -20,6 +24,7 @@
     query.after = message.after or 0
     query.wait = message.wait // US
     write_costs(query, message.costs)
+    write_offer(query, message.offer)
 
 
 def read_store_query(query: Any) -> StoreQuery:
@@ -30,6 +35,7 @@
         after=query.after if query.changes else None,
         wait=query.wait * US,
         costs=read_costs(query),
+        offer=read_offer(query),
     )
 
 
@@ -46,6 +52,7 @@
     reply.removed = [item.content is None for item in view.items]
     reply.revisions = [item.revision for item in view.items]
     write_costs(reply, message.costs)
+    reply.clock = message.clock // US
 
 
 def read_store_reply(reply: Any) -> StoreReply:
@@ -66,4 +73,5 @@
         outcome=StoreOutcome(reply.outcome),
         view=StoreView(items, reply.revision, reply.hasMore),
         costs=read_costs(reply),
+        clock=reply.clock * US,
     )
--- a/packages/gateway/almonddock_gateway/links/messages.capnp
+++ b/packages/gateway/almonddock_gateway/links/messages.capnp
@@ -12,6 +12,9 @@
     reply @5 :RelayReply;
     storeQuery @6 :StoreQuery;
     storeReply @7 :StoreReply;
+    # Only sent to hosts whose last StoreReply had a clock.
+    grantQuery @8 :GrantQuery;
+    grantReply @9 :GrantReply;
   }
 }
 
@@ -64,6 +67,10 @@
   # Slow, failing or unreachable targets, with tenths of typical latencies.
   costlyTargets @5 :List(Text);
   costs @6 :List(UInt8);
+  # The thousandths of attempts that the sender lends, and the clock of the last
+  # reply.
+  lent @7 :UInt32;
+  asOf @8 :UInt64;
 }
 
 struct StoreReply {
@@ -79,4 +86,17 @@
   # Slow, failing or unreachable targets, with tenths of typical latencies.
   costlyTargets @8 :List(Text);
   costs @9 :List(UInt8);
+  # The sender's clock in microseconds.
+  clock @10 :UInt64;
+}
+
+struct GrantQuery {
+  number @0 :UInt32;
+  services @1 :List(Text);
+}
+
+struct GrantReply {
+  number @0 :UInt32;
+  # Indices of the services.
+  granted @1 :List(UInt16);
 }
--- a/packages/gateway/almonddock_gateway/relays/__init__.py
+++ b/packages/gateway/almonddock_gateway/relays/__init__.py
@@ -9,7 +9,15 @@
 """
 
 from almonddock_gateway.relays._fallback_store import FallbackStore, StoreServer
+from almonddock_gateway.relays._loans import (
+    Borrower,
+    LoanExchange,
+    ReceiveGrants,
+    build_loan_exchange,
+)
 from almonddock_gateway.relays._messages import (
+    GrantQuery,
+    GrantReply,
     Leaving,
     LinkMessage,
     MessageLink,
@@ -33,15 +41,20 @@
 from almonddock_gateway.relays._store_cache import StoreCache
 
 __all__ = [
+    'Borrower',
     'CostExchange',
     'FallbackStore',
+    'GrantQuery',
+    'GrantReply',
     'Leaving',
     'LinkDirectory',
     'LinkMessage',
+    'LoanExchange',
     'MessageLink',
     'PartFailure',
     'Ping',
     'Pong',
+    'ReceiveGrants',
     'Relay',
     'RelayCancel',
     'RelayQuery',
@@ -54,4 +67,5 @@
     'StoreQuery',
     'StoreReply',
     'StoreServer',
+    'build_loan_exchange',
 ]
--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -12,6 +12,7 @@
 from datetime import timedelta
 
 from almonddock_core.news import ReadSource
+from almonddock_gateway.relays._loans import LoanExchange
 from almonddock_gateway.relays._messages import (
     LinkMessage,
     MessageLink,
@@ -71,12 +72,14 @@
         router: RelayRouter,
         probe_prefix: str,
         telemetry: Telemetry,
+        loans: LoanExchange | None = None,
     ) -> None:
         """Uses ``probe_prefix``, cheap to read, to probe a lost store."""
         self._store = store
         self._router = router
         self._probe_prefix = probe_prefix
         self._telemetry = telemetry
+        self._loans = LoanExchange() if loans is None else loans
         self._probing: asyncio.Task[None] | None = None
         #: Where the last answer came from; NONE before the first one, and
         #: after the store or a watcher failed.
@@ -178,7 +181,13 @@
             self._note_watcher_lost('no usable link to a watcher')
             return None
         costs = self._router.costs
-        asked = replace(query, wait=WATCHER_WAIT, costs=costs.list_observed())
+        loans = self._loans
+        asked = replace(
+            query,
+            wait=WATCHER_WAIT,
+            costs=costs.list_observed(),
+            offer=loans.make_offer(link),
+        )
         try:
             reply = await _query_host(links, link, asked, WATCHER_TIMEOUT_S)
             view = _read_view(reply)
@@ -186,6 +195,7 @@
             self._note_watcher_lost(lost.message)
             return None
         costs.record(reply.costs)
+        loans.record_clock(link, reply.clock)
         if self.source is not ReadSource.WATCHER:
             self.source = ReadSource.WATCHER
             self._telemetry.log_event('store_followed_by_watcher')
@@ -241,6 +251,7 @@
         store: Store,
         cache: StoreCache,
         costs: CostExchange | None = None,
+        loans: LoanExchange | None = None,
     ) -> None:
         """Answers from ``cache`` if it is fresh, else from ``store``.
 
@@ -250,6 +261,7 @@
         self._store = store
         self._cache = cache
         self._costs = CostExchange() if costs is None else costs
+        self._loans = LoanExchange() if loans is None else loans
         self._tasks: dict[MessageLink, set[asyncio.Task[None]]] = {}
         self._direct_reads = 0
 
@@ -282,7 +294,8 @@
         except HistoryLostError:
             outcome = StoreOutcome.HISTORY_LOST
         costs = self._costs.list_known()
-        link.send(StoreReply(query.number, outcome, view, costs))
+        clock = self._loans.record_offer(link, query.offer)
+        link.send(StoreReply(query.number, outcome, view, costs, clock))
 
     async def _read(self, query: StoreQuery) -> StoreView:
         wait = min(query.wait, MAX_WAIT)
--- a/packages/gateway/almonddock_gateway/relays/_messages.py
+++ b/packages/gateway/almonddock_gateway/relays/_messages.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Protocol
 
+from almonddock_core.dispatch import LoanOffer
 from almonddock_core.routing import Costs
 from almonddock_gateway.store import StoreView
 
@@ -123,6 +124,8 @@
     wait: timedelta
     #: The costs of targets that the sender has observed itself.
     costs: Costs = ()
+    #: What the sender lends of its retry budget.
+    offer: LoanOffer = LoanOffer()
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +137,26 @@
     view: StoreView
     #: The costs of targets that hosts of the data centre have observed.
     costs: Costs = ()
+    #: The sender's clock, which means nothing to others; zero if the sender
+    #: grants no attempts.
+    clock: timedelta = timedelta()
+
+
+@dataclass(frozen=True, slots=True)
+class GrantQuery:
+    """Asks for one attempt at each of some services beyond the own share."""
+
+    #: Unique on its link.
+    number: int
+    services: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GrantReply:
+    """The indices of the services at which an attempt is granted."""
+
+    number: int
+    granted: tuple[int, ...]
 
 
 class MessageLink(Protocol):
@@ -158,4 +181,6 @@
     | RelayReply
     | StoreQuery
     | StoreReply
+    | GrantQuery
+    | GrantReply
 )
--- a/packages/gateway/almonddock_gateway/relays/_router.py
+++ b/packages/gateway/almonddock_gateway/relays/_router.py
@@ -8,6 +8,7 @@
 from almonddock_core.dispatch import Action, Send
 from almonddock_core.routing import Costs
 from almonddock_gateway.relays._messages import (
+    GrantQuery,
     LinkMessage,
     MessageLink,
     RelayQuery,
@@ -56,7 +57,7 @@
     def send_query(
         self,
         link: MessageLink,
-        query: RelayQuery | StoreQuery,
+        query: RelayQuery | StoreQuery | GrantQuery,
         handle: HandleReply,
     ) -> None:
         """Sends a query; ``handle`` gets each reply, or None at link loss."""
--- a/packages/gateway/almonddock_gateway/relays/_server.py
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -14,7 +14,10 @@
 from almonddock_core.model import Clock
 from almonddock_core.routing import Costs, KnownTarget, TargetTable
 from almonddock_gateway.http import HttpReply, ReplyMatch
+from almonddock_gateway.relays._loans import LoanExchange
 from almonddock_gateway.relays._messages import (
+    GrantQuery,
+    GrantReply,
     LinkMessage,
     MessageLink,
     PartFailure,
@@ -56,6 +59,7 @@
     pools: TargetPools
     clock: Clock
     costs: CostExchange = field(default_factory=CostExchange)
+    loans: LoanExchange = field(default_factory=LoanExchange)
 
 
 @dataclass(slots=True)
@@ -164,6 +168,9 @@
             relayed = self._running.get((link, message.number))
             if relayed is not None:
                 self._cancel(relayed, message.parts)
+        elif isinstance(message, GrantQuery):
+            granted = self._settings.loans.grant(message.services)
+            link.send(GrantReply(message.number, granted))
 
     def forget(self, link: MessageLink) -> None:
         """Cancels the queries of a host whose link has closed."""
--- a/packages/gateway/almonddock_gateway/tests/link_messages.py
+++ b/packages/gateway/almonddock_gateway/tests/link_messages.py
@@ -4,9 +4,12 @@
 from dataclasses import replace
 from datetime import timedelta
 
+from almonddock_core.dispatch import LoanOffer
 from almonddock_core.tests.mutations import decode_mutations
 from almonddock_gateway.links import decode, encode
 from almonddock_gateway.relays import (
+    GrantQuery,
+    GrantReply,
     Leaving,
     PartFailure,
     Ping,
@@ -50,7 +53,11 @@
             has_more=True,
         ),
         costs=(('t1', 3.0),),
+        clock=5000 * MS,
     ),
+    StoreQuery(2, 'prefix/', 3, MS, offer=LoanOffer(1.25, 5000 * MS)),
+    GrantQuery(3, ('shard-1', 'shard-2')),
+    GrantReply(3, (1,)),
 )
 
 #: Messages in the packed encoding: a ping, a cancel and a store query.
