Hedge attempts that are late for their targets, and while it helps

Cause: attempts were hedged after 0.3 of the goal, whatever targets take. With a goal of 57.9 ms half of the attempts of a query were open then, most of them about to be answered, and the hedges took link and processor of a small host.

Change: not before two typical latencies of the route, measured on 20 replies at least, unless the hedge would be answered after the answer is due.

--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -46,7 +46,6 @@
     ) -> None:
         self.request = request
         self.sending_delay = context.get_sending_delay(request.route)
-        self.timing = plan_timing(request, self.sending_delay.expected)
         #: The answer, once the dispatch has finished.
         self.answer: Answer | None = None
         #: Attempts beyond one for each service.
@@ -54,6 +53,11 @@
         self._context = context
         #: The typical latency of the route's requests to targets.
         self.latency = context.get_latency(request.route)
+        self.timing = plan_timing(
+            request,
+            self.sending_delay.expected,
+            self.latency.measured,
+        )
         self._branches = [Branch(service) for service in request.services]
         self._attempts = AttemptTracker(request.route, self.latency)
         #: The decisions of this request, for the log.
--- a/packages/core/almonddock_core/dispatch/_timing.py
+++ b/packages/core/almonddock_core/dispatch/_timing.py
@@ -8,6 +8,9 @@
 #: An attempt without a reply after this share of the latency goal is hedged.
 HEDGE_SHARE = 0.3
 
+#: It is not hedged before this many typical latencies either.
+LATE_ATTEMPT = 2
+
 #: An answer with shards missing goes out at this share of the latency goal:
 #: in time with some shards missing is worth more than complete and late.
 PARTIAL_SHARE = 0.85
@@ -46,21 +49,22 @@
 def plan_timing(
     request: DispatchedRequest,
     sending_delay: timedelta = timedelta(),
+    typical_latency: timedelta = timedelta(),
 ) -> DispatchTiming:
     """Returns the points in time of a request.
 
-    ``sending_delay`` is the time that this host needs to send an answer.
+    ``sending_delay`` is the time that this host needs to send an answer,
+    ``typical_latency`` the time in which targets answer it; zero if unknown.
     """
     goal = request.route.latency_goal
     give_up_at = min(
         request.deadline - ANSWER_MARGIN,
         request.arrived + request.route.timeout - TIMEOUT_MARGIN,
     )
+    partial_after = _plan_partial(request, sending_delay)
     return DispatchTiming(
-        hedge_after=goal * HEDGE_SHARE,
-        partial_from=min(
-            request.arrived + _plan_partial(request, sending_delay), give_up_at
-        ),
+        hedge_after=_plan_hedge(goal, partial_after, typical_latency),
+        partial_from=min(request.arrived + partial_after, give_up_at),
         late_partial_from=min(
             request.arrived + goal * LATE_PARTIAL_SHARE, give_up_at
         ),
@@ -68,6 +72,19 @@
     )
 
 
+def _plan_hedge(
+    goal: timedelta, partial_after: timedelta, typical_latency: timedelta
+) -> timedelta:
+    """Returns how long an attempt is late before it is hedged.
+
+    Attempts that are not late are not hedged where targets take a large part
+    of the goal, unless the hedge would be answered too late then.
+    """
+    latest = partial_after - typical_latency
+    late = min(typical_latency * LATE_ATTEMPT, latest)
+    return max(goal * HEDGE_SHARE, late)
+
+
 def _plan_partial(
     request: DispatchedRequest, sending_delay: timedelta
 ) -> timedelta:
--- a/packages/core/almonddock_core/tests/test_answer_due.py
+++ b/packages/core/almonddock_core/tests/test_answer_due.py
@@ -29,6 +29,16 @@
     return plan_timing(replace(request, way=way), delay).partial_from
 
 
+def plan_hedge(typical_latency: timedelta) -> timedelta:
+    """Returns when a first attempt is hedged."""
+    route = make_route(4, latency_goal=GOAL)
+    request = DispatchedRequest(
+        'request-1', route, route.shards, timedelta(), SECOND
+    )
+    timing = plan_timing(request, typical_latency=typical_latency)
+    return timing.hedge_after
+
+
 class TestAnswerDue(unittest.TestCase):
     """Answers go out while the way back still fits into the goal."""
 
@@ -59,6 +69,36 @@
         self.assertEqual(1, case.count_answers())
 
 
+class TestHedgeDue(unittest.TestCase):
+    """Attempts are hedged once they are late and while it can still help."""
+
+    def test_quick_targets(self) -> None:
+        """Targets that answer soon are hedged at a share of the goal."""
+        self.assertEqual(30 * MS, plan_hedge(10 * MS))
+
+    def test_unknown_targets(self) -> None:
+        """So are those of which nothing is known."""
+        self.assertEqual(30 * MS, plan_hedge(timedelta()))
+
+    def test_slow_targets(self) -> None:
+        """Targets that take long are hedged after twice their time."""
+        self.assertEqual(50 * MS, plan_hedge(25 * MS))
+
+    def test_last_moment(self) -> None:
+        """A hedge leaves its target the typical time to answer."""
+        self.assertEqual(45 * MS, plan_hedge(40 * MS))
+        self.assertEqual(30 * MS, plan_hedge(80 * MS))
+
+    def test_first_replies(self) -> None:
+        """A host that has just started knows nothing of its targets."""
+        case = DispatchCase(make_route(4, latency_goal=GOAL)).start()
+        for _ in range(19):
+            case.dispatch.latency.observe(0.05)
+        self.assertEqual(timedelta(), case.dispatch.latency.measured)
+        case.dispatch.latency.observe(0.05)
+        self.assertGreater(case.dispatch.latency.measured, 20 * MS)
+
+
 class TestSendingDelay(unittest.TestCase):
     """The delay follows what was observed."""
 
