--- a/packages/core/almonddock_core/dispatch/_requests.py
+++ b/packages/core/almonddock_core/dispatch/_requests.py
@@ -25,6 +25,9 @@
     organisation: Organisation | None = None
     #: Its turn among those that wait, where organisations share.
     turn: Turn | None = None
+    #: The part of the latency goal that the network between the caller and this
+    #: host takes; zero if unknown.
+    way: timedelta = timedelta()
 
     @property
     def delay(self) -> timedelta | None:
--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -25,6 +25,7 @@
     UNAVAILABLE,
     build_answer,
     build_rejection,
+    count_bytes,
     format_retry_after,
 )
 from almonddock_gateway.entry._exchange import (
@@ -235,6 +236,7 @@
             if answer is not None:
                 raw = build_answer(answer, route, names)
                 status = raw[0]
+                exchange.answer_bytes = count_bytes(raw)
                 connection.send(*raw)
             version = admitted.table.version
             self._telemetry.log_finished(exchange, status, version)
@@ -263,6 +265,7 @@
             turn=self._context.take_turn(
                 admitted.caller, len(services), self._now()
             ),
+            way=admitted.arrival.request.way,
         )
 
     def _build_outgoing(self, admitted: _Admitted) -> OutgoingRequest:
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -1,6 +1,7 @@
 """Performs the actions that the dispatch of one request decides on."""
 
-from collections.abc import Callable, Sequence
+import asyncio
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -24,6 +25,7 @@
 from almonddock_gateway.http import CallerRequest, HttpReply, ReplyMatch
 from almonddock_gateway.relays import (
     MessageLink,
+    ReceiveGrants,
     Relay,
     RelayQuery,
     RelayRouter,
@@ -54,6 +56,12 @@
     pools: TargetPools
     clock: Clock
     relays: RelayRouter
+    #: Asks a watcher for attempts that this host's budget does not allow.
+    ask_for_grants: Callable[[Sequence[str], ReceiveGrants], None] = (
+        lambda services, receive: None
+    )
+    #: The time that a byte takes on this host's link; zero if unknown.
+    link_time: timedelta = timedelta()
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +86,8 @@
         finish: 'Callable[[TargetExchange, Answer | None], None]',
     ) -> None:
         self.dispatch = dispatch
+        #: The size of the answer, once it has been sent.
+        self.answer_bytes = 0
         self._outgoing = outgoing
         self._settings = settings
         self._finish = finish
@@ -265,9 +275,25 @@
         now = self._settings.clock.now()
         self._run(self.dispatch.fail(number, failure, now))
 
-    def _tick(self) -> None:
-        actions = self.dispatch.tick(self._settings.clock.now())
+    def _tick(self, funded: Collection[str] = ()) -> None:
+        if self.dispatch.answer is not None:
+            return
+        due = self.dispatch.wake_at
+        actions = self.dispatch.tick(self._settings.clock.now(), funded)
         self._run(self._relay_sends(actions, HEDGE_FLUSH_SHARE))
+        unfunded = self.dispatch.unfunded
+        if unfunded and self.dispatch.answer is None:
+            self.dispatch.unfunded = []
+            self._settings.ask_for_grants(unfunded, self._tick)
+        if self.dispatch.answer is not None:
+            # The answer leaves the host at the end of this turn of the loop.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._observe_sending, due)
+
+    def _observe_sending(self, due: timedelta) -> None:
+        delay = self._settings.clock.now() - due
+        transfer = self.answer_bytes * self._settings.link_time
+        self.dispatch.sending_delay.observe(delay, transfer)
 
 
 def _find_threshold(dispatch: Dispatch) -> bytes:
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from almonddock_core.model import Clock
@@ -25,6 +25,7 @@
 from almonddock_gateway.entry import EntryState
 from almonddock_gateway.relays import (
     FallbackStore,
+    LoanExchange,
     RelayRouter,
     StoreCache,
     StoreServer,
@@ -62,6 +63,8 @@
     suspended_clock: Clock
     #: Called after the targets, or the drained data centres, were updated.
     targets_updated: Callable[[], None]
+    #: For the parts of the retry budget that travel with reads of the store.
+    loans: LoanExchange = field(default_factory=LoanExchange)
 
 
 class StoreFollowing:
@@ -75,6 +78,7 @@
             deps.settings.keys.host_prefix,
             deps.telemetry,
             deps.suspended_clock,
+            deps.loans,
         )
         self._store.age_bound = deps.settings.revocation_bound
         self._cache = StoreCache(ALL_KEYS, self._is_reading_directly)
@@ -93,7 +97,11 @@
         )
         #: Answers the store queries of other hosts.
         self.server = StoreServer(
-            deps.store, self._cache, deps.suspended_clock, deps.relays.costs
+            deps.store,
+            self._cache,
+            deps.suspended_clock,
+            deps.relays.costs,
+            deps.loans,
         )
 
     @property
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from almonddock_core.dispatch import DispatchContext, RetryBudget
+from almonddock_core.dispatch import DispatchContext, Lending, RetryBudget
 from almonddock_core.memory import ProcessSize
 from almonddock_core.model import AlmonddockError
 from almonddock_core.placement import ColdStartLimiter
@@ -39,7 +39,13 @@
 from almonddock_gateway.following import FollowingDependencies, StoreFollowing
 from almonddock_gateway.linking import HostLinks, LinkServers
 from almonddock_gateway.readiness import Readiness
-from almonddock_gateway.relays import CostExchange, RelayRouter, RelaySettings
+from almonddock_gateway.relays import (
+    Borrower,
+    CostExchange,
+    RelayRouter,
+    RelaySettings,
+    build_loan_exchange,
+)
 from almonddock_gateway.serving import START_LIMITS, CallerServers, Handle
 from almonddock_gateway.settings import Address, GatewaySettings
 from almonddock_gateway.shutdown import ShutdownSteps, finish_requests
@@ -72,6 +78,8 @@
 #: The pause between writes of log lines.
 LOG_FLUSH = timedelta(milliseconds=100)
 
+BITS_PER_BYTE = 8
+
 #: The allocations after which the youngest generation is collected.
 GC_THRESHOLD = 50_000
 
@@ -98,6 +106,11 @@
         self._memory_report = MemoryReport(self._memory, self.telemetry)
         self._state = EntryState()
         self._budget = RetryBudget(settings.budget)
+        self._lending = Lending(
+            self._budget,
+            settings.budget.window,
+            self._clock.now(),
+        )
         self._targets = TargetTable()
         self._cold_limiter = ColdStartLimiter(settings.host)
         self._context = DispatchContext(
@@ -147,6 +160,10 @@
                 self._pools,
                 self._clock,
                 self._relays,
+                Borrower(
+                    self._lending, lambda: self._relays.links, self._clock
+                ).ask,
+                _compute_link_time(settings),
             ),
             Admission(
                 self._access,
@@ -174,6 +191,7 @@
             self._clock,
             self.telemetry,
         )
+        loans = build_loan_exchange(self._lending, self._clock)
         self._following = StoreFollowing(
             FollowingDependencies(
                 settings=settings,
@@ -188,6 +206,7 @@
                 freshness=self._access.freshness,
                 suspended_clock=self._access.clock,
                 targets_updated=self._pools.check_waiting,
+                loans=loans,
             ),
         )
         self._warmth = WarmthController(
@@ -222,6 +241,7 @@
                 self._pools,
                 self._clock,
                 self._relays.costs,
+                loans,
             ),
             LinkServers(self._following.server, self._quotas),
             self._hosts,
@@ -411,6 +431,7 @@
                 [peer.name for peer in self._hosts.peers]
             )
             now = self._clock.now()
+            self._lending.drop_idle(now)
             self._cold_limiter.drop_warm(
                 [
                     target.entry.target_id
@@ -474,3 +495,10 @@
             self.telemetry,
         )
         await run_once('deregistration', self._hosts.deregister, self.telemetry)
+
+
+def _compute_link_time(settings: GatewaySettings) -> timedelta:
+    """Returns the time that a byte takes on this host's link."""
+    if not settings.link_rate:
+        return timedelta()
+    return timedelta(seconds=BITS_PER_BYTE / settings.link_rate)
--- a/packages/gateway/almonddock_gateway/links/_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_codec.py
@@ -18,6 +18,12 @@
     write_credit_query,
     write_credit_reply,
 )
+from almonddock_gateway.links._loan_codec import (
+    read_grant_query,
+    read_grant_reply,
+    write_grant_query,
+    write_grant_reply,
+)
 from almonddock_gateway.links._store_codec import (
     read_store_query,
     read_store_reply,
@@ -25,6 +31,8 @@
     write_store_reply,
 )
 from almonddock_gateway.relays import (
+    GrantQuery,
+    GrantReply,
     Leaving,
     LinkMessage,
     PartFailure,
@@ -182,6 +190,8 @@
         {
             CreditQuery: write_credit_query,
             CreditReply: write_credit_reply,
+            GrantQuery: write_grant_query,
+            GrantReply: write_grant_reply,
             Leaving: _write_leaving,
             Ping: _write_ping,
             Pong: _write_pong,
@@ -199,6 +209,8 @@
         'cancel': _read_cancel,
         'creditQuery': read_credit_query,
         'creditReply': read_credit_reply,
+        'grantQuery': read_grant_query,
+        'grantReply': read_grant_reply,
         'leaving': lambda _: Leaving(),
         'ping': Ping,
         'pong': Pong,
--- a/packages/gateway/almonddock_gateway/links/messages.capnp
+++ b/packages/gateway/almonddock_gateway/links/messages.capnp
@@ -14,6 +14,9 @@
     storeReply @7 :StoreReply;
     creditQuery @8 :CreditQuery;
     creditReply @9 :CreditReply;
+    # Only sent to hosts whose last StoreReply had a clock.
+    grantQuery @10 :GrantQuery;
+    grantReply @11 :GrantReply;
   }
 }
 
@@ -69,6 +72,10 @@
   # Slow, failing or unreachable targets, with tenths of typical latencies.
   costlyTargets @5 :List(Text);
   costs @6 :List(UInt8);
+  # The thousandths of attempts that the sender lends, and the clock of the last
+  # reply.
+  lent @7 :UInt32;
+  asOf @8 :UInt64;
 }
 
 struct StoreReply {
@@ -89,6 +96,8 @@
   # Microseconds by which the read that shows the view was sent before the query
   # arrived; negative if after it.
   viewAge @11 :Int64;
+  # The sender's clock in microseconds.
+  clock @12 :UInt64;
 }
 
 struct CreditQuery {
@@ -109,3 +118,14 @@
   # Whether the sender grants.
   grants @4 :Bool;
 }
+
+struct GrantQuery {
+  number @0 :UInt32;
+  services @1 :List(Text);
+}
+
+struct GrantReply {
+  number @0 :UInt32;
+  # Indices of the services.
+  granted @1 :List(UInt16);
+}
--- a/packages/gateway/almonddock_gateway/relays/__init__.py
+++ b/packages/gateway/almonddock_gateway/relays/__init__.py
@@ -9,7 +9,15 @@
 """
 
 from almonddock_gateway.relays._fallback_store import FallbackStore, StoreServer
+from almonddock_gateway.relays._loans import (
+    Borrower,
+    LoanExchange,
+    ReceiveGrants,
+    build_loan_exchange,
+)
 from almonddock_gateway.relays._messages import (
+    GrantQuery,
+    GrantReply,
     Leaving,
     LinkMessage,
     MessageLink,
@@ -34,15 +42,20 @@
 from almonddock_gateway.relays._store_cache import StoreCache
 
 __all__ = [
+    'Borrower',
     'CostExchange',
     'FallbackStore',
+    'GrantQuery',
+    'GrantReply',
     'Leaving',
     'LinkDirectory',
     'LinkMessage',
+    'LoanExchange',
     'MessageLink',
     'PartFailure',
     'Ping',
     'Pong',
+    'ReceiveGrants',
     'Relay',
     'RelayCancel',
     'RelayQuery',
@@ -56,4 +69,5 @@
     'StoreReply',
     'StoreServer',
     'UnknownMessage',
+    'build_loan_exchange',
 ]
--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -13,6 +13,7 @@
 
 from almonddock_core.model import Clock
 from almonddock_core.news import ReadSource
+from almonddock_gateway.relays._loans import LoanExchange
 from almonddock_gateway.relays._messages import (
     LinkMessage,
     MessageLink,
@@ -83,6 +84,7 @@
         probe_prefix: str,
         telemetry: Telemetry,
         clock: Clock,
+        loans: LoanExchange | None = None,
     ) -> None:
         """Uses ``probe_prefix``, cheap to read, to probe a lost store.
 
@@ -97,6 +99,7 @@
         self.age_bound: timedelta | None = None
         # Until then no watcher is asked.
         self._watchers_rest_until = timedelta()
+        self._loans = LoanExchange() if loans is None else loans
         self._probing: asyncio.Task[None] | None = None
         #: Where the last answer came from; NONE before the first one, and
         #: after the store or a watcher failed.
@@ -215,7 +218,13 @@
             self._note_watcher_lost('no usable link to a watcher')
             return None
         costs = self._router.costs
-        asked = replace(query, wait=WATCHER_WAIT, costs=costs.list_observed())
+        loans = self._loans
+        asked = replace(
+            query,
+            wait=WATCHER_WAIT,
+            costs=costs.list_observed(),
+            offer=loans.make_offer(link),
+        )
         try:
             reply, view = await self._query_host(link, asked, WATCHER_TIMEOUT_S)
             self._check_age(view)
@@ -225,6 +234,7 @@
                 self._watchers_rest_until = self._clock.now() + WATCHER_REST
             return None
         costs.record(reply.costs)
+        loans.record_clock(link, reply.clock)
         if self.source is not ReadSource.WATCHER:
             self.source = ReadSource.WATCHER
             self._telemetry.log_event('store_followed_by_watcher')
@@ -312,6 +322,7 @@
         cache: StoreCache,
         clock: Clock,
         costs: CostExchange | None = None,
+        loans: LoanExchange | None = None,
     ) -> None:
         """Answers from ``cache`` if it is fresh, else from ``store``.
 
@@ -324,6 +335,7 @@
         self._cache = cache
         self._clock = clock
         self._costs = CostExchange() if costs is None else costs
+        self._loans = LoanExchange() if loans is None else loans
         self._tasks: dict[MessageLink, set[asyncio.Task[None]]] = {}
         self._direct_reads = 0
 
@@ -358,7 +370,8 @@
             outcome = StoreOutcome.HISTORY_LOST
         age = None if view.as_of is None else arrived - view.as_of
         costs = self._costs.list_known()
-        link.send(StoreReply(query.number, outcome, view, age, costs))
+        clock = self._loans.record_offer(link, query.offer)
+        link.send(StoreReply(query.number, outcome, view, age, costs, clock))
 
     async def _read(self, query: StoreQuery) -> StoreView:
         wait = min(query.wait, MAX_WAIT)
--- a/packages/gateway/almonddock_gateway/relays/_messages.py
+++ b/packages/gateway/almonddock_gateway/relays/_messages.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Protocol
 
+from almonddock_core.dispatch import LoanOffer
 from almonddock_core.quotas import CreditQuery, CreditReply
 from almonddock_core.routing import Costs
 from almonddock_gateway.store import StoreView
@@ -132,6 +133,8 @@
     wait: timedelta
     #: The costs of targets that the sender has observed itself.
     costs: Costs = ()
+    #: What the sender lends of its retry budget.
+    offer: LoanOffer = LoanOffer()
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,6 +149,26 @@
     view_age: timedelta | None = None
     #: The costs of targets that hosts of the data centre have observed.
     costs: Costs = ()
+    #: The sender's clock, which means nothing to others; zero if the sender
+    #: grants no attempts.
+    clock: timedelta = timedelta()
+
+
+@dataclass(frozen=True, slots=True)
+class GrantQuery:
+    """Asks for one attempt at each of some services beyond the own share."""
+
+    #: Unique on its link.
+    number: int
+    services: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class GrantReply:
+    """The indices of the services at which an attempt is granted."""
+
+    number: int
+    granted: tuple[int, ...]
 
 
 class MessageLink(Protocol):
@@ -173,4 +196,6 @@
     | CreditQuery
     | CreditReply
     | UnknownMessage
+    | GrantQuery
+    | GrantReply
 )
--- a/packages/gateway/almonddock_gateway/relays/_router.py
+++ b/packages/gateway/almonddock_gateway/relays/_router.py
@@ -9,6 +9,7 @@
 from almonddock_core.quotas import CreditQuery
 from almonddock_core.routing import Costs
 from almonddock_gateway.relays._messages import (
+    GrantQuery,
     LinkMessage,
     MessageLink,
     RelayQuery,
@@ -61,7 +62,7 @@
     def send_query(
         self,
         link: MessageLink,
-        query: RelayQuery | StoreQuery | CreditQuery,
+        query: RelayQuery | StoreQuery | CreditQuery | GrantQuery,
         handle: HandleReply,
     ) -> None:
         """Sends a query; ``handle`` gets each reply, or None at link loss."""
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -112,3 +112,5 @@
     max_sockets: int = field(default_factory=get_descriptor_limit)
     #: The memory that the process may take.
     memory_bytes: int = DEFAULT_MACHINE_BYTES
+    #: The bits that this host's link carries each second; zero if unknown.
+    link_rate: float = 0
