Roll a service's new version out on the operators' order

The order in the store was not read, and entries of targets had no version.

Hosts read orders and records with the watch that they have, filter the targets of a request by version in one place (the candidates of a dispatch, so that hedges, retries, cold limits and draining see the same), count how attempts end, and tell each other with pings. The host that holds the claim writes records and the state that operators read in one transaction under the revisions that it knows. Nothing acts without the bounds in the settings and an order in the store.

--- a/packages/core/almonddock_core/dispatch/_attempts.py
+++ b/packages/core/almonddock_core/dispatch/_attempts.py
@@ -11,14 +11,24 @@
 )
 from almonddock_core.dispatch._requests import TargetReply
 from almonddock_core.placement import TypicalLatency, UnrepeatableRequest
+from almonddock_core.rollouts import Outcome, RolloutTable
 from almonddock_core.routing import KnownTarget, Route
 
 
 class AttemptTracker:
     """Numbers attempts, and tracks those without an outcome."""
 
-    def __init__(self, route: Route, latency: TypicalLatency) -> None:
-        """Takes the request's route and the route's typical latency."""
+    def __init__(
+        self,
+        route: Route,
+        latency: TypicalLatency,
+        rollouts: RolloutTable,
+    ) -> None:
+        """Takes the request's route and the route's typical latency.
+
+        ``rollouts`` counts how attempts end by the version of their target.
+        """
+        self._rollouts = rollouts
         self._route = route
         self._latency = latency
         self.decisions = DecisionLog()
@@ -67,6 +77,26 @@
                 del health.unrepeatable[attempt.unrepeatable]
         return attempt
 
+    def count(
+        self,
+        attempt: Attempt,
+        outcome: Outcome,
+        now: timedelta,
+        slowness: float = 0,
+    ) -> None:
+        """Counts how an attempt ended, for the version of its target.
+
+        ``slowness`` is its time relative to the typical one.
+        """
+        target = attempt.target
+        self._rollouts.record_answer(
+            target.entry,
+            self._route.name,
+            outcome,
+            slowness,
+            is_cold=target.cold_until > now,
+        )
+
     def replace_reply(
         self, number: int, outcome: TargetReply | Failure
     ) -> None:
--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -11,6 +11,7 @@
     QueryPlacement,
     TypicalLatency,
 )
+from almonddock_core.rollouts import RolloutTable
 from almonddock_core.routing import (
     KnownTarget,
     Route,
@@ -29,6 +30,10 @@
     budget: RetryBudget
     cold: ColdStartLimiter
     hedges: HedgeHistory = field(default_factory=HedgeHistory)
+    #: The versions that services are moved to; empty without an order.
+    rollouts: RolloutTable = field(
+        default_factory=lambda: RolloutTable('', 0),
+    )
     #: The configuration in force, for the routes that lead to a service and
     #: the limits of cold targets; None before the first one.
     table: RoutingTable | None = None
@@ -39,6 +44,7 @@
     def __post_init__(self) -> None:
         """Creates the placement for the data centre."""
         self.placement = QueryPlacement(self.data_centre)
+        self.targets.is_version_allowed = self.rollouts.is_allowed
 
     def get_latency(self, route: Route) -> TypicalLatency:
         """Returns the typical latency of a route's requests to targets."""
@@ -114,10 +120,23 @@
         return True
 
     def record_sent(self, target: KnownTarget, now: timedelta) -> None:
-        """Counts an attempt if the target may be cold."""
+        """Counts an attempt, for its version and if it may be cold."""
+        self.rollouts.record_sent(target.entry)
         if target.cold_until > now:
             self.cold.record_sent(target.entry.target_id)
 
+    def measure_slowness(
+        self, latency: TypicalLatency, target: KnownTarget, seconds: float
+    ) -> float:
+        """Returns the time of a reply relative to the typical one.
+
+        A version that is compared with the one in service does not change
+        what is typical.
+        """
+        if self.rollouts.is_compared(target.entry):
+            return seconds / latency.seconds
+        return latency.observe(seconds)
+
     def _get_cold_rate(self, service: str) -> float:
         known = self.table.services.get(service) if self.table else None
         return 0 if known is None else known.cold_requests_per_second
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -33,6 +33,7 @@
 )
 from almonddock_core.dispatch._timing import end_timing, plan_timing
 from almonddock_core.placement import choose_target
+from almonddock_core.rollouts import Outcome
 from almonddock_core.routing import KnownTarget
 
 
@@ -54,7 +55,9 @@
         #: The typical latency of the route's requests to targets.
         self.latency = context.get_latency(request.route)
         self._branches = [Branch(service) for service in request.services]
-        self._attempts = AttemptTracker(request.route, self.latency)
+        self._attempts = AttemptTracker(
+            request.route, self.latency, context.rollouts
+        )
         #: The decisions of this request, for the log.
         self.decisions = self._attempts.decisions
         #: Returns the successful replies so far.
@@ -97,6 +100,7 @@
             return self._finish(build_no_target_refusal(wait))
         actions: list[Action] = []
         for branch, target in chosen:
+            self._context.rollouts.record_request(branch.service)
             self._context.record_sent(target, now)
             actions.append(self._attempts.send(branch, target, now))
         return self._finish_if_decided(actions)
@@ -195,6 +199,7 @@
         branch = attempt.branch
         attempt.target.health.observe_failure(self._now)
         if reply.kind is ReplyKind.FAILED:
+            self._attempts.count(attempt, Outcome.FAILED, self._now)
             branch.may_have_run = True
             branch.reply = reply
         else:
@@ -210,6 +215,7 @@
         if failure is not Failure.WITHDRAWN:
             attempt.target.health.observe_connection_failure(self._now)
         if failure is Failure.LOST:
+            self._attempts.count(attempt, Outcome.FAILED, self._now)
             branch.may_have_run = True
         else:
             branch.sent -= 1
@@ -222,7 +228,10 @@
         branch.reply = reply
         branch.succeeded = True
         elapsed = reply.elapsed or self._now - attempt.started
-        slowness = self.latency.observe(elapsed.total_seconds())
+        slowness = self._context.measure_slowness(
+            self.latency, attempt.target, elapsed.total_seconds()
+        )
+        self._attempts.count(attempt, Outcome.SUCCEEDED, self._now, slowness)
         attempt.target.health.observe_reply(slowness, self._now)
         if attempt.is_hedge:
             self._context.hedges.record_answered(branch.service, self._now)
@@ -272,12 +281,15 @@
         if not reachable:
             unavailable = UnavailableService(branch.service, unreachable)
             self.decisions.unavailable.append(unavailable)
-        return [
+        accepting = [
             target
             for target in reachable
             if target.entry.target_id not in branch.tried
             and context.can_accept(target, now)
         ]
+        return context.rollouts.select(
+            branch.service, accepting, now, is_first=not branch.tried
+        )
 
     def _cancel(self, attempt: Attempt) -> Cancel:
         self._attempts.close(
@@ -286,6 +298,7 @@
         elapsed = (self._now - attempt.started).total_seconds()
         slowness = elapsed / self.latency.seconds
         attempt.target.health.observe_cancellation(slowness, self._now)
+        self._attempts.count(attempt, Outcome.CANCELLED, self._now, slowness)
         if attempt.is_hedge:
             service = attempt.branch.service
             self._context.hedges.record_unanswered(service, slowness, self._now)
--- a/packages/core/almonddock_core/news/_pauses.py
+++ b/packages/core/almonddock_core/news/_pauses.py
@@ -21,7 +21,8 @@
 RELAY_PAUSE_SHARE = 0.2
 
 #: The pause while some service limits the load of its cold targets: a target
-#: that turns cold gets its usual load until its entry has been read.
+#: that turns cold gets its usual load until its entry has been read. The same
+#: while a version is rolled out, which may turn out bad.
 COLD_PAUSE_MS = 250
 COLD_PAUSE = timedelta(milliseconds=COLD_PAUSE_MS)
 
@@ -63,8 +64,9 @@
     hosts: int
     #: Whether other hosts may read the changes from this one.
     has_followers: bool
-    #: Whether some service limits the load of its cold targets.
-    has_cold_rates: bool
+    #: Whether some service limits the load of its cold targets, or is moved to
+    #: another version.
+    needs_soon: bool
     #: Whether targets may be writing lapsed entries again.
     is_recovering: bool
     source: ReadSource
@@ -77,7 +79,7 @@
     relayed = inputs.has_followers or inputs.source is ReadSource.PEER
     share = RELAY_PAUSE_SHARE if relayed else STORE_PAUSE_SHARE
     pause = inputs.max_delay * share
-    if inputs.has_cold_rates:
+    if inputs.needs_soon:
         pause = min(pause, COLD_PAUSE)
     if inputs.is_recovering:
         slowdown = max(1, inputs.hosts / RECOVERY_HOSTS)
--- a/packages/core/almonddock_core/rollouts/__init__.py
+++ b/packages/core/almonddock_core/rollouts/__init__.py
@@ -33,12 +33,9 @@
     RolloutState,
     start_record,
 )
+from almonddock_core.rollouts._service import Outcome, ServiceRollout
 from almonddock_core.rollouts._stored import StoredRollouts
-from almonddock_core.rollouts._table import (
-    Outcome,
-    RolloutTable,
-    ServiceRollout,
-)
+from almonddock_core.rollouts._table import RolloutTable
 
 __all__ = [
     'ClaimView',
--- a/packages/core/almonddock_core/rollouts/_decision.py
+++ b/packages/core/almonddock_core/rollouts/_decision.py
@@ -13,7 +13,7 @@
     RolloutState,
     start_record,
 )
-from almonddock_core.rollouts._table import ServiceRollout
+from almonddock_core.rollouts._service import ServiceRollout
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/almonddock_core/rollouts/_table.py
+++ b/packages/core/almonddock_core/rollouts/_table.py
@@ -1,10 +1,7 @@
 """Which version of a service a host sends a request to."""
 
-import enum
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass, field
 from datetime import timedelta
-from typing import Protocol, TypeVar
 
 from almonddock_core.rollouts._counts import (
     CountTable,
@@ -12,7 +9,6 @@
     HostCounts,
     Tally,
 )
-from almonddock_core.rollouts._history import CountHistory
 from almonddock_core.rollouts._permits import Permits
 from almonddock_core.rollouts._records import (
     RolloutOrder,
@@ -20,6 +16,16 @@
     RolloutStage,
     RolloutState,
 )
+from almonddock_core.rollouts._service import (
+    CandidateT,
+    Outcome,
+    ServiceRollout,
+    Versioned,
+    is_in_force,
+    is_replaced,
+    is_same_stage,
+    restore_rollout,
+)
 
 #: How old what a host knows from the store may be for it to use a version that
 #: is not completed.
@@ -35,89 +41,6 @@
 LATE_CANCELLED_FACTOR = 2
 
 
-class Versioned(Protocol):
-    """The fields of a target's entry that are used here."""
-
-    @property
-    def service(self) -> str:
-        """The service of the target."""
-        ...
-
-    @property
-    def version(self) -> str:
-        """The version that the target runs."""
-        ...
-
-    @property
-    def data_centre(self) -> str:
-        """Where the target is."""
-        ...
-
-
-class Candidate(Protocol):
-    """A target that may get a request."""
-
-    @property
-    def entry(self) -> Versioned:
-        """The entry of the target."""
-        ...
-
-
-CandidateT = TypeVar('CandidateT', bound=Candidate)
-
-
-class Outcome(enum.Enum):
-    """How a request to a target ended, if that tells of its version."""
-
-    SUCCEEDED = 'succeeded'
-    FAILED = 'failed'
-    CANCELLED = 'cancelled'
-
-
-@dataclass(slots=True)
-class ServiceRollout:
-    """One order at one host."""
-
-    order: RolloutOrder
-    #: The record that answers the order; None before the first one.
-    record: RolloutRecord | None = None
-    #: Versions of earlier orders, which get nothing.
-    barred: frozenset[str] = frozenset()
-    #: Whether the store no longer holds the order.
-    is_withdrawn: bool = False
-    #: When this host saw the order.
-    seen_at: timedelta = timedelta()
-    #: When this host began to act on the stage.
-    stage_at: timedelta = timedelta()
-    permits: Permits | None = None
-    requests: int = 0
-    exposed: int = 0
-    tallies: dict[Group, Tally] = field(default_factory=dict)
-    history: CountHistory = field(default_factory=CountHistory)
-    #: Why this host sends nothing to the new version; empty if it may.
-    stopped: str = ''
-    #: Whether as many requests went there as a bad version may get.
-    is_full: bool = False
-
-    @property
-    def state(self) -> RolloutState:
-        """The state, running before the first record."""
-        return self.record.state if self.record else RolloutState.RUNNING
-
-    @property
-    def stage(self) -> RolloutStage:
-        """The stage, blocked before the first record."""
-        return self.record.stage if self.record else RolloutStage.BLOCKED
-
-    @property
-    def is_undecided(self) -> bool:
-        """Whether the order, or its withdrawal, waits for a decision."""
-        record = self.record
-        if record is None or record.state is RolloutState.RUNNING:
-            return True
-        return not (self.is_withdrawn or record.answers(self.order))
-
-
 class RolloutTable:
     """The roll-outs at one host, and what the host counts for them."""
 
@@ -128,13 +51,18 @@
         self.known_at: timedelta | None = None
         self.hosts: Sequence[str] = ()
         self._host = host
-        self._run = run
+        #: The number of this run of the host.
+        self.run = run
         self._services: dict[str, ServiceRollout] = {}
 
     def __len__(self) -> int:
         """The number of services with an order."""
         return len(self._services)
 
+    def list_all(self) -> list[ServiceRollout]:
+        """Returns the roll-outs of all services."""
+        return list(self._services.values())
+
     def list_running(self) -> list[ServiceRollout]:
         """Returns the roll-outs without a verdict."""
         return [
@@ -161,7 +89,7 @@
         services: dict[str, ServiceRollout] = {}
         for service, order in orders.items():
             known = self._services.get(service)
-            if known is None or _is_replaced(known, order):
+            if known is None or is_replaced(known, order):
                 known = ServiceRollout(order, seen_at=now)
             known.order = order
             known.is_withdrawn = False
@@ -169,7 +97,7 @@
         for service, record in records.items():
             if service not in services:
                 known = self._services.get(service)
-                services[service] = known or _restore(record, now)
+                services[service] = known or restore_rollout(record, now)
                 services[service].is_withdrawn = True
             self._apply_record(services[service], record, now)
         self._services = services
@@ -284,7 +212,7 @@
     ) -> HostCounts:
         return HostCounts(
             self._host,
-            self._run,
+            self.run,
             record.service,
             record.order_revision,
             record.stage_number,
@@ -296,13 +224,13 @@
     def _apply_record(
         self, rollout: ServiceRollout, record: RolloutRecord, now: timedelta
     ) -> None:
-        if not _is_in_force(rollout, record):
+        if not is_in_force(rollout, record):
             rollout.barred = record.list_barred() - {rollout.order.version}
             return
         before = rollout.record
         rollout.record = record
         rollout.barred = record.barred_versions
-        if before is not None and _is_same_stage(before, record):
+        if before is not None and is_same_stage(before, record):
             return
         rollout.stage_at = now
         rollout.permits = None
@@ -331,38 +259,3 @@
         if now - rollout.stage_at >= record.burst_time:
             return False
         return bool(rollout.requests % CONTROL_INTERVAL)
-
-
-def _is_replaced(known: ServiceRollout, order: RolloutOrder) -> bool:
-    """Whether an order starts a roll-out anew."""
-    if known.order.version != order.version:
-        return True
-    if known.state is RolloutState.RUNNING:
-        return False
-    return known.record is None or not known.record.answers(order)
-
-
-def _is_in_force(rollout: ServiceRollout, record: RolloutRecord) -> bool:
-    """Whether a record is a decision on the order that holds."""
-    if record.answers(rollout.order):
-        return True
-    # An order that repeats a running or completed one.
-    return (
-        record.version == rollout.order.version
-        and record.state is not RolloutState.ROLLED_BACK
-    )
-
-
-def _is_same_stage(before: RolloutRecord, record: RolloutRecord) -> bool:
-    return (before.order_revision, before.stage_number) == (
-        record.order_revision,
-        record.stage_number,
-    )
-
-
-def _restore(record: RolloutRecord, now: timedelta) -> ServiceRollout:
-    """Returns a roll-out whose order the store no longer holds."""
-    order = RolloutOrder(
-        record.service, record.version, record.duration, record.order_revision
-    )
-    return ServiceRollout(order, seen_at=now)
--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -1,7 +1,7 @@
 """What a host knows of the targets, from their entries in the store."""
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -46,6 +46,8 @@
     cold_for: timedelta
     #: The start of this incarnation in Unix milliseconds; None if unknown.
     started_ms: int | None
+    #: The version of its software; empty if unknown.
+    version: str = ''
 
 
 @dataclass(slots=True)
@@ -101,6 +103,10 @@
 
     #: Data centres that get no new work.
     drained: frozenset[str] = frozenset()
+    #: Whether a target's version may get new work.
+    is_version_allowed: Callable[[TargetEntry, timedelta], bool] = (
+        lambda entry, now: True
+    )
     _targets: dict[str, KnownTarget] = field(default_factory=dict)
     _services: dict[str, list[KnownTarget]] = field(default_factory=dict)
     #: Dropped targets that had said that they leave or rest. A target whose
@@ -142,6 +148,8 @@
         """Whether a target may get new work, also once it is not listed."""
         if target.dropped or target.entry.data_centre in self.drained:
             return False
+        if not self.is_version_allowed(target.entry, now):
+            return False
         return target.is_usable(now)
 
     def list_usable(self, service: str, now: timedelta) -> list[KnownTarget]:
--- a/packages/core/almonddock_core/tests/test_news.py
+++ b/packages/core/almonddock_core/tests/test_news.py
@@ -94,7 +94,7 @@
             max_delay=timedelta(seconds=5),
             hosts=4,
             has_followers=False,
-            has_cold_rates=False,
+            needs_soon=False,
             is_recovering=False,
             source=ReadSource.STORE,
         )
@@ -119,7 +119,7 @@
             self.assertLessEqual(hosts / pause, few + 0.001)
 
     def test_cold_targets_are_noticed_soon(self) -> None:
-        self.assertLessEqual(self.choose(has_cold_rates=True), 0.25)
+        self.assertLessEqual(self.choose(needs_soon=True), 0.25)
 
     def test_watchers_are_asked_often_without_store_calls(self) -> None:
         self.assertLess(self.choose(source=ReadSource.WATCHER), 0.1)
--- a/packages/gateway/almonddock_gateway/controllers/__init__.py
+++ b/packages/gateway/almonddock_gateway/controllers/__init__.py
@@ -4,9 +4,16 @@
     ConfigurationController,
     DecodeTable,
 )
+from almonddock_gateway.controllers._decoders import Decoders
 from almonddock_gateway.controllers._follower import Follower, FollowSettings
 from almonddock_gateway.controllers._hosts import HostController, Peer
 from almonddock_gateway.controllers._isolation import IsolationController
+from almonddock_gateway.controllers._rollouts import (
+    DecodeOrder,
+    EncodeState,
+    RolloutController,
+    RolloutDependencies,
+)
 from almonddock_gateway.controllers._targets import (
     DecodeTarget,
     TargetController,
@@ -18,13 +25,18 @@
 
 __all__ = [
     'ConfigurationController',
+    'DecodeOrder',
     'DecodeTable',
     'DecodeTarget',
+    'Decoders',
+    'EncodeState',
     'FollowSettings',
     'Follower',
     'HostController',
     'IsolationController',
     'Peer',
+    'RolloutController',
+    'RolloutDependencies',
     'TargetController',
     'WarmthController',
     'WarmthDependencies',
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -14,6 +14,7 @@
     Follower,
     FollowSettings,
     HostController,
+    RolloutController,
     TargetController,
 )
 from almonddock_gateway.entry import EntryState
@@ -48,6 +49,9 @@
     configuration: ConfigurationController
     targets: TargetController
     hosts: HostController
+    rollouts: RolloutController
+    #: Whether changes are wanted soon, because a roll-out runs.
+    is_hurried: Callable[[], bool]
     clock: Clock
     telemetry: Telemetry
     #: Called after the targets, or the drained data centres, were updated.
@@ -59,6 +63,12 @@
 
     def __init__(self, deps: FollowingDependencies) -> None:
         self._deps = deps
+        self._controllers = (
+            deps.configuration,
+            deps.targets,
+            deps.hosts,
+            deps.rollouts,
+        )
         self._store = FallbackStore(
             deps.store,
             deps.relays,
@@ -98,14 +108,14 @@
 
     def _apply_snapshot(self, view: StoreView) -> None:
         deps = self._deps
-        for controller in (deps.configuration, deps.targets, deps.hosts):
+        for controller in self._controllers:
             controller.apply_snapshot(view)
         deps.targets_updated()
         self._cache.apply_snapshot(view)
 
     def _apply_changes(self, view: StoreView) -> None:
         deps = self._deps
-        for controller in (deps.configuration, deps.targets, deps.hosts):
+        for controller in self._controllers:
             controller.apply_changes(view)
         deps.targets_updated()
         self._cache.apply_changes(view, deps.targets.confirmed)
@@ -127,7 +137,8 @@
                 max_delay=self._deps.settings.max_propagation_time,
                 hosts=self._deps.hosts.count,
                 has_followers=self._deps.hosts.has_followers,
-                has_cold_rates=any(
+                needs_soon=self._deps.is_hurried()
+                or any(
                     service.cold_requests_per_second for service in services
                 ),
                 is_recovering=is_recovering,
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -4,7 +4,6 @@
 import gc
 import signal
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 
 from almonddock_core.dispatch import DispatchContext, RetryBudget
@@ -20,8 +19,7 @@
 from almonddock_gateway.admin import build_admin_handler
 from almonddock_gateway.controllers import (
     ConfigurationController,
-    DecodeTable,
-    DecodeTarget,
+    Decoders,
     HostController,
     IsolationController,
     TargetController,
@@ -32,7 +30,16 @@
 from almonddock_gateway.following import FollowingDependencies, StoreFollowing
 from almonddock_gateway.linking import HostLinks
 from almonddock_gateway.readiness import Readiness
-from almonddock_gateway.relays import CostExchange, RelayRouter, RelaySettings
+from almonddock_gateway.relays import (
+    CostExchange,
+    RelayRouter,
+    RelaySettings,
+)
+from almonddock_gateway.rolling import (
+    HostRollouts,
+    RolloutSupport,
+    create_rollout_table,
+)
 from almonddock_gateway.serving import START_LIMITS, CallerServers, Handle
 from almonddock_gateway.settings import Address, GatewaySettings
 from almonddock_gateway.shutdown import ShutdownSteps, finish_requests
@@ -69,14 +76,6 @@
 GC_THRESHOLD = 50_000
 
 
-@dataclass(frozen=True, slots=True)
-class Decoders:
-    """The adapter's decoders for the values in the store."""
-
-    table: DecodeTable
-    target: DecodeTarget
-
-
 class GatewayHost:
     """Creates the components of a gateway and runs them."""
 
@@ -115,6 +114,7 @@
             self._targets,
             self._budget,
             self._cold_limiter,
+            rollouts=create_rollout_table(settings),
         )
         self._pools = TargetPools(
             self._get_connection_limit,
@@ -162,6 +162,18 @@
             self._clock,
             self.telemetry,
         )
+        self._rollouts = HostRollouts(
+            settings,
+            store,
+            self._context,
+            self._hosts,
+            decoders,
+            RolloutSupport(
+                self._clock,
+                self.telemetry,
+                lambda: self._following.news_time,
+            ),
+        )
         self._following = StoreFollowing(
             FollowingDependencies(
                 settings=settings,
@@ -171,6 +183,8 @@
                 configuration=configuration,
                 targets=self._target_controller,
                 hosts=self._hosts,
+                rollouts=self._rollouts.controller,
+                is_hurried=self._rollouts.is_running,
                 clock=self._clock,
                 telemetry=self.telemetry,
                 targets_updated=self._pools.check_waiting,
@@ -207,6 +221,7 @@
             self._following.server,
             self._hosts,
             self.telemetry,
+            self._rollouts.exchange,
         )
 
     @property
@@ -279,6 +294,7 @@
             for name, run in (
                 ('following', self._following.run),
                 ('registration', self._hosts.run),
+                ('rollouts', self._rollouts.controller.run),
                 ('links', self._run_links),
                 ('warmth', self._warmth.run),
                 ('sweep', self._sweep),
@@ -354,6 +370,7 @@
             'hosts': self._hosts.count,
             'connections_opened': self._pools.count_dials(),
             'requests_running': self._entry.running,
+            **self._rollouts.count_state(),
             'reply_bytes_held': self._pools.held_bytes,
             **self._servers.count_held_bytes(),
         }
--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -8,6 +8,7 @@
 from almonddock_gateway.controllers import HostController
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.relays import (
+    CountExchange,
     Leaving,
     LinkMessage,
     MessageLink,
@@ -45,7 +46,9 @@
         store_server: StoreServer,
         hosts: HostController,
         telemetry: Telemetry,
+        counts: CountExchange,
     ) -> None:
+        self._counts = counts
         self._settings = settings
         self._hosts = hosts
         self._telemetry = telemetry
@@ -73,7 +76,9 @@
         def accept() -> asyncio.BaseProtocol:
             if len(self._accepted) >= MAX_ACCEPTED:
                 return _Refusal()
-            link: Link = links.Link(self._receive, self._forget, self._memory)
+            link: Link = links.Link(
+                self._receive, self._forget, self._memory, self._counts
+            )
             self._accepted.add(link)
             return link
 
@@ -90,6 +95,7 @@
             lambda: self._hosts.peers,
             self._telemetry,
             self._memory,
+            self._counts,
         )
         self._peers = peers
         return peers
--- a/packages/gateway/almonddock_gateway/links/_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_codec.py
@@ -2,6 +2,7 @@
 
 import pathlib
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from datetime import timedelta
 from types import MappingProxyType
 from typing import Any
@@ -78,15 +79,25 @@
     reader = _READERS.get(which)
     if reader is None:
         raise BadFrameError(f'a frame of an unknown kind: {which}')
-    return reader(getattr(frame, which))
+    message = reader(getattr(frame, which))
+    if isinstance(message, Ping | Pong):
+        return replace(message, counts=bytes(frame.counts))
+    return message
 
 
 def _write_ping(frame: Any, message: Ping) -> None:
     frame.ping = message.number
+    _write_counts(frame, message.counts)
 
 
 def _write_pong(frame: Any, message: Pong) -> None:
     frame.pong = message.number
+    _write_counts(frame, message.counts)
+
+
+def _write_counts(frame: Any, counts: bytes) -> None:
+    if counts:
+        frame.counts = counts
 
 
 def _write_leaving(frame: Any, message: Leaving) -> None:
--- a/packages/gateway/almonddock_gateway/links/_link.py
+++ b/packages/gateway/almonddock_gateway/links/_link.py
@@ -12,7 +12,13 @@
 )
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.links._codec import decode, encode
-from almonddock_gateway.relays import LinkMessage, Ping, Pong, RelayQuery
+from almonddock_gateway.relays import (
+    CountExchange,
+    LinkMessage,
+    Ping,
+    Pong,
+    RelayQuery,
+)
 
 #: The time without received data after which a link is pinged, in seconds.
 PING_AFTER_S = 0.4
@@ -57,6 +63,7 @@
         receive: 'Callable[[Link, LinkMessage], None]',
         closed: 'Callable[[Link], None]',
         memory: ReplyMemory,
+        counts: CountExchange | None = None,
     ) -> None:
         self._receive = receive
         self._closed = closed
@@ -74,6 +81,8 @@
         # When the oldest unanswered ping or relay query was sent, if any.
         self._unanswered_since: float | None = None
         self._pings = 0
+        self._counts = CountExchange() if counts is None else counts
+        self._told_at = self._opened_at
         #: Why this end closed the link; empty otherwise.
         self.fault = ''
 
@@ -131,11 +140,14 @@
             self.close()
         elif now - self._last_received > PING_AFTER_S:
             self.ping()
+        elif self._counts.is_needed() and now - self._told_at > PING_AFTER_S:
+            self.ping()
 
     def ping(self) -> None:
         """Sends a ping."""
         self._pings += 1
-        self.send(Ping(self._pings))
+        self._told_at = self._loop.time()
+        self.send(Ping(self._pings, self._counts.list_new(self)))
 
     def close_if_silent(self) -> None:
         """Closes an accepted link whose other end sends nothing."""
@@ -210,9 +222,12 @@
 
     def _handle_message(self, message: LinkMessage) -> None:
         self._has_received = True
-        if isinstance(message, Ping):
-            self.send(Pong(message.number))
-        elif not isinstance(message, Pong):
+        if isinstance(message, Ping | Pong):
+            if message.counts:
+                self._counts.record(message.counts)
+            if isinstance(message, Ping):
+                self.send(Pong(message.number, self._counts.list_new(self)))
+        else:
             self._receive(self, message)
 
     def _count_held(self) -> None:
--- a/packages/gateway/almonddock_gateway/links/_peers.py
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -14,6 +14,7 @@
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.links._link import Link
 from almonddock_gateway.relays import (
+    CountExchange,
     Leaving,
     LinkMessage,
     MessageLink,
@@ -44,8 +45,10 @@
         list_peers: Callable[[], Iterable[Peer]],
         telemetry: Telemetry,
         memory: ReplyMemory,
+        counts: CountExchange | None = None,
     ) -> None:
         """Creates no link yet; ``memory`` bounds what all links hold."""
+        self._counts = CountExchange() if counts is None else counts
         self._own_name = own_name
         self._data_centre = data_centre
         self._list_peers = list_peers
@@ -56,6 +59,7 @@
         self._reply_handlers: dict[tuple[MessageLink, int], HandleReply] = {}
         self._numbers = itertools.count(1)
         self._rotation = itertools.count()
+        self._is_watcher = False
         self._dialling: dict[Peer, asyncio.Task[None]] = {}
 
     def find_link(self, data_centre: str) -> MessageLink | None:
@@ -156,10 +160,17 @@
             for peers in by_data_centre.values()
             for peer in sorted(peers, key=self._rank)[:LINKS_PER_DATA_CENTRE]
         }
+        if self._counts.is_needed():
+            chosen |= self._list_all_watchers()
         return chosen | self._list_watchers()
 
     def _list_watchers(self) -> set[Peer]:
         """Returns the watchers of this data centre, none if this is one."""
+        watchers = self._list_all_watchers()
+        return set() if self._is_watcher else watchers
+
+    def _list_all_watchers(self) -> set[Peer]:
+        """Returns the watchers of this data centre besides this host."""
         here = {
             peer.name: peer
             for peer in self._list_peers()
@@ -167,9 +178,8 @@
         }
         names = (self._own_name, *here)
         chosen = choose_watchers((name, self._data_centre) for name in names)
-        if self._own_name in chosen:
-            return set()
-        return {here[name] for name in chosen}
+        self._is_watcher = self._own_name in chosen
+        return {here[name] for name in chosen if name in here}
 
     def _rank(self, peer: Peer) -> int:
         return zlib.crc32(f'{self._own_name} {peer.name}'.encode())
@@ -182,7 +192,10 @@
                     link,
                 ) = await asyncio.get_running_loop().create_connection(
                     lambda: Link(
-                        self._receive, self._forget_link, self._memory
+                        self._receive,
+                        self._forget_link,
+                        self._memory,
+                        self._counts,
                     ),
                     peer.host,
                     peer.port,
--- a/packages/gateway/almonddock_gateway/links/messages.capnp
+++ b/packages/gateway/almonddock_gateway/links/messages.capnp
@@ -13,6 +13,9 @@
     storeQuery @6 :StoreQuery;
     storeReply @7 :StoreReply;
   }
+  # Counts of roll-outs, in a ping or pong; a host of an earlier release
+  # ignores them.
+  counts @8 :Data;
 }
 
 struct RelayQuery {
--- a/packages/gateway/almonddock_gateway/relays/__init__.py
+++ b/packages/gateway/almonddock_gateway/relays/__init__.py
@@ -8,6 +8,7 @@
 does not follow the store itself, or the store does not answer it.
 """
 
+from almonddock_gateway.relays._counts import CountExchange
 from almonddock_gateway.relays._fallback_store import FallbackStore, StoreServer
 from almonddock_gateway.relays._messages import (
     Leaving,
@@ -34,6 +35,7 @@
 
 __all__ = [
     'CostExchange',
+    'CountExchange',
     'FallbackStore',
     'Leaving',
     'LinkDirectory',
--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import replace
 from datetime import timedelta
 
@@ -121,6 +121,12 @@
         """Writes a key that is removed when the lease ends."""
         await self._store.put(key, content, lease)
 
+    async def put_if(
+        self, expected: Mapping[str, int], contents: Mapping[str, bytes]
+    ) -> int | None:
+        """Writes all keys if others have the expected revisions."""
+        return await self._store.put_if(expected, contents)
+
     async def _read(
         self,
         read_directly: Callable[[], Awaitable[StoreView]],
--- a/packages/gateway/almonddock_gateway/relays/_messages.py
+++ b/packages/gateway/almonddock_gateway/relays/_messages.py
@@ -32,6 +32,8 @@
     """Checks that the other host still answers."""
 
     number: int
+    #: Counts of roll-outs that this link has not carried; empty without any.
+    counts: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +41,8 @@
     """Answers a ping."""
 
     number: int
+    #: As in a ping.
+    counts: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -6,6 +6,7 @@
 from resource import RLIM_INFINITY, RLIMIT_NOFILE, getrlimit
 
 from almonddock_core.dispatch import BudgetLimits
+from almonddock_core.rollouts import RolloutBounds
 
 
 def get_descriptor_limit() -> int:
@@ -65,6 +66,14 @@
     target_prefix: str
     #: The prefix of the host registrations.
     host_prefix: str
+    #: The prefix of the orders to move a service to a version.
+    order_prefix: str = ''
+    #: The prefix of what operators read of these orders.
+    state_prefix: str = ''
+    #: The prefix of the records of roll-outs, and the key of the claim that
+    #: names the host that decides on them.
+    record_prefix: str = ''
+    claim: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,5 +101,7 @@
     max_propagation_time: timedelta
     #: The time from SIGTERM until the process is killed.
     shutdown_time: timedelta
+    #: What a bad version may get in a roll-out; None without roll-outs.
+    rollout: RolloutBounds | None = None
     #: How many sockets the process may open.
     max_sockets: int = field(default_factory=get_descriptor_limit)
--- a/packages/gateway/almonddock_gateway/store.py
+++ b/packages/gateway/almonddock_gateway/store.py
@@ -1,6 +1,6 @@
 """The interface of the store, which an adapter implements."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from typing import Protocol
@@ -87,3 +87,13 @@
     async def put(self, key: str, content: bytes, lease: int) -> None:
         """Writes a key that is removed when the lease ends."""
         ...
+
+    async def put_if(
+        self, expected: Mapping[str, int], contents: Mapping[str, bytes]
+    ) -> int | None:
+        """Writes all keys if others have the expected revisions.
+
+        A revision of 0 stands for a key that does not exist. Returns the
+        revision of the write, None if one of them differs.
+        """
+        ...
--- a/packages/gateway/almonddock_gateway/tests/link_messages.py
+++ b/packages/gateway/almonddock_gateway/tests/link_messages.py
@@ -26,6 +26,8 @@
 MESSAGES = (
     Ping(3),
     Pong(4),
+    Ping(5, b'counts'),
+    Pong(6, b'counts'),
     Leaving(),
     make_query('t1', 't2', threshold=b'x' * 16),
     RelayCancel(7, (1, 2)),
--- a/packages/gateway/almonddock_gateway/tests/store_cases.py
+++ b/packages/gateway/almonddock_gateway/tests/store_cases.py
@@ -3,7 +3,7 @@
 import asyncio
 import os
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 
 from almonddock_core.model import ManualClock
@@ -70,6 +70,12 @@
         """Not called in these tests."""
         raise NotImplementedError
 
+    async def put_if(
+        self, expected: Mapping[str, int], contents: Mapping[str, bytes]
+    ) -> int | None:
+        """Not called in these tests."""
+        raise NotImplementedError
+
     async def _step(self, call: str) -> StoreView:
         self.calls.append(call)
         if not self._steps:
--- a/packages/gateway/almonddock_gateway/tests/test_linking.py
+++ b/packages/gateway/almonddock_gateway/tests/test_linking.py
@@ -8,7 +8,7 @@
 from almonddock_core.routing import TargetTable
 from almonddock_gateway import linking
 from almonddock_gateway.controllers import HostController
-from almonddock_gateway.relays import RelaySettings, StoreServer
+from almonddock_gateway.relays import CountExchange, RelaySettings, StoreServer
 from almonddock_gateway.relays._store_cache import StoreCache
 from almonddock_gateway.settings import Address
 from almonddock_gateway.tests.fakes import NAMES
@@ -28,6 +28,7 @@
             StoreServer(store, StoreCache('', bool)),
             HostController(SETTINGS, store, clock, telemetry),
             telemetry,
+            CountExchange(),
         )
         await self.links.open()
         assert self.links._server is not None
