--- /dev/null
+++ b/bench/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""What good and bad versions get in a roll-out."""
--- a/packages/core/almonddock_core/rollouts/_plan.py
+++ b/packages/core/almonddock_core/rollouts/_plan.py
@@ -41,8 +41,8 @@
 #: The parts of what a bad version may get that go to the trial, and of the
 #: rest to the burst; and the most of the service's requests in a trial, which
 #: leaves the old version some for comparison.
-TRIAL_ROOM = 0.3
-BURST_ROOM = 0.6
+TRIAL_ROOM = 0.4
+BURST_ROOM = 0.8
 MAX_TRIAL_SHARE = 0.5
 
 #: How long the rate of a service's requests is measured before a trial, and how
@@ -73,10 +73,11 @@
 LAST_MOMENT_S = 3.0
 LAST_MOMENT = timedelta(seconds=LAST_MOMENT_S)
 
-#: The answers of the new version without which a roll-out does not go on, fewer
-#: where a service gets few requests.
-MIN_ANSWERS = 5
-REQUESTS_AN_ANSWER = 20
+#: The answers of the new version without which it is not moved to, fewer where
+#: a service gets few requests; and those without which it gets no burst.
+MIN_ANSWERS = 15
+FIRST_ANSWERS = 3
+REQUESTS_AN_ANSWER = 8
 
 #: The least rate that a burst is planned with, in requests a second.
 MIN_RATE = 0.1
@@ -134,7 +135,7 @@
 def _end_late(record: RolloutRecord, evidence: Evidence) -> RolloutRecord:
     """Returns the verdict that is due because of the deadline."""
     if record.stage is RolloutStage.MOVED and evidence.new_targets:
-        if not evidence.doubt:
+        if _has_answered(evidence) and not evidence.doubt:
             return record.end(RolloutState.COMPLETED, 'deadline: no fault')
     reason = evidence.doubt or 'not moved'
     if not evidence.new_targets:
@@ -206,6 +207,8 @@
 def _move(record: RolloutRecord, evidence: Evidence) -> RolloutRecord:
     if evidence.elapsed < _find_move_time(record):
         return record
+    if not _has_answered(evidence):
+        return record
     return record.enter(
         RolloutStage.MOVED, evidence.elapsed, 'borne under load'
     )
@@ -216,6 +219,8 @@
 ) -> RolloutRecord:
     if evidence.doubt or not evidence.new_targets:
         return record
+    if not _has_answered(evidence):
+        return record
     passed = evidence.elapsed - record.stage_began
     is_told = evidence.all_moved and passed >= MIN_MOVED_TIME
     if not (is_told or passed >= MAX_MOVED_TIME):
@@ -230,13 +235,22 @@
 
 
 def _is_staffed(evidence: Evidence) -> bool:
-    """Whether enough new targets serve, and have answered, to get more."""
-    needed = min(MIN_ANSWERS, evidence.requests // REQUESTS_AN_ANSWER)
-    if evidence.answers < needed:
+    """Whether enough new targets serve, and some have answered."""
+    if evidence.answers < min(FIRST_ANSWERS, evidence.requests):
         return False
     return evidence.new_targets >= max(1, evidence.old_targets // 2)
 
 
+def _has_answered(evidence: Evidence) -> bool:
+    """Whether the new version has answered enough for a verdict.
+
+    Counts are lost if all hosts restart: what the record says of earlier
+    stages does not replace them.
+    """
+    needed = min(MIN_ANSWERS, evidence.requests // REQUESTS_AN_ANSWER)
+    return evidence.answers >= max(1, needed)
+
+
 def _find_move_time(record: RolloutRecord) -> timedelta:
     duration = record.duration
     latest = min(duration * LATEST_MOVE, duration - CLOSING_TIME)
