--- a/packages/gateway/almonddock_gateway/adapter.py
+++ b/packages/gateway/almonddock_gateway/adapter.py
@@ -5,7 +5,7 @@
 
 from almonddock_core.memory import HostMemory
 from almonddock_core.model import Clock
-from almonddock_gateway.controllers import DecodeTable, DecodeTarget
+from almonddock_gateway.controllers import Decoders
 from almonddock_gateway.settings import GatewaySettings
 from almonddock_gateway.store import Store
 
@@ -15,9 +15,8 @@
     """The platform as a host uses it."""
 
     store: Store
-    #: Decode the configuration and the target entries in the store.
-    decode_table: DecodeTable
-    decode_target: DecodeTarget
+    #: For the values in the store.
+    decoders: Decoders
     #: Reads the settings again.
     reload: Callable[[], GatewaySettings]
     #: The file descriptor of the log, which becomes non-blocking.
--- a/packages/gateway/almonddock_gateway/controllers/__init__.py
+++ b/packages/gateway/almonddock_gateway/controllers/__init__.py
@@ -4,6 +4,7 @@
     ConfigurationController,
     DecodeTable,
 )
+from almonddock_gateway.controllers._decoders import Decoders
 from almonddock_gateway.controllers._follower import Follower, FollowSettings
 from almonddock_gateway.controllers._hosts import HostController, Peer
 from almonddock_gateway.controllers._isolation import IsolationController
@@ -12,6 +13,12 @@
     QuotaDependencies,
     build_quota_controller,
 )
+from almonddock_gateway.controllers._rollouts import (
+    DecodeOrder,
+    EncodeState,
+    RolloutController,
+    RolloutDependencies,
+)
 from almonddock_gateway.controllers._targets import (
     DecodeTarget,
     TargetController,
@@ -23,8 +30,11 @@
 
 __all__ = [
     'ConfigurationController',
+    'DecodeOrder',
     'DecodeTable',
     'DecodeTarget',
+    'Decoders',
+    'EncodeState',
     'FollowSettings',
     'Follower',
     'HostController',
@@ -32,6 +42,8 @@
     'Peer',
     'QuotaController',
     'QuotaDependencies',
+    'RolloutController',
+    'RolloutDependencies',
     'TargetController',
     'WarmthController',
     'WarmthDependencies',
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -20,6 +20,7 @@
     Follower,
     FollowSettings,
     HostController,
+    RolloutController,
     TargetController,
 )
 from almonddock_gateway.entry import EntryState
@@ -55,6 +56,9 @@
     configuration: ConfigurationController
     targets: TargetController
     hosts: HostController
+    rollouts: RolloutController
+    #: Whether changes are wanted soon, because a roll-out runs.
+    is_hurried: Callable[[], bool]
     clock: Clock
     telemetry: Telemetry
     #: As of when the configuration in force is known to be the newest.
@@ -72,6 +76,12 @@
 
     def __init__(self, deps: FollowingDependencies) -> None:
         self._deps = deps
+        self._controllers = (
+            deps.configuration,
+            deps.targets,
+            deps.hosts,
+            deps.rollouts,
+        )
         self._store = FallbackStore(
             deps.store,
             deps.relays,
@@ -132,7 +142,7 @@
 
     def _apply_snapshot(self, view: StoreView) -> None:
         deps = self._deps
-        for controller in (deps.configuration, deps.targets, deps.hosts):
+        for controller in self._controllers:
             controller.apply_snapshot(view)
         deps.targets_updated()
         self._cache.apply_snapshot(view)
@@ -140,7 +150,7 @@
 
     def _apply_changes(self, view: StoreView) -> None:
         deps = self._deps
-        for controller in (deps.configuration, deps.targets, deps.hosts):
+        for controller in self._controllers:
             controller.apply_changes(view)
         deps.targets_updated()
         self._cache.apply_changes(view, deps.targets.confirmed)
@@ -168,7 +178,8 @@
                 max_delay=self._deps.settings.max_propagation_time,
                 hosts=self._deps.hosts.count,
                 has_followers=self._deps.hosts.has_followers,
-                has_cold_rates=any(
+                needs_soon=self._deps.is_hurried()
+                or any(
                     service.cold_requests_per_second for service in services
                 ),
                 is_recovering=is_recovering,
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -46,6 +46,11 @@
     RelaySettings,
     build_loan_exchange,
 )
+from almonddock_gateway.rolling import (
+    HostRollouts,
+    RolloutSupport,
+    create_rollout_table,
+)
 from almonddock_gateway.serving import START_LIMITS, CallerServers, Handle
 from almonddock_gateway.settings import Address, GatewaySettings
 from almonddock_gateway.shutdown import ShutdownSteps, finish_requests
@@ -118,6 +123,7 @@
             self._targets,
             self._budget,
             self._cold_limiter,
+            rollouts=create_rollout_table(settings),
         )
         self._pools = TargetPools(
             self._get_connection_limit,
@@ -179,19 +185,31 @@
         )
         configuration = ConfigurationController(
             settings.keys,
-            adapter.decode_table,
+            adapter.decoders.table,
             self._state,
             self._context,
             self.telemetry,
         )
         self._target_controller = TargetController(
             settings.keys,
-            adapter.decode_target,
+            adapter.decoders.target,
             self._targets,
             self._clock,
             self.telemetry,
         )
         loans = build_loan_exchange(self._lending, self._clock)
+        self._rollouts = HostRollouts(
+            settings,
+            adapter.store,
+            self._context,
+            self._hosts,
+            adapter.decoders,
+            RolloutSupport(
+                self._clock,
+                self.telemetry,
+                lambda: self._following.news_time,
+            ),
+        )
         self._following = StoreFollowing(
             FollowingDependencies(
                 settings=settings,
@@ -201,6 +219,8 @@
                 configuration=configuration,
                 targets=self._target_controller,
                 hosts=self._hosts,
+                rollouts=self._rollouts.controller,
+                is_hurried=self._rollouts.is_running,
                 clock=self._clock,
                 telemetry=self.telemetry,
                 freshness=self._access.freshness,
@@ -243,7 +263,9 @@
                 self._relays.costs,
                 loans,
             ),
-            LinkServers(self._following.server, self._quotas),
+            LinkServers(
+                self._following.server, self._rollouts.exchange, self._quotas
+            ),
             self._hosts,
             self.telemetry,
             self._memory,
@@ -319,6 +341,7 @@
             for name, run in (
                 ('following', self._following.run),
                 ('registration', self._hosts.run),
+                ('rollouts', self._rollouts.controller.run),
                 ('links', self._run_links),
                 ('warmth', self._warmth.run),
                 ('sweep', self._sweep),
@@ -397,6 +420,7 @@
             'requests_running': self._entry.running,
             'key_checks': self._entry.key_checks,
             **self._access.count_state(),
+            **self._rollouts.count_state(),
             'reply_bytes_held': self._pools.held_bytes,
             **self._servers.count_held_bytes(),
             **self._memory_report.count_state(),
--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -11,6 +11,7 @@
 from almonddock_gateway.controllers import HostController, QuotaController
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.relays import (
+    CountExchange,
     Leaving,
     LinkMessage,
     MessageLink,
@@ -46,6 +47,7 @@
     """What answers the queries of other hosts, besides relayed ones."""
 
     store: StoreServer
+    counts: CountExchange
     #: Answers queries for credits; None where quotas are not enforced.
     quotas: QuotaController | None = None
 
@@ -63,6 +65,7 @@
         memory: HostMemory,
     ) -> None:
         self._quotas = servers.quotas
+        self._counts = servers.counts
         self._settings = settings
         self._hosts = hosts
         self._telemetry = telemetry
@@ -93,7 +96,9 @@
         def accept() -> asyncio.BaseProtocol:
             if len(self._accepted) >= MAX_ACCEPTED:
                 return _Refusal()
-            link: Link = links.Link(self._receive, self._forget, self._memory)
+            link: Link = links.Link(
+                self._receive, self._forget, self._memory, self._counts
+            )
             self._accepted.add(link)
             return link
 
@@ -109,8 +114,11 @@
             self._settings.data_centre,
             lambda: self._hosts.peers,
             self._telemetry,
-            self._memory,
-            tuple if self._quotas is None else self._quotas.list_grantors,
+            links.PeerLinkSettings(
+                self._memory,
+                tuple if self._quotas is None else self._quotas.list_grantors,
+                self._counts,
+            ),
         )
         self._peers = peers
         return peers
--- a/packages/gateway/almonddock_gateway/links/__init__.py
+++ b/packages/gateway/almonddock_gateway/links/__init__.py
@@ -6,10 +6,11 @@
 
 from almonddock_gateway.links._codec import decode, encode
 from almonddock_gateway.links._link import Link
-from almonddock_gateway.links._peers import PeerLinks
+from almonddock_gateway.links._peers import PeerLinks, PeerLinkSettings
 
 __all__ = [
     'Link',
+    'PeerLinkSettings',
     'PeerLinks',
     'decode',
     'encode',
--- a/packages/gateway/almonddock_gateway/links/_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_codec.py
@@ -2,6 +2,7 @@
 
 import pathlib
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from datetime import timedelta
 from types import MappingProxyType
 from typing import Any
@@ -95,15 +96,25 @@
     except capnp.KjException:
         # The host at the other end is of a later release.
         return UnknownMessage()
-    return _READERS[which](getattr(frame, which))
+    message = _READERS[which](getattr(frame, which))
+    if isinstance(message, Ping | Pong):
+        return replace(message, counts=bytes(frame.counts))
+    return message
 
 
 def _write_ping(frame: Any, message: Ping) -> None:
     frame.ping = message.number
+    _write_counts(frame, message.counts)
 
 
 def _write_pong(frame: Any, message: Pong) -> None:
     frame.pong = message.number
+    _write_counts(frame, message.counts)
+
+
+def _write_counts(frame: Any, counts: bytes) -> None:
+    if counts:
+        frame.counts = counts
 
 
 def _write_leaving(frame: Any, message: Leaving) -> None:
--- a/packages/gateway/almonddock_gateway/links/_peers.py
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -8,6 +8,8 @@
 import zlib
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
 
 from almonddock_core.news import choose_watchers
 from almonddock_core.quotas import CreditQuery, CreditReply
@@ -15,6 +17,7 @@
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.links._link import Link
 from almonddock_gateway.relays import (
+    CountExchange,
     GrantQuery,
     GrantReply,
     Leaving,
@@ -42,6 +45,18 @@
 HandleReply = Callable[[LinkMessage | None], None]
 
 
+@dataclass(frozen=True, slots=True)
+class PeerLinkSettings:
+    """What all links of a host share."""
+
+    #: Bounds what they hold.
+    memory: ReplyMemory
+    #: Names the hosts that credits are asked of.
+    list_grantors: Callable[[], Collection[str]] = tuple
+    #: The counts of roll-outs that they carry.
+    counts: CountExchange = field(default_factory=CountExchange)
+
+
 class PeerLinks:
     """Keeps links open, and matches replies to queries."""
 
@@ -51,19 +66,16 @@
         data_centre: str,
         list_peers: Callable[[], Iterable[Peer]],
         telemetry: Telemetry,
-        memory: ReplyMemory,
-        list_grantors: Callable[[], Collection[str]] = tuple,
+        settings: PeerLinkSettings,
     ) -> None:
-        """Creates no link yet; ``memory`` bounds what all links hold.
-
-        ``list_grantors`` names the hosts that credits are asked of.
-        """
+        """Creates no link yet."""
+        self._counts = settings.counts
         self._own_name = own_name
         self._data_centre = data_centre
         self._list_peers = list_peers
         self._telemetry = telemetry
-        self._memory = memory
-        self._list_grantors = list_grantors
+        self._memory = settings.memory
+        self._list_grantors = settings.list_grantors
         # Those that are linked to for nothing but credits.
         self._credit_peers: frozenset[Peer] = frozenset()
         self._links: dict[Peer, Link] = {}
@@ -71,6 +83,7 @@
         self._reply_handlers: dict[tuple[MessageLink, int], HandleReply] = {}
         self._numbers = itertools.count(1)
         self._rotation = itertools.count()
+        self._is_watcher = False
         self._dialling: dict[Peer, asyncio.Task[None]] = {}
 
     def find_link(self, data_centre: str) -> MessageLink | None:
@@ -177,6 +190,7 @@
 
         Each host ranks these differently, so that links are spread evenly.
         """
+        rank = partial(_rank_peer, self._own_name)
         by_data_centre: dict[str, list[Peer]] = defaultdict(list)
         for peer in self._list_peers():
             if peer.data_centre != self._data_centre:
@@ -184,12 +198,19 @@
         chosen = {
             peer
             for peers in by_data_centre.values()
-            for peer in sorted(peers, key=self._rank)[:LINKS_PER_DATA_CENTRE]
+            for peer in sorted(peers, key=rank)[:LINKS_PER_DATA_CENTRE]
         }
+        if self._counts.is_needed():
+            chosen |= self._list_all_watchers()
         return chosen | self._list_watchers()
 
     def _list_watchers(self) -> set[Peer]:
         """Returns the watchers of this data centre, none if this is one."""
+        watchers = self._list_all_watchers()
+        return set() if self._is_watcher else watchers
+
+    def _list_all_watchers(self) -> set[Peer]:
+        """Returns the watchers of this data centre besides this host."""
         here = {
             peer.name: peer
             for peer in self._list_peers()
@@ -197,12 +218,8 @@
         }
         names = (self._own_name, *here)
         chosen = choose_watchers((name, self._data_centre) for name in names)
-        if self._own_name in chosen:
-            return set()
-        return {here[name] for name in chosen}
-
-    def _rank(self, peer: Peer) -> int:
-        return zlib.crc32(f'{self._own_name} {peer.name}'.encode())
+        self._is_watcher = self._own_name in chosen
+        return {here[name] for name in chosen if name in here}
 
     async def _dial(self, peer: Peer) -> None:
         try:
@@ -212,7 +229,10 @@
                     link,
                 ) = await asyncio.get_running_loop().create_connection(
                     lambda: Link(
-                        self._receive, self._forget_link, self._memory
+                        self._receive,
+                        self._forget_link,
+                        self._memory,
+                        self._counts,
                     ),
                     peer.host,
                     peer.port,
@@ -255,3 +275,7 @@
     if not names:
         return frozenset()
     return frozenset(peer for peer in peers if peer.name in names)
+
+
+def _rank_peer(own_name: str, peer: Peer) -> int:
+    return zlib.crc32(f'{own_name} {peer.name}'.encode())
--- a/packages/gateway/almonddock_gateway/links/messages.capnp
+++ b/packages/gateway/almonddock_gateway/links/messages.capnp
@@ -18,6 +18,9 @@
     grantQuery @10 :GrantQuery;
     grantReply @11 :GrantReply;
   }
+  # Counts of roll-outs, in a ping or pong; a host of an earlier release
+  # ignores them.
+  counts @12 :Data;
 }
 
 struct RelayQuery {
--- a/packages/gateway/almonddock_gateway/settings.py
+++ b/packages/gateway/almonddock_gateway/settings.py
@@ -8,6 +8,7 @@
 from almonddock_core.dispatch import BudgetLimits
 from almonddock_core.memory import DEFAULT_MACHINE_BYTES
 from almonddock_core.quotas import QuotaSettings
+from almonddock_core.rollouts import RolloutBounds
 
 
 def get_descriptor_limit() -> int:
@@ -73,6 +74,14 @@
     host_prefix: str
     #: The prefix of the keys that say which hosts enforce quotas.
     grantor_prefix: str = 'grantors/'
+    #: The prefix of the orders to move a service to a version.
+    order_prefix: str = ''
+    #: The prefix of what operators read of these orders.
+    state_prefix: str = ''
+    #: The prefix of the records of roll-outs, and the key of the claim that
+    #: names the host that decides on them.
+    record_prefix: str = ''
+    claim: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +117,8 @@
     quota: QuotaSettings | None = None
     #: Whether all hosts start for the first time.
     is_first_start: bool = False
+    #: What a bad version may get in a roll-out; None without roll-outs.
+    rollout: RolloutBounds | None = None
     #: How many sockets the process may open.
     max_sockets: int = field(default_factory=get_descriptor_limit)
     #: The memory that the process may take.
--- a/packages/gateway/almonddock_gateway/tests/test_linking.py
+++ b/packages/gateway/almonddock_gateway/tests/test_linking.py
@@ -9,7 +9,7 @@
 from almonddock_core.routing import TargetTable
 from almonddock_gateway import linking
 from almonddock_gateway.controllers import HostController
-from almonddock_gateway.relays import RelaySettings, StoreServer
+from almonddock_gateway.relays import CountExchange, RelaySettings, StoreServer
 from almonddock_gateway.relays._store_cache import StoreCache
 from almonddock_gateway.settings import Address
 from almonddock_gateway.tests.fakes import NAMES
@@ -27,7 +27,8 @@
             replace(SETTINGS, links=Address('127.0.0.1', 0)),
             RelaySettings(NAMES, TargetTable(), FakePools(), clock),
             linking.LinkServers(
-                StoreServer(store, StoreCache('', bool), ManualClock())
+                StoreServer(store, StoreCache('', bool), ManualClock()),
+                CountExchange(),
             ),
             HostController(SETTINGS, store, clock, telemetry),
             telemetry,
--- a/packages/gateway/almonddock_gateway/tests/test_links.py
+++ b/packages/gateway/almonddock_gateway/tests/test_links.py
@@ -17,7 +17,13 @@
 from almonddock_core.news import choose_watchers
 from almonddock_gateway.controllers import Peer
 from almonddock_gateway.http import ReplyMemory
-from almonddock_gateway.links import Link, PeerLinks, decode, encode
+from almonddock_gateway.links import (
+    Link,
+    PeerLinks,
+    PeerLinkSettings,
+    decode,
+    encode,
+)
 from almonddock_gateway.links._link import _Decompressor
 from almonddock_gateway.relays import (
     Leaving,
@@ -218,7 +224,11 @@
         self.listed: list[Peer] = []
         self.memory = ReplyMemory()
         self.peers = PeerLinks(
-            'kyu-1', 'a', lambda: self.listed, telemetry, self.memory
+            'kyu-1',
+            'a',
+            lambda: self.listed,
+            telemetry,
+            PeerLinkSettings(self.memory),
         )
 
     def add_link(self, name: str) -> tuple[Peer, Link, FakeTransport]:
