Check unknown keys that come as a check has just ended

What callers saw: a request with an unknown key that was read in the very turn of the loop in which the last check ended got no answer, until another unknown key came or the host stopped. Cause: the task that had ended was still taken for one that runs. Change: the task forgets itself where it last looks at what waits.

--- a/packages/gateway/almonddock_gateway/entry/_key_checks.py
+++ b/packages/gateway/almonddock_gateway/entry/_key_checks.py
@@ -83,7 +83,6 @@
             self._task = asyncio.create_task(
                 run_until_done('key checks', self._run, self._telemetry)
             )
-            self._task.add_done_callback(self._forget_task)
         return request
 
     def resume_all(self) -> None:
@@ -96,9 +95,6 @@
                 requests.pop(request)
                 self._schedule.leave()
 
-    def _forget_task(self, task: asyncio.Task[None]) -> None:
-        self._task = None
-
     async def _run(self) -> None:
         while self._waiting:
             due = self._schedule.next_at - self._clock.now()
@@ -110,6 +106,9 @@
                 await self._check()
             finally:
                 self._resume(tuple(self._served))
+        # Without a pause since the last look at what waits, so that what comes
+        # later starts another task.
+        self._task = None
 
     async def _check(self) -> None:
         """Reads once for all requests that wait now."""
