Count a request's deadline from its arrival, also after a check of its key

Cause: its arrival was taken when it went on. Change: the arrival is kept from the first look at the request, and one whose time is over is refused as not run before anything is begun.

--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -68,6 +68,7 @@
 
 NO_CONFIGURATION = Unavailability('no configuration yet', START_RETRY_AFTER)
 STOPPING = Unavailability('the host stops', STOP_RETRY_AFTER)
+TOO_LATE = Unavailability('its deadline is over', STOP_RETRY_AFTER)
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +77,10 @@
 
     request: CallerRequest
     connection: CallerConnection
-    #: When it arrived, if it has waited for a check of its key.
+    #: When the whole request was read.
+    arrived: timedelta
+    #: When it began to wait for a check of its key, by the clock of knowledge;
+    #: None if it didn't.
     checked_since: timedelta | None = None
 
 
@@ -87,9 +91,8 @@
     arrival: _Arrival
     routed: RoutedRequest
     caller: Caller
-    #: The configuration in force when it arrived.
+    #: The configuration in force when its caller was known.
     table: RoutingTable
-    arrived: timedelta
 
 
 @dataclass(slots=True)
@@ -187,7 +190,7 @@
         connection: CallerConnection,
     ) -> Exchange | None:
         """Returns the started exchange, None if answered at once."""
-        return self._handle(_Arrival(request, connection))
+        return self._handle(_Arrival(request, connection, self._now()))
 
     def _handle(self, arrival: _Arrival) -> Exchange | None:
         request = arrival.request
@@ -213,13 +216,20 @@
         if isinstance(caller, Rejected):
             self._reject(arrival, routed, caller, table)
             return None
-        admitted = _Admitted(arrival, routed, caller, table, self._now())
+        return self._admit(_Admitted(arrival, routed, caller, table))
+
+    def _admit(self, admitted: _Admitted) -> Exchange | None:
+        """Starts the request, as far as its time and its quota allow."""
+        arrival = admitted.arrival
+        if self._now() >= arrival.arrived + admitted.routed.timeout:
+            self._send_unavailable(arrival, TOO_LATE)
+            return None
         steps = GatedSteps(
             start=lambda give_back: self._dispatch(admitted, give_back),
             reject=lambda over: self._reject_over_quota(admitted, over),
             fail=lambda: arrival.connection.send(BAD_GATEWAY, (), b''),
         )
-        return self._gate.pass_request(caller, steps)
+        return self._gate.pass_request(admitted.caller, steps)
 
     def _dispatch(self, admitted: _Admitted, give_back: GiveBack) -> Exchange:
         names = self._settings.names
@@ -259,8 +269,8 @@
             request_id=routed.request_id,
             route=routed.route,
             services=services,
-            arrived=admitted.arrived,
-            deadline=admitted.arrived + routed.timeout,
+            arrived=admitted.arrival.arrived,
+            deadline=admitted.arrival.arrived + routed.timeout,
             organisation=admitted.caller.organisation,
             turn=self._context.take_turn(
                 admitted.caller, len(services), self._now()
