Let callers without a rate share like the mean of the others

What callers saw: in contention, an organisation without a quota, and all callers of public routes together, were delayed by 2 s as if they were owed one request a second beside organisations of 50. Cause: no rate counted as the smallest weight. Evidence: the new test (2 s is not false). Change: they weigh as much as the mean of the stated rates.

--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -94,6 +94,8 @@
     def apply_configuration(self, table: RoutingTable) -> None:
         """Applies a configuration; drops latencies of routes that it lacks."""
         self.table = table
+        if table.organisations is not None:
+            self.shares.apply_organisations(table.organisations)
         names = {
             route.name
             for by_prefix in table.routes.values()
--- a/packages/core/almonddock_core/fairness/_shares.py
+++ b/packages/core/almonddock_core/fairness/_shares.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from almonddock_core.routing import Caller
+from almonddock_core.routing import Caller, OrganisationTable
 
 #: The time in which half of the work that was taken is forgotten.
 HALF_LIFE = timedelta(seconds=2)
@@ -58,6 +58,8 @@
         # Amounts grow instead of decaying, so that a sum of them stays one: an
         # amount counts as many halvings less as it is older.
         self._epoch = timedelta()
+        # The weight of callers that no rate is stated for.
+        self._usual_rate: float = 1
         self._amounts: dict[str, float] = {}
         self._total: float = 0
 
@@ -65,6 +67,13 @@
         """The number of organisations that have taken work lately."""
         return len(self._amounts)
 
+    def apply_organisations(self, organisations: OrganisationTable) -> None:
+        """Lets callers without a rate share like the mean of the others."""
+        rates = [
+            one.quota.rate for one in organisations.list_all() if one.quota
+        ]
+        self._usual_rate = sum(rates) / len(rates) if rates else 1
+
     def record(self, caller: Caller, work: timedelta, now: timedelta) -> None:
         """Counts the work that a request takes.
 
@@ -74,7 +83,7 @@
         self._rescale(now)
         name = _get_name(caller)
         before = self._amounts.get(name, 0)
-        amount = work.total_seconds() / _get_weight(caller)
+        amount = work.total_seconds() / self._get_weight(caller)
         after = max(0, before + amount * self._grow(now))
         self._amounts[name] = after
         self._total += after - before
@@ -106,6 +115,10 @@
         limit = MAX_DELAY / DELAY_PER_SHARE
         return min(max(0, own * others / taken - 1), limit)
 
+    def _get_weight(self, caller: Caller) -> float:
+        quota = caller.organisation.quota if caller.organisation else None
+        return quota.rate if quota else self._usual_rate
+
     def _grow(self, now: timedelta) -> float:
         half_lives: float = (now - self._epoch) / HALF_LIFE
         return math.pow(HALVING, -half_lives)
@@ -126,8 +139,3 @@
 
 def _get_name(caller: Caller) -> str:
     return PUBLIC if caller.organisation is None else caller.organisation.name
-
-
-def _get_weight(caller: Caller) -> float:
-    quota = caller.organisation.quota if caller.organisation else None
-    return quota.rate if quota else 1
--- a/packages/core/almonddock_core/tests/test_fairness.py
+++ b/packages/core/almonddock_core/tests/test_fairness.py
@@ -6,26 +6,35 @@
 from datetime import timedelta
 
 from almonddock_core.fairness import MAX_DELAY, FairShares
-from almonddock_core.routing import Caller, Organisation, Quota, Route
+from almonddock_core.routing import (
+    Caller,
+    Organisation,
+    Quota,
+    Route,
+    build_organisation_table,
+)
 
 WORK = timedelta(milliseconds=100)
 SECOND = timedelta(seconds=1)
 
 
+ROUTE = Route(
+    name='search',
+    host='desk.example',
+    prefix='/',
+    idempotent=True,
+    timeout=SECOND,
+    latency_goal=SECOND,
+    max_attempts=2,
+    priority=0,
+)
+
+
 def build_caller(name: str, priority: int = 0, rate: float = 0) -> Caller:
     """Returns a caller of an organisation."""
-    route = Route(
-        name='search',
-        host='desk.example',
-        prefix='/',
-        idempotent=True,
-        timeout=SECOND,
-        latency_goal=SECOND,
-        max_attempts=2,
-        priority=priority,
-    )
     quota = Quota(rate, rate) if rate else None
-    return Caller(route, Organisation(name, quota=quota))
+    organisation = Organisation(name, priority=priority, quota=quota)
+    return Caller(ROUTE, organisation)
 
 
 def play_contention(
@@ -84,6 +93,23 @@
         shares.record(small, WORK * 3, SECOND)
         self.assertGreater(shares.measure_delay(small, SECOND), timedelta())
 
+    def test_no_limit_is_not_the_smallest_one(self) -> None:
+        """One without a quota was delayed as if owed next to nothing."""
+        shares = FairShares()
+        limited = [build_caller(name, rate=50) for name in 'abc']
+        shares.apply_organisations(
+            build_organisation_table(
+                (caller.organisation, (caller.organisation.name.encode(),))
+                for caller in limited
+                if caller.organisation
+            ),
+        )
+        for caller in limited:
+            shares.record(caller, WORK, SECOND)
+        for caller in (build_caller('unlimited'), Caller(ROUTE)):
+            shares.record(caller, WORK, SECOND)
+            self.assertFalse(shares.measure_delay(caller, SECOND))
+
     def test_turn_comes_after_the_longest_delay(self) -> None:
         """Nobody waits behind newcomers without end, however much it took."""
         shares = FairShares()
