Answer requests that wait for credits at the end of a process with 503

What callers saw: requests within their quota that waited for a credit when a host stopped got 429 with Retry-After 0, and were counted and logged as over it (found by the review, by reading). Cause: the end of the process was passed on as the decision that the quota is used up. Change: they are turned away like others at a stop.

--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -227,6 +227,7 @@
         steps = GatedSteps(
             start=lambda give_back: self._dispatch(admitted, give_back),
             reject=lambda over: self._reject_over_quota(admitted, over),
+            turn_away=lambda: self._send_unavailable(arrival, STOPPING),
             fail=lambda: arrival.connection.send(BAD_GATEWAY, (), b''),
         )
         return self._gate.pass_request(admitted.caller, steps)
--- a/packages/gateway/almonddock_gateway/entry/_quota_gate.py
+++ b/packages/gateway/almonddock_gateway/entry/_quota_gate.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from datetime import timedelta
 from typing import Protocol
 
 from almonddock_core.quotas import CreditSource, LetIn, TurnAway
@@ -55,6 +54,8 @@
     start: Callable[[GiveBack], Exchange | None]
     #: Refuses it.
     reject: Callable[[Rejected], None]
+    #: Answers it because the process ends.
+    turn_away: Callable[[], None]
     #: Answers it after an unexpected error in its start.
     fail: Callable[[], None]
 
@@ -73,9 +74,9 @@
         return len(self._waiting)
 
     def give_up(self) -> None:
-        """Refuses all requests that wait, because the process ends."""
+        """Turns all requests that wait away, because the process ends."""
         for request in tuple(self._waiting):
-            request.decide(TurnAway(0, timedelta()))
+            request.give_up()
 
     def pass_request(
         self, caller: Caller, steps: GatedSteps
@@ -136,11 +137,20 @@
                 self._steps.fail()
             raise
 
+    def give_up(self) -> None:
+        """Turns the request away, which has used nothing of its quota."""
+        if not self.is_decided:
+            self._forget()
+            self._steps.turn_away()
+
     def abandon(self) -> None:
         """Drops the request, because the caller has disconnected."""
         if self.exchange is not None:
             self.exchange.abandon()
         elif not self.is_decided:
-            self.is_decided = True
-            self._leave(self)
-            self._quotas.cancel(self._organisation, self.ticket)
+            self._forget()
+
+    def _forget(self) -> None:
+        self.is_decided = True
+        self._leave(self)
+        self._quotas.cancel(self._organisation, self.ticket)
