--- a/packages/gateway/almonddock_gateway/relays/_server.py
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -345,10 +345,9 @@
 
 
 def _find_turn(relayed: _RelayedQuery) -> float:
-    # A host of an earlier release states no delay: its queries wait like those
-    # that arrive now.
-    delay = relayed.query.delay or timedelta()
-    return (relayed.arrived + delay).total_seconds()
+    if relayed.query.delay is None:
+        return 0
+    return (relayed.arrived + relayed.query.delay).total_seconds()
 
 
 def _refuse(link: MessageLink, query: RelayQuery) -> None:
