Date the hosts that share quotas by reads of all entries

What callers saw: none yet; organisations could get more than their quota. Cause: quotas took the age of the configuration for that of the hosts. Change: the age of all entries is kept beside it.

--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -90,6 +90,8 @@
             deps.suspended_clock,
             deps.loans,
         )
+        #: As of when all entries are known, unlike the configuration alone.
+        self.freshness = Freshness()
         self._store.age_bound = deps.settings.revocation_bound
         self._cache = StoreCache(ALL_KEYS, self._is_reading_directly)
         self._follower = Follower(
@@ -146,7 +148,7 @@
             controller.apply_snapshot(view)
         deps.targets_updated()
         self._cache.apply_snapshot(view)
-        self._note_applied(view)
+        self._note_read(view)
 
     def _apply_changes(self, view: StoreView) -> None:
         deps = self._deps
@@ -154,6 +156,12 @@
             controller.apply_changes(view)
         deps.targets_updated()
         self._cache.apply_changes(view, deps.targets.confirmed)
+        self._note_read(view)
+
+    def _note_read(self, view: StoreView) -> None:
+        """Records as of when all entries are known."""
+        if not view.has_more:
+            self.freshness.note(view.as_of)
         self._note_applied(view)
 
     def _note_applied(self, view: StoreView) -> None:
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -153,7 +153,7 @@
                 hosts=self._hosts,
                 get_table=lambda: self._state.table,
                 get_links=lambda: self._relays.links,
-                get_news=lambda: self._access.freshness.as_of,
+                get_news=lambda: self._following.freshness.as_of,
                 clock=adapter.suspended_clock,
                 telemetry=self.telemetry,
             ),
