Let hosts hear of a late move before a roll-out is completed

What callers saw: nothing yet; a roll-out that moved shortly before its deadline was completed a quarter of a second later, and the old targets stop at once while hosts that have not read the move still send to them. Found by the review. Cause: the deadline asked neither whether hosts had moved nor how long ago. Change: a late completion waits until hosts say that they moved, for two seconds at most, and no longer than half a second before the deadline.

--- a/packages/core/almonddock_core/rollouts/_plan.py
+++ b/packages/core/almonddock_core/rollouts/_plan.py
@@ -73,6 +73,10 @@
 LAST_MOMENT_S = 3.0
 LAST_MOMENT = timedelta(seconds=LAST_MOMENT_S)
 
+#: The time before the deadline that a verdict takes to be written.
+WRITE_TIME_MS = 500
+WRITE_TIME = timedelta(milliseconds=WRITE_TIME_MS)
+
 #: The answers of the new version without which it is not moved to, fewer where
 #: a service gets few requests; and those without which it gets no burst.
 MIN_ANSWERS = 15
@@ -136,6 +140,8 @@
     """Returns the verdict that is due because of the deadline."""
     if record.stage is RolloutStage.MOVED and evidence.new_targets:
         if _has_answered(evidence) and not evidence.doubt:
+            if _is_too_early(record, evidence):
+                return record
             return record.end(RolloutState.COMPLETED, 'deadline: no fault')
     reason = evidence.doubt or 'not moved'
     if not evidence.new_targets:
@@ -143,6 +149,13 @@
     return record.end(RolloutState.ROLLED_BACK, f'deadline: {reason}')
 
 
+def _is_too_early(record: RolloutRecord, evidence: Evidence) -> bool:
+    """Whether hosts may not have heard yet that all requests moved."""
+    passed = evidence.elapsed - record.stage_began
+    is_told = evidence.all_moved or passed >= MIN_MOVED_TIME
+    return not is_told and evidence.elapsed < record.duration - WRITE_TIME
+
+
 def _leave_blocked(
     record: RolloutRecord, evidence: Evidence, bounds: RolloutBounds
 ) -> RolloutRecord:
