Refuse a verdict on an order that has been withdrawn or replaced

What operators saw: nothing yet; a verdict that was on its way while the operator withdrew or replaced the order was written all the same, and old targets stop on "completed". Found by the review. Cause: the order was no part of the condition of the write. Change: each write names the revision of the order as the host knows it, 0 for a withdrawn one.

--- a/packages/core/almonddock_core/rollouts/_decider.py
+++ b/packages/core/almonddock_core/rollouts/_decider.py
@@ -27,6 +27,8 @@
     records: tuple[RolloutRecord, ...] = ()
     #: The revisions that the records must have, 0 for new ones.
     record_revisions: tuple[int, ...] = ()
+    #: The revisions that the orders must have, 0 for those that are withdrawn.
+    order_revisions: tuple[int, ...] = ()
 
 
 @dataclass(slots=True)
@@ -64,6 +66,7 @@
             self.claim.revision,
             tuple(changed),
             tuple(self.stored.revisions.get(one.service, 0) for one in changed),
+            tuple(self._find_order_revision(one.service) for one in changed),
         )
 
     def record_written(
@@ -79,6 +82,12 @@
         """Records that the store has refused a write."""
         self.claim.give_up(now)
 
+    def _find_order_revision(self, service: str) -> int:
+        rollout = self.table.find(service)
+        if rollout is None or rollout.is_withdrawn:
+            return 0
+        return rollout.order.revision
+
     def _decide_all(
         self, find_fleet: FindFleet, now: timedelta
     ) -> list[RolloutRecord]:
--- a/packages/core/almonddock_core/tests/rollout_fleet.py
+++ b/packages/core/almonddock_core/tests/rollout_fleet.py
@@ -108,6 +108,10 @@
         self.revision += 1
         self.orders.pop(SERVICE, None)
 
+    def _find_order_revision(self, service: str) -> int:
+        order = self.orders.get(service)
+        return order.revision if order else 0
+
     def commit(self, write: ConditionalWrite, owner: str) -> int | None:
         """Returns the revision of a write, None if its condition fails."""
         if self.claim[1] != write.claim_revision:
@@ -117,6 +121,11 @@
         ):
             if self.records.get(record.service, (None, 0))[1] != expected:
                 return None
+        for record, expected in zip(
+            write.records, write.order_revisions, strict=True
+        ):
+            if self._find_order_revision(record.service) != expected:
+                return None
         self.revision += 1
         self.claim = (owner, self.revision)
         for record in write.records:
--- a/packages/core/almonddock_core/tests/test_rollouts.py
+++ b/packages/core/almonddock_core/tests/test_rollouts.py
@@ -1,20 +1,28 @@
 """Roll-outs of a version: orders, verdicts, and what each version gets."""
 
 import unittest
+from dataclasses import replace
 from datetime import timedelta
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from almonddock_core.rollouts import (
     CountTable,
+    Evidence,
     Group,
     HostCounts,
     Permits,
+    RolloutBounds,
+    RolloutRecord,
+    RolloutStage,
     RolloutState,
     ServiceCounts,
     Tally,
+    _decider,
     find_fault,
+    plan_step,
 )
 from almonddock_core.tests.rollout_fleet import (
     OLD,
@@ -195,6 +203,72 @@
         fleet.run(14)
         self.assertEqual(fleet.states, [RUNNING, ROLLED_BACK])
 
+    def test_verdict_on_an_order_that_has_changed_is_refused(self) -> None:
+        """The operator stops the old targets of what is completed."""
+        for change in ('withdraw', 'replace'):
+            with self.subTest(change=change):
+                fleet = RolloutFleet()
+                fleet.run(2)
+                fleet.order()
+                fleet.run(3)
+                decider = fleet.find_decider()
+                assert decider is not None
+                rollout = decider.table.find(SERVICE)
+                assert rollout is not None and rollout.record is not None
+                verdict = rollout.record.end(COMPLETED, 'all hosts moved')
+                with patch.object(
+                    _decider, 'decide', lambda *_, verdict=verdict: verdict
+                ):
+                    write = decider.decider.plan_write(
+                        fleet._find_fleet, fleet.now
+                    )
+                assert write is not None and write.records
+                if change == 'withdraw':
+                    fleet.store.withdraw()
+                else:
+                    fleet.store.order('v3')
+                owner = decider.claim.owner
+                self.assertIsNone(fleet.store.commit(write, owner))
+
+    def test_hosts_are_told_before_a_late_completion(self) -> None:
+        """It came with the next check after the move."""
+        record = RolloutRecord(
+            service=SERVICE,
+            version='v2',
+            order_revision=3,
+            duration=timedelta(seconds=60),
+            state=RUNNING,
+            stage=RolloutStage.MOVED,
+            stage_number=4,
+            stage_began=timedelta(seconds=57.2),
+        )
+        evidence = Evidence(
+            elapsed=timedelta(seconds=57.5),
+            new_targets=3,
+            old_targets=3,
+            requests=600,
+            exposed=300,
+            rate=10,
+            answers=300,
+            fault='',
+            doubt='',
+            all_moved=False,
+        )
+        for elapsed, all_moved, state in (
+            (57.5, False, RUNNING),
+            (57.5, True, COMPLETED),
+            (59.3, False, COMPLETED),
+        ):
+            with self.subTest(elapsed=elapsed, all_moved=all_moved):
+                later = replace(
+                    evidence,
+                    elapsed=timedelta(seconds=elapsed),
+                    all_moved=all_moved,
+                )
+                bounds = RolloutBounds(0.1, 50, timedelta(seconds=5))
+                planned = plan_step(record, later, bounds)
+                self.assertIs(planned.state, state)
+
     def test_old_verdict_of_a_woken_host_is_refused(self) -> None:
         fleet = RolloutFleet()
         fleet.run(2)
--- a/packages/gateway/almonddock_gateway/controllers/_rollouts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_rollouts.py
@@ -164,10 +164,16 @@
     def _list_expected(self, write: ConditionalWrite) -> dict[str, int]:
         """Returns the revisions under which a write holds."""
         keys = self._deps.settings.keys
-        services = (record.service for record in write.records)
-        names = [f'{keys.record_prefix}{service}' for service in services]
-        records = zip(names, write.record_revisions, strict=True)
-        return {keys.claim: write.claim_revision, **dict(records)}
+        expected = {keys.claim: write.claim_revision}
+        for record, known, ordered in zip(
+            write.records,
+            write.record_revisions,
+            write.order_revisions,
+            strict=True,
+        ):
+            expected[f'{keys.record_prefix}{record.service}'] = known
+            expected[f'{keys.order_prefix}{record.service}'] = ordered
+        return expected
 
     def _list_contents(self, write: ConditionalWrite) -> dict[str, bytes]:
         """Returns the claim, and each record with its state for operators."""
