quotas: grantors keep a start part for the first window

Cause: after a kill of all hosts every host refused each organisation with a quota for a whole window, because a process that has just started does not know what earlier ones granted.

Change: each grantor keeps a small part out of all others and grants it in the first window of a process. Only one process of a host uses it within a window: its registration, which outlives a kill, says so ("starting") before it is used and until a window after its last possible use, and is changed back only over the revision read before, so that a write which the store executes late cannot hide a later process. What is refused then may retry when the first window is over, one after the other at the rate of the grantor's part.

Tests: the property tests play kills of all hosts, at once and in turn, also twice in a window. Tried by hand, each fails a test: the start part not kept out of the rest, used by every process, forgotten when idle, not granted. The usual rate after a kill of all hosts fails without the part. Told of for one window only passed all fleet tests; a test of FirstWindow is added for it.

--- a/packages/core/almonddock_core/quotas/__init__.py
+++ b/packages/core/almonddock_core/quotas/__init__.py
@@ -14,13 +14,13 @@
 )
 from almonddock_core.quotas._bucket import Allowance, Bucket, limit_count
 from almonddock_core.quotas._division import (
+    GRANTORS,
     Division,
     HostSet,
     count_allowed,
     divide_quota,
 )
 from almonddock_core.quotas._hosts import (
-    GRANTORS,
     LAPSE,
     MEMORY,
     HostPlace,
--- a/packages/core/almonddock_core/quotas/_division.py
+++ b/packages/core/almonddock_core/quotas/_division.py
@@ -21,6 +21,10 @@
 #: them may be away. The rest of their part may be granted at once.
 RATE_HEADROOM = 1.25
 
+#: The hosts that grant, over all data centres: enough that the loss of one
+#: leaves most of a quota, few enough that each keeps a link to all of them.
+GRANTORS = 6
+
 
 @dataclass(frozen=True, slots=True)
 class HostSet:
@@ -38,6 +42,9 @@
 
     #: What it may grant, to itself and others; nothing if not a grantor.
     granted: Allowance
+    #: How many of a grantor's part it may grant in the first window of its
+    #: process, which does not know what an earlier one has granted.
+    start: int
     #: What it may let in on its own, until that is covered by a grant.
     own: Allowance
 
@@ -51,11 +58,15 @@
 ) -> Division:
     """Returns one host's part; the parts of all stay within the bound."""
     total = count_allowed(quota, settings)
-    per_grantor = _count_per_grantor(quota, total, known, settings)
+    per_grantor = _count_per_grantor(
+        quota, total, len(known.grantors), settings
+    )
     granted = 0
+    start = 0
     if host in known.grantors:
-        granted = per_grantor
-        if not granted and total < len(known.grantors):
+        start = min(per_grantor, _count_start(quota, total, known, settings))
+        granted = per_grantor - start
+        if not per_grantor and total < len(known.grantors):
             granted = int(_rank(organisation, host, known.grantors) < total)
     held = per_grantor * len(known.grantors)
     if not per_grantor:
@@ -69,6 +80,7 @@
             _choose_burst(quota, granted, known, settings),
             settings.grant_window,
         ),
+        start=start,
         own=limit_count(spare, math.ceil(spare / 2), settings.window),
     )
 
@@ -84,12 +96,31 @@
 
 
 def _count_per_grantor(
-    quota: Quota, total: int, known: HostSet, settings: QuotaSettings
+    quota: Quota, total: int, grantors: int, settings: QuotaSettings
 ) -> int:
-    owed = quota.rate * settings.grant_window.total_seconds() + quota.burst
+    owed = _count_owed(quota, settings)
     spare = max(0, total - owed)
-    wanted = math.ceil((owed + spare / 2) / len(known.grantors))
-    return min(wanted, total // len(known.grantors))
+    wanted = math.ceil((owed + spare / 2) / grantors)
+    return min(wanted, total // grantors)
+
+
+def _count_start(
+    quota: Quota, total: int, known: HostSet, settings: QuotaSettings
+) -> int:
+    """Returns how many a grantor may grant in its first window.
+
+    At most half of what grantors hold above the quota, rounded up. Does not
+    grow where few are known: a host that has just started may not know all.
+    """
+    grantors = max(GRANTORS, len(known.grantors))
+    per_grantor = _count_per_grantor(quota, total, grantors, settings)
+    spare = max(0, per_grantor - _count_owed(quota, settings) / grantors)
+    return min(math.ceil(spare / 2), math.floor(spare))
+
+
+def _count_owed(quota: Quota, settings: QuotaSettings) -> float:
+    """Returns the most that the quota itself grants within a window."""
+    return quota.rate * settings.grant_window.total_seconds() + quota.burst
 
 
 def _choose_burst(
--- a/packages/core/almonddock_core/quotas/_grants.py
+++ b/packages/core/almonddock_core/quotas/_grants.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 from almonddock_core.quotas._bucket import Allowance, Bucket
+from almonddock_core.quotas._division import Division
 
 #: The longest time for which a host is told to ask no more: others may use
 #: less than they did.
@@ -17,9 +18,25 @@
 @dataclass(slots=True)
 class _Granted:
     bucket: Bucket
+    #: How many were granted in the first window of the process.
+    at_start: int = 0
     #: When the last of those that wait was told to ask again.
     next_asked: timedelta = field(default=timedelta())
 
+    def choose_turn(
+        self, earliest: timedelta, allowance: Allowance, latest: timedelta
+    ) -> timedelta:
+        """Returns when the next one that is refused is to ask again.
+
+        They come one after the other, at the rate of the allowance.
+        """
+        if not allowance.rate:
+            return latest
+        interval = timedelta(seconds=1 / allowance.rate)
+        turn = max(earliest, self.next_asked + interval)
+        self.next_asked = min(turn, latest)
+        return self.next_asked
+
 
 class Grantor:
     """The buckets of organisations that use this host's grants.
@@ -46,21 +63,38 @@
         Those that are refused are told times one after the other, at the rate
         at which credits come back.
         """
-        granted = self._granted.get(organisation)
-        if granted is None:
-            granted = _Granted(Bucket(now))
-            self._granted[organisation] = granted
+        granted = self._granted.setdefault(organisation, _Granted(Bucket(now)))
         taken = granted.bucket.take(wanted, allowance, now)
         if taken == wanted:
             return taken, timedelta()
         wait = granted.bucket.find_wait(allowance, now)
         if wait >= MAX_WAIT or not allowance.rate:
             return taken, MAX_WAIT
-        earliest = now + wait
-        interval = timedelta(seconds=1 / allowance.rate)
-        turn = max(earliest, granted.next_asked + interval)
-        granted.next_asked = min(turn, now + MAX_WAIT)
-        return taken, granted.next_asked - now
+        turn = granted.choose_turn(now + wait, allowance, now + MAX_WAIT)
+        return taken, turn - now
+
+    def grant_at_start(
+        self,
+        organisation: str,
+        wanted: int,
+        division: Division,
+        now: timedelta,
+        wait: timedelta,
+    ) -> tuple[int, timedelta]:
+        """Grants from the start part; returns what :meth:`grant` does.
+
+        ``wait`` is the time until the first window of the process is over.
+        Nothing is regained before that.
+        """
+        granted = self._granted.setdefault(organisation, _Granted(Bucket(now)))
+        taken = min(wanted, max(0, division.start - granted.at_start))
+        granted.at_start += taken
+        if taken == wanted:
+            return taken, timedelta()
+        turn = granted.choose_turn(
+            now + wait, division.granted, now + wait + MAX_WAIT
+        )
+        return taken, turn - now
 
     def give_back(
         self,
--- a/packages/core/almonddock_core/quotas/_hosts.py
+++ b/packages/core/almonddock_core/quotas/_hosts.py
@@ -12,13 +12,10 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from almonddock_core.quotas._division import HostSet
+from almonddock_core.quotas._division import GRANTORS, HostSet
+from almonddock_core.quotas._first_window import FirstWindow
 from almonddock_core.quotas._settings import QuotaSettings
 
-#: The hosts that grant, over all data centres: enough that the loss of one
-#: leaves most of a quota, few enough that each keeps a link to all of them.
-GRANTORS = 6
-
 #: The time without news from the store after which a host may hold parts that
 #: others have got.
 LAPSE_S = 15
@@ -61,8 +58,10 @@
         """Knows only this host."""
         self._own = own
         self._start = start
-        #: The time after which nothing of an earlier process counts.
+        # The time after which nothing of an earlier process counts.
         self._forget_after = settings.grant_window
+        #: The time in which something of an earlier process counts.
+        self.first_window = FirstWindow(start.started, settings.grant_window)
         #: The time after which no other host holds a part of this one.
         self.settle_time = LAPSE + NEWS_DELAY + settings.grant_window
         self._news: timedelta | None = None
@@ -150,11 +149,33 @@
         since = self._grantor_since.get(self._own.name)
         if since is None or not self._is_current(now):
             return False
-        if now - self._start.started < self._forget_after:
+        if self.first_window.includes(now):
             return False
         is_old = self._is_vouched or now - since >= self.settle_time
         return is_old or (self._is_early(since) and self._is_known())
 
+    def may_grant_at_start(self, now: timedelta) -> bool:
+        """Whether this host may use its start part as a grantor."""
+        if not self.first_window.has_part:
+            return False
+        return self.find_granting_wait(now) is not None
+
+    def find_granting_wait(self, now: timedelta) -> timedelta | None:
+        """Returns the time until the first window of a grantor is over.
+
+        Returns None if it is over, if this host may not grant after it, or
+        if it does not know yet whether it has a start part.
+        """
+        if self.first_window.has_part is None:
+            return None
+        since = self._grantor_since.get(self._own.name)
+        if since is None or not self._is_current(now):
+            return None
+        is_sure = self._is_early(since) and self._is_known()
+        if not is_sure or not self.first_window.includes(now):
+            return None
+        return self.first_window.find_wait(now)
+
     def is_grantor(self, now: timedelta) -> bool:
         """Whether this host grants, or will again soon after a restart."""
         since = self._grantor_since.get(self._own.name)
@@ -168,7 +189,7 @@
         since = self._registered_since
         if since is None or not self._is_current(now):
             return False
-        if now - self._start.started < self._forget_after:
+        if self.first_window.includes(now):
             return False
         if self._start.is_first and self._is_early(since):
             return True
--- a/packages/core/almonddock_core/quotas/_quotas.py
+++ b/packages/core/almonddock_core/quotas/_quotas.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from datetime import timedelta
 
 from almonddock_core.quotas._actions import CreditSource, LetIn, QuotaAction
@@ -131,6 +132,9 @@
     def drop_idle(self, now: timedelta) -> None:
         """Forgets organisations without recent requests."""
         self._credits.drop_idle(now)
+        if self.hosts.first_window.includes(now):
+            # What was used of a start part is not regained.
+            return
         for name in self._grantor.list_held():
             granted = self._divisions.divide(name).granted
             if self._grantor.is_idle(name, granted, now):
@@ -149,8 +153,18 @@
     def _grant(
         self, organisation: str, wanted: int, now: timedelta
     ) -> tuple[int, timedelta]:
-        is_limited = organisation in self._divisions.quotas
-        if not is_limited or not self.hosts.may_grant(now):
+        if organisation not in self._divisions.quotas:
             return 0, NOT_GRANTING_WAIT
-        granted = self._divisions.divide(organisation).granted
-        return self._grantor.grant(organisation, wanted, granted, now)
+        division = self._divisions.divide(organisation)
+        if self.hosts.may_grant(now):
+            return self._grantor.grant(
+                organisation, wanted, division.granted, now
+            )
+        wait = self.hosts.find_granting_wait(now)
+        if wait is None:
+            return 0, NOT_GRANTING_WAIT
+        if not self.hosts.may_grant_at_start(now):
+            division = replace(division, start=0)
+        return self._grantor.grant_at_start(
+            organisation, wanted, division, now, wait
+        )
--- a/packages/core/almonddock_core/tests/quota_fleet.py
+++ b/packages/core/almonddock_core/tests/quota_fleet.py
@@ -50,6 +50,9 @@
     lives: bool = True
     #: Whether it has read the store, before which it serves nobody.
     is_ready: bool = False
+    #: Whether it may use its start part, once its registration tells so;
+    #: None if that has been noted, or no earlier process granted.
+    has_start_part: bool | None = None
     #: Until when nothing happens in it.
     frozen_until: timedelta = field(default=timedelta())
 
@@ -61,6 +64,7 @@
     place: HostPlace
     expires: timedelta
     grants: bool
+    is_starting: bool
 
 
 class Fleet:
@@ -125,6 +129,8 @@
         if found is not None and found.grants:
             quotas.hosts.note_earlier_grants()
         process = Process(place, quotas, next(self._order))
+        if found is not None and found.grants and found.expires > self.now:
+            process.has_start_part = not found.is_starting
         self.processes[name] = process
         self._learn(process)
         first = self.random.uniform(0, 1) * SECOND
@@ -141,6 +147,19 @@
         if name not in self.cut_from_store:
             self.registered.pop(name, None)
 
+    def restart(self, name: str) -> None:
+        """Starts a host again, at once if its process lives."""
+        place = self.processes[name].place
+        self.kill(name)
+        self.start(name, place.data_centre)
+
+    def kill_all(self, pause: timedelta, gap: timedelta = timedelta()) -> None:
+        """Kills all hosts, a gap apart; each starts again after a pause."""
+        for number, name in enumerate(self.processes):
+            when = self.now + number * gap
+            self.at(when, partial(self.kill, name))
+            self.at(when + pause, partial(self.restart, name))
+
     def freeze(self, name: str, span: timedelta) -> None:
         """Holds a process up."""
         self.processes[name].frozen_until = self.now + span
@@ -265,7 +284,12 @@
             process.place,
             self.now + REGISTRATION_TTL,
             found is not None and found.grants,
+            process.quotas.hosts.first_window.is_recent(self.now),
         )
+        if process.has_start_part is not None:
+            is_usable = process.has_start_part
+            process.has_start_part = None
+            process.quotas.hosts.first_window.note_part(is_usable=is_usable)
 
 
 def find_worst_window(times: Collection[timedelta], window: timedelta) -> int:
--- a/packages/core/almonddock_core/tests/test_quotas.py
+++ b/packages/core/almonddock_core/tests/test_quotas.py
@@ -13,6 +13,7 @@
     LAPSE,
     AskGrantor,
     Bucket,
+    CreditQuery,
     CreditReply,
     CreditSource,
     HostPlace,
@@ -44,6 +45,11 @@
 BURST_RATE = 80
 
 FAULTS = ('cut', 'cut_from_store', 'freeze', 'kill', 'stop', 'join', 'limit')
+#: Kills of all hosts at once or in turn, among other faults.
+KILLS = ('kill_all', 'kill_all', 'kill_in_turn', 'kill', 'cut', 'join', 'limit')
+
+#: Quotas of which much, or nothing, comes back within a window.
+QUOTAS = (QUOTA, Quota(0, 60), Quota(8, 8), Quota(0.2, 1))
 
 Fault = tuple[str, int, int, int]
 
@@ -54,11 +60,12 @@
     name = f'host-{number % len(fleet.processes)}'
     begin = START + start * SECOND / 2
     end = begin + length * SECOND / 2
-    place = fleet.processes[name].place
-
-    def restart() -> None:
-        fleet.processes[name].lives = False
-        fleet.start(name, place.data_centre)
+    if kind in {'kill_all', 'kill_in_turn'}:
+        pause = length % 4 * SECOND / 2
+        gap = number * 50 * MS if kind == 'kill_in_turn' else timedelta()
+        fleet.at(begin, lambda: fleet.kill_all(pause, gap))
+        return
+    restart = partial(fleet.restart, name)
 
     match kind:
         case 'cut':
@@ -177,6 +184,7 @@
                 ):
                     seconds = window.total_seconds()
                     total += int(allowance.burst + allowance.rate * seconds)
+                total += part.start
             with self.subTest(quota=quota, hosts=hosts, slack=slack):
                 self.assertLessEqual(total, count_allowed(quota, bounds))
                 self.assertGreater(total, 0.8 * count_allowed(quota, bounds))
@@ -216,6 +224,101 @@
         fleet.run(START + 51 * SECOND)
         self.assertLessEqual(find_excess(fleet), 0)
 
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(
+        st.integers(0, 1000),
+        st.sampled_from((4, 7, 13)),
+        st.sampled_from(QUOTAS),
+        st.lists(
+            st.tuples(
+                st.sampled_from(KILLS),
+                st.integers(0, 12),
+                st.integers(0, 50),
+                st.integers(1, 60),
+            ),
+            min_size=1,
+            max_size=8,
+        ),
+    )
+    def test_no_window_with_kills_exceeds_the_bound(
+        self, seed: int, hosts: int, quota: Quota, faults: Sequence[Fault]
+    ) -> None:
+        """Hosts that are killed, also twice in a window, all or in turn."""
+        fleet = Fleet(hosts, seed, quota)
+        fleet.set_quotas(['o'], quota)
+        for fault in faults:
+            schedule(fleet, fault)
+        send(fleet, 40, 100, seed % 4)
+        fleet.run(START + 41 * SECOND)
+        self.assertLessEqual(find_excess(fleet), 0)
+
+    def test_start_parts_are_used_once_beside_all_others(self) -> None:
+        """Two kills of all hosts within the window of a used-up quota."""
+        for second in (3, 5, 7):
+            for quota in QUOTAS:
+                fleet = Fleet(6, 1, quota)
+                fleet.set_quotas(['o'], quota)
+                fleet.at(START + SECOND, partial(fleet.kill_all, timedelta()))
+                fleet.at(
+                    START + second * SECOND,
+                    partial(fleet.kill_all, timedelta()),
+                )
+                send(fleet, 12, 6, 0)
+                fleet.run(START + 13 * SECOND)
+                with self.subTest(second=second, quota=quota):
+                    self.assertLessEqual(find_excess(fleet), 0)
+
+    def test_a_start_part_is_told_of_until_a_window_after_its_use(self) -> None:
+        """It may be used until the end of the first window."""
+        place = HostPlace('a', 'dc')
+        hosts = Quotas(place, SETTINGS, StartState(START), bool).hosts
+        window = hosts.first_window
+        last_use = START + SETTINGS.grant_window - MS
+        self.assertTrue(window.includes(last_use))
+        self.assertFalse(window.includes(last_use + MS))
+        until = last_use + SETTINGS.grant_window
+        self.assertTrue(window.is_recent(until))
+        self.assertFalse(window.is_recent(until + MS))
+
+    def test_the_usual_rate_is_served_after_a_kill_of_all_hosts(self) -> None:
+        """They don't know what they granted, but little is asked for."""
+        quota = Quota(8, 8)
+        served = []
+        for seed in range(10):
+            fleet = Fleet(31, seed, quota)
+            fleet.set_quotas(['o'], quota)
+            fleet.at(START, partial(fleet.kill_all, SECOND / 2))
+            fleet.run(START + 2 * SECOND)
+            for number in range(6):
+                host = f'host-{fleet.random.randrange(31)}'
+                when = fleet.now + number * SECOND / 2
+                fleet.at(when, partial(fleet.send, host, 'o'))
+            fleet.run(START + 5 * SECOND)
+            served.append(len(fleet.let_in['o']))
+        self.assertGreaterEqual(sum(served), 0.9 * 60)
+
+    def test_what_is_refused_in_a_first_window_may_retry_after_it(self) -> None:
+        """All would return to a grantor that has nothing to grant."""
+        place = HostPlace('a', 'dc')
+        quotas = Quotas(place, SETTINGS, StartState(START), bool)
+        quotas.hosts.note_earlier_grants()
+        quotas.update_quotas([Organisation('o', quota=QUOTA)])
+        now = START + SECOND
+        quotas.update_hosts([place, HostPlace('b', 'dc')], now, now)
+        query = CreditQuery(1, 'o', 9, timedelta())
+        unknown = quotas.receive_query(query, now)
+        self.assertLess(unknown.wait, SECOND)
+        quotas.hosts.first_window.note_part(is_usable=True)
+        replies = [quotas.receive_query(query, now) for _ in range(3)]
+        granted = [reply.granted for reply in replies]
+        division = divide_quota('o', QUOTA, 'a', quotas.hosts.current, SETTINGS)
+        self.assertEqual(granted, [division.start, 0, 0])
+        waits = [reply.wait for reply in replies]
+        end = SETTINGS.grant_window - SECOND
+        self.assertEqual(waits[0], end)
+        self.assertEqual(waits, sorted(set(waits)))
+        self.assertLessEqual(waits[2], end + SECOND)
+
     def test_a_restarted_host_grants_no_second_burst(self) -> None:
         """A process that has just started does not know what it granted."""
         fleet = Fleet(4, 1, QUOTA)
--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -68,8 +68,24 @@
 
     #: Whether it grants.
     is_grantor: Callable[[], bool]
+    #: Whether it may have used its start part within a window.
+    is_starting: Callable[[], bool]
     #: Called once if it granted before its process started.
     note_earlier_grants: Callable[[], None]
+    #: Called once if it granted, with whether it may use its start part.
+    note_start_part: Callable[[bool], None]
+
+
+@dataclass(frozen=True, slots=True)
+class _QuotaHost:
+    """The registration of a host that enforces quotas."""
+
+    place: HostPlace
+    #: Whether it grants.
+    grants: bool
+    #: Whether it may have used its start part within a window; earlier
+    #: releases, which have none, do not tell.
+    is_starting: bool
 
 
 class HostController:
@@ -94,7 +110,8 @@
         #: How this host registers for quotas; None if it enforces none.
         self.grantor: GrantorRegistration | None = None
         self._has_read_own = False
-        self._told_grantor: bool | None = None
+        self._has_start_part = False
+        self._told_grantor: tuple[bool, bool] | None = None
         #: The hosts that enforce quotas, by key.
         self._quota_hosts: dict[str, HostPlace] = {}
         #: The other hosts as of the last read.
@@ -188,7 +205,7 @@
             return
         name = item.key.removeprefix(prefix)
         try:
-            place, _ = _decode_quota_host(name, item.content)
+            quota_host = _decode_quota_host(name, item.content)
         except (ValueError, TypeError) as fault:
             self._telemetry.log_event(
                 'host_unreadable',
@@ -197,37 +214,60 @@
                 reason=str(fault),
             )
             return
-        self._quota_hosts[item.key] = place
+        self._quota_hosts[item.key] = quota_host.place
 
     async def _read_own(self, grantor: GrantorRegistration) -> None:
         """Reads what an earlier process of this host has registered."""
+        item = await self._find_own()
+        self._has_read_own = True
+        if item is None or item.content is None:
+            return
+        try:
+            earlier = _decode_quota_host(item.key, item.content)
+        except (ValueError, TypeError):
+            return
+        if earlier.grants:
+            grantor.note_earlier_grants()
+            self._has_start_part = not earlier.is_starting
+            if earlier.is_starting:
+                grantor.note_start_part(False)
+
+    async def _find_own(self) -> StoreItem | None:
         own = f'{self._settings.keys.grantor_prefix}{self._settings.host}'
         view = await self._store.read_prefix(own)
-        for item in view.items:
-            if item.key == own and item.content is not None:
-                try:
-                    _, grants = _decode_quota_host(own, item.content)
-                except (ValueError, TypeError):
-                    continue
-                if grants:
-                    grantor.note_earlier_grants()
-        self._has_read_own = True
+        return next((item for item in view.items if item.key == own), None)
 
     async def _register_grantor(self, lease: int) -> None:
-        """Tells whether this host grants, if that has changed."""
+        """Tells what this host grants, if that has changed."""
         if self.grantor is None:
             return
         is_grantor = self.grantor.is_grantor()
-        if is_grantor == self._told_grantor:
+        is_starting = self.grantor.is_starting()
+        if (is_grantor, is_starting) == self._told_grantor:
             return
         settings = self._settings
-        content = {'data_centre': settings.data_centre, 'grants': is_grantor}
+        content = {
+            'data_centre': settings.data_centre,
+            'grants': is_grantor,
+            'starting': is_starting,
+        }
+        expected = None
+        if not is_starting:
+            # A write that the store executes late must not replace what a
+            # later process of this host has registered.
+            item = await self._find_own()
+            expected = 0 if item is None else item.revision
         await self._store.put(
             f'{settings.keys.grantor_prefix}{settings.host}',
             orjson.dumps(content),
             lease,
+            expected,
         )
-        self._told_grantor = is_grantor
+        self._told_grantor = (is_grantor, is_starting)
+        if self._has_start_part and is_starting:
+            # Not before the store tells the next process of it.
+            self._has_start_part = False
+            self.grantor.note_start_part(True)
 
     async def _renew(self) -> None:
         prefix = self._settings.keys.host_prefix
@@ -273,8 +313,8 @@
                 )
 
 
-def _decode_quota_host(name: str, content: bytes) -> tuple[HostPlace, bool]:
-    """Returns a host that enforces quotas, and whether it grants.
+def _decode_quota_host(name: str, content: bytes) -> _QuotaHost:
+    """Returns a host that enforces quotas.
 
     Raises:
         ValueError: the registration is not JSON.
@@ -286,7 +326,11 @@
     data_centre = found.get('data_centre')
     if not isinstance(data_centre, str):
         raise TypeError('expected the name of a data centre')
-    return HostPlace(name, data_centre), found.get('grants') is True
+    return _QuotaHost(
+        HostPlace(name, data_centre),
+        grants=found.get('grants') is True,
+        is_starting=found.get('starting') is not False,
+    )
 
 
 def _decode_peer(name: str, content: bytes) -> Peer:
--- a/packages/gateway/almonddock_gateway/controllers/_quotas.py
+++ b/packages/gateway/almonddock_gateway/controllers/_quotas.py
@@ -73,9 +73,12 @@
         self._decisions: dict[int, Decide] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._logged: dict[str, object] = {}
+        hosts = self._quotas.hosts
         deps.hosts.grantor = GrantorRegistration(
-            lambda: self._quotas.hosts.is_grantor(deps.clock.now()),
-            self._quotas.hosts.note_earlier_grants,
+            lambda: hosts.is_grantor(deps.clock.now()),
+            lambda: hosts.first_window.is_recent(deps.clock.now()),
+            hosts.note_earlier_grants,
+            lambda is_usable: hosts.first_window.note_part(is_usable=is_usable),
         )
 
     def count_state(self) -> dict[str, float]:
@@ -224,6 +227,7 @@
             'hosts': len(hosts.current.hosts),
             'grantors': hosts.current.grantors,
             'grants': hosts.may_grant(now),
+            'grants_at_start': hosts.may_grant_at_start(now),
             'spends': hosts.may_spend(now),
         }
         if self._quotas.has_limits and known != self._logged:
--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -137,9 +137,15 @@
         """Ends a lease and removes its keys."""
         await self._store.end_lease(lease)
 
-    async def put(self, key: str, content: bytes, lease: int) -> None:
+    async def put(
+        self,
+        key: str,
+        content: bytes,
+        lease: int,
+        expected: int | None = None,
+    ) -> None:
         """Writes a key that is removed when the lease ends."""
-        await self._store.put(key, content, lease)
+        await self._store.put(key, content, lease, expected)
 
     async def _read(
         self,
--- a/packages/gateway/almonddock_gateway/store.py
+++ b/packages/gateway/almonddock_gateway/store.py
@@ -92,8 +92,18 @@
         """Ends a lease and removes its keys."""
         ...
 
-    async def put(self, key: str, content: bytes, lease: int) -> None:
-        """Writes a key that is removed when the lease ends."""
+    async def put(
+        self,
+        key: str,
+        content: bytes,
+        lease: int,
+        expected: int | None = None,
+    ) -> None:
+        """Writes a key that is removed when the lease ends.
+
+        If a revision is ``expected``, only over that one; 0 means that the
+        key does not exist.
+        """
         ...
 
 
--- a/packages/gateway/almonddock_gateway/tests/store_cases.py
+++ b/packages/gateway/almonddock_gateway/tests/store_cases.py
@@ -66,7 +66,13 @@
         """Not called in these tests."""
         raise NotImplementedError
 
-    async def put(self, key: str, content: bytes, lease: int) -> None:
+    async def put(
+        self,
+        key: str,
+        content: bytes,
+        lease: int,
+        expected: int | None = None,
+    ) -> None:
         """Not called in these tests."""
         raise NotImplementedError
 
--- a/packages/gateway/almonddock_gateway/tests/test_quota_gate.py
+++ b/packages/gateway/almonddock_gateway/tests/test_quota_gate.py
@@ -28,12 +28,20 @@
 GRANTING = orjson.dumps({'data_centre': 'a', 'grants': True, 'later': 1})
 
 
+def encode_grantor(*, is_starting: bool) -> bytes:
+    return orjson.dumps(
+        {'data_centre': 'a', 'grants': True, 'starting': is_starting}
+    )
+
+
 class RegisteringStore(ScriptedStore):
     """Records what is registered."""
 
     def __init__(self, *steps: StoreView) -> None:
         super().__init__(*steps)
         self.content: dict[str, bytes] = {}
+        #: The revisions that were expected where quotas are registered.
+        self.expected: list[int | None] = []
 
     async def grant_lease(self, time_to_live: timedelta) -> int:
         """Returns a lease."""
@@ -42,9 +50,26 @@
     async def renew_lease(self, lease: int) -> None:
         """Renews it."""
 
-    async def put(self, key: str, content: bytes, lease: int) -> None:
+    async def put(
+        self,
+        key: str,
+        content: bytes,
+        lease: int,
+        expected: int | None = None,
+    ) -> None:
         """Records a key."""
         self.content[key] = content
+        if key.startswith('grantors/'):
+            self.expected.append(expected)
+
+
+def note_start(
+    store: RegisteringStore,
+    noted: list[tuple[bool, bool]],
+    is_usable: bool,
+) -> None:
+    """Records a call, and whether the next process would know of it."""
+    noted.append((is_usable, 'grantors/here' in store.content))
 
 
 class RegistrationTest(StoreCase):
@@ -60,15 +85,64 @@
             hosts = self.make_hosts(store)
             noted: list[bool] = []
             hosts.grantor = GrantorRegistration(
-                lambda: True, partial(noted.append, True)
+                is_grantor=lambda: True,
+                is_starting=lambda: True,
+                note_earlier_grants=partial(noted.append, True),
+                note_start_part=lambda is_usable: None,
             )
             await hosts._renew()
             self.assertEqual(len(noted), expected)
             found = orjson.loads(store.content['grantors/here'])
-            self.assertEqual(found, {'data_centre': 'a', 'grants': True})
+            expected_content = {
+                'data_centre': 'a',
+                'grants': True,
+                'starting': True,
+            }
+            self.assertEqual(found, expected_content)
             await hosts._renew()
             self.assertEqual(store.calls, ['read'])
 
+    async def test_a_start_part_is_used_by_one_process_in_a_window(
+        self,
+    ) -> None:
+        """An earlier release does not tell, so it may have granted more."""
+        cases = (
+            (encode_grantor(is_starting=False), [(True, True)]),
+            (encode_grantor(is_starting=True), [(False, False)]),
+            (GRANTING, [(False, False)]),
+        )
+        for content, expected in cases:
+            own = StoreItem('grantors/here', content, 3)
+            store = RegisteringStore(StoreView((own,), 5))
+            hosts = self.make_hosts(store)
+            noted: list[tuple[bool, bool]] = []
+            hosts.grantor = GrantorRegistration(
+                is_grantor=lambda: True,
+                is_starting=lambda: True,
+                note_earlier_grants=lambda: None,
+                note_start_part=partial(note_start, store, noted),
+            )
+            await hosts._renew()
+            await hosts._renew()
+            self.assertEqual(noted, expected)
+
+    async def test_a_late_write_replaces_no_later_registration(self) -> None:
+        """It would tell the next process that this one has not started."""
+        own = StoreItem('grantors/here', encode_grantor(is_starting=True), 7)
+        store = RegisteringStore(StoreView((), 5), StoreView((own,), 8))
+        hosts = self.make_hosts(store)
+        starting = [True]
+        hosts.grantor = GrantorRegistration(
+            is_grantor=lambda: True,
+            is_starting=lambda: starting[0],
+            note_earlier_grants=self.fail,
+            note_start_part=lambda is_usable: None,
+        )
+        await hosts._renew()
+        starting[0] = False
+        await hosts._renew()
+        self.assertEqual(store.expected, [None, 7])
+
     async def test_without_quotas_nothing_more_is_registered(self) -> None:
         store = RegisteringStore()
         await self.make_hosts(store)._renew()
