links: open them at once after a restart where credits are needed

Cause: a host opened its links 2 s after it had begun to serve callers.

Change: a host that was restarted opens its links as soon as it knows the grantors. At a first start, when nobody grants for a window, and where no organisation has a quota, links are opened as before.

--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -65,6 +65,11 @@
 #: for them blocks the event loop for about a tenth of a second.
 LINK_DELAY = timedelta(seconds=2)
 
+#: The pause between two checks whether links are needed sooner: a request whose
+#: organisation has a quota is refused if no host can be asked for credits.
+LINK_CHECK_MS = 50
+LINK_CHECK = timedelta(milliseconds=LINK_CHECK_MS)
+
 #: The pause between sweeps of idle connections and expired entries.
 SWEEP_MS = 500
 SWEEP = timedelta(milliseconds=SWEEP_MS)
@@ -397,9 +402,12 @@
 
     async def _run_links(self) -> None:
         """Opens links to other hosts once this host serves callers."""
+        pause = SWEEP if self._quotas is None else LINK_CHECK
         while not self.is_ready:
-            await asyncio.sleep(SWEEP.total_seconds())
-        await asyncio.sleep(LINK_DELAY.total_seconds())
+            await asyncio.sleep(pause.total_seconds())
+        due = self._clock.now() + LINK_DELAY
+        while self._clock.now() < due and not self._links.are_urgent:
+            await asyncio.sleep(LINK_CHECK.total_seconds())
         self._relays.links = await self._links.open()
         await self._links.run()
 
--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -81,6 +81,16 @@
         """Whether a query of another host is in progress."""
         return self._relay_server.busy
 
+    @property
+    def are_urgent(self) -> bool:
+        """Whether requests may need credits that other hosts grant by now.
+
+        None grants in the first window after a first start.
+        """
+        if self._quotas is None or self._settings.is_first_start:
+            return False
+        return bool(self._quotas.list_grantors())
+
     async def open(self) -> 'PeerLinks':
         """Listens for links; returns this host's own, which :meth:`run` keeps.
 
