Keep what a host granted over an orderly stop, for its next start

Cause: a host may use its part of a quota after a start only if another host vouches for it or its own registration says that an earlier process granted. After stops in turn and a loss nobody can vouch, and the registration was lost in three ways: the stop ended its lease; the next process overwrote it before it knew the hosts; and a change of it waited for the next renewal, up to 5 s.

Change: a stop removes the address only, over the revision that this process has written, and lets the rest run out as after a kill. A process leaves an earlier registration as it is until it has read the hosts. What is registered is compared each second. New log lines: quota_registration_found, quota_registration_missing, quota_registered.

Why it works: what a start needs is now in the store after each order of stops and losses; others keep a host's part for 25 s after that key is gone, as before.

The simulated fleet kept its registration over a stop or a start in a way that the product did not; it now follows the product, and stops are among the faults of test_no_window_with_kills_exceeds_the_bound.

--- a/packages/core/almonddock_core/tests/quota_fleet.py
+++ b/packages/core/almonddock_core/tests/quota_fleet.py
@@ -142,10 +142,8 @@
         self.processes[name].lives = False
 
     def stop(self, name: str) -> None:
-        """Ends a process that deregisters."""
+        """Ends a process; what it told of quotas expires as after a kill."""
         self.kill(name)
-        if name not in self.cut_from_store:
-            self.registered.pop(name, None)
 
     def restart(self, name: str) -> None:
         """Starts a host again, at once if its process lives."""
--- a/packages/core/almonddock_core/tests/test_quotas.py
+++ b/packages/core/almonddock_core/tests/test_quotas.py
@@ -46,7 +46,16 @@
 
 FAULTS = ('cut', 'cut_from_store', 'freeze', 'kill', 'stop', 'join', 'limit')
 #: Kills of all hosts at once or in turn, among other faults.
-KILLS = ('kill_all', 'kill_all', 'kill_in_turn', 'kill', 'cut', 'join', 'limit')
+KILLS = (
+    'kill_all',
+    'kill_all',
+    'kill_in_turn',
+    'kill',
+    'stop',
+    'cut',
+    'join',
+    'limit',
+)
 
 #: Quotas of which much, or nothing, comes back within a window.
 QUOTAS = (QUOTA, Quota(0, 60), Quota(8, 8), Quota(0.2, 1))
@@ -379,6 +388,21 @@
         fleet.run(START + 11 * SECOND)
         self.assertTrue(fleet.answers[request])
 
+    def test_a_loss_of_all_hosts_after_stops_in_turn_recovers(self) -> None:
+        """Nobody was left who knew that they had granted."""
+        for gap in (0, 1, 2):
+            fleet = Fleet(7, 1, QUOTA)
+            fleet.set_quotas(['o'], QUOTA)
+            for number in range(7):
+                schedule(fleet, ('stop', number, gap * number, 2))
+            lost = START + 8 * SECOND
+            fleet.at(lost, partial(fleet.kill_all, SECOND / 2))
+            fleet.run(lost + 10 * SECOND)
+            request = fleet.request('host-1', 'o') or (0, 0)
+            fleet.run(lost + 11 * SECOND)
+            with self.subTest(gap=gap):
+                self.assertTrue(fleet.answers[request])
+
     def test_hosts_that_restart_in_turn_keep_granting(self) -> None:
         """They deregister; the others know how long they have granted."""
         fleet = Fleet(7, 1, QUOTA)
--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -39,6 +39,10 @@
 #: The pause between two renewals.
 RENEWAL_INTERVAL = timedelta(seconds=5)
 
+#: The pause between two checks whether what is registered has changed.
+CHECK_INTERVAL_S = 1
+CHECK_INTERVAL = timedelta(seconds=CHECK_INTERVAL_S)
+
 #: The number of hosts is the largest one read within this time: registrations
 #: expire in an outage of the store, and a host that underestimates the number
 #: sends more than its share.
@@ -66,6 +70,8 @@
 class GrantorRegistration:
     """How a host that enforces quotas registers beside its address."""
 
+    #: Whether it has read which hosts there are, and so whether it grants.
+    knows_hosts: Callable[[], bool]
     #: Whether it grants.
     is_grantor: Callable[[], bool]
     #: Whether it may have used its start part within a window.
@@ -103,6 +109,10 @@
         self._clock = clock
         self._telemetry = telemetry
         self._lease: int | None = None
+        # When the lease is to be renewed.
+        self._renewal_due = timedelta()
+        # The revision at which this process has registered its address.
+        self._registered_at: int | None = None
         #: The number of hosts including this one.
         self.count = 1
         self._counts: deque[tuple[timedelta, int]] = deque()
@@ -110,6 +120,8 @@
         #: How this host registers for quotas; None if it enforces none.
         self.grantor: GrantorRegistration | None = None
         self._has_read_own = False
+        # Whether an earlier process of this host granted.
+        self._has_granted_before = False
         self._has_start_part = False
         self._told_grantor: tuple[bool, bool] | None = None
         #: The hosts that enforce quotas, by key.
@@ -132,9 +144,9 @@
     async def run(self) -> None:
         """Keeps this host registered until cancelled."""
         while True:
-            pause = RENEWAL_INTERVAL
+            pause = CHECK_INTERVAL
             try:
-                await self._renew()
+                await self.register()
             except StoreLostError as lost:
                 self._telemetry.log_event(
                     'registration_failed', reason=lost.message
@@ -148,6 +160,23 @@
                 pause = RETRY_PAUSE
             await asyncio.sleep(pause.total_seconds())
 
+    async def register(self) -> None:
+        """Renews the registration if that is due, and tells what has changed.
+
+        Raises:
+            StoreLostError: the store did not answer, or refused a call.
+            LeaseEndedError: the registration has expired.
+        """
+        if self.grantor is not None and not self._has_read_own:
+            await self._read_own(self.grantor)
+        if self._lease is None:
+            self._lease = await self._register_address()
+            self._told_grantor = None
+        elif self._clock.now() >= self._renewal_due:
+            await self._store.renew_lease(self._lease)
+            self._schedule_renewal()
+        await self._register_grantor(self._lease)
+
     def apply_snapshot(self, view: StoreView) -> None:
         """Replaces the known hosts with those in the store."""
         self._registrations = {}
@@ -169,13 +198,17 @@
         self._update_count(view.revision)
 
     async def deregister(self) -> None:
-        """Ends the registration, so that others stop counting this host."""
-        if self._lease is None:
+        """Removes this host's address, so that others stop counting it.
+
+        What it told of quotas is left to expire, as after a kill: the next
+        process of this host may grant only if it finds that this one did.
+        """
+        if self._registered_at is None:
             return
         try:
             async with asyncio.timeout(DEREGISTRATION_TIMEOUT.total_seconds()):
-                await self._store.end_lease(self._lease)
-        except (StoreLostError, LeaseEndedError, TimeoutError) as lost:
+                await self._store.remove(self._address_key, self._registered_at)
+        except (StoreLostError, TimeoutError) as lost:
             self._telemetry.log_event(
                 'deregistration_failed', reason=repr(lost)
             )
@@ -221,11 +254,19 @@
         item = await self._find_own()
         self._has_read_own = True
         if item is None or item.content is None:
+            self._telemetry.log_event('quota_registration_missing')
             return
         try:
             earlier = _decode_quota_host(item.key, item.content)
         except (ValueError, TypeError):
             return
+        self._telemetry.log_event(
+            'quota_registration_found',
+            store_revision=item.revision,
+            grants=earlier.grants,
+            starting=earlier.is_starting,
+        )
+        self._has_granted_before = earlier.grants
         if earlier.grants:
             grantor.note_earlier_grants()
             self._has_start_part = not earlier.is_starting
@@ -241,6 +282,9 @@
         """Tells what this host grants, if that has changed."""
         if self.grantor is None:
             return
+        if self._has_granted_before and not self.grantor.knows_hosts():
+            # What an earlier process has told may still hold.
+            return
         is_grantor = self.grantor.is_grantor()
         is_starting = self.grantor.is_starting()
         if (is_grantor, is_starting) == self._told_grantor:
@@ -264,27 +308,31 @@
             expected,
         )
         self._told_grantor = (is_grantor, is_starting)
+        self._telemetry.log_event(
+            'quota_registered', grants=is_grantor, starting=is_starting
+        )
         if self._has_start_part and is_starting:
             # Not before the store tells the next process of it.
             self._has_start_part = False
             self.grantor.note_start_part(True)
 
-    async def _renew(self) -> None:
-        prefix = self._settings.keys.host_prefix
-        if self.grantor is not None and not self._has_read_own:
-            await self._read_own(self.grantor)
-        if self._lease is None:
-            lease = await self._store.grant_lease(REGISTRATION_TTL)
-            await self._store.put(
-                f'{prefix}{self._settings.host}',
-                self._encode_registration(),
-                lease,
-            )
-            self._lease = lease
-            self._told_grantor = None
-        else:
-            await self._store.renew_lease(self._lease)
-        await self._register_grantor(self._lease)
+    @property
+    def _address_key(self) -> str:
+        return f'{self._settings.keys.host_prefix}{self._settings.host}'
+
+    async def _register_address(self) -> int:
+        """Registers under a new lease, which is returned."""
+        lease = await self._store.grant_lease(REGISTRATION_TTL)
+        self._schedule_renewal()
+        self._registered_at = await self._store.put(
+            self._address_key,
+            self._encode_registration(),
+            lease,
+        )
+        return lease
+
+    def _schedule_renewal(self) -> None:
+        self._renewal_due = self._clock.now() + RENEWAL_INTERVAL
 
     def _encode_registration(self) -> bytes:
         settings = self._settings
--- a/packages/gateway/almonddock_gateway/controllers/_quotas.py
+++ b/packages/gateway/almonddock_gateway/controllers/_quotas.py
@@ -68,6 +68,8 @@
             StartState(deps.clock.now(), is_first=settings.is_first_start),
             lambda name: self._find_link(name) is not None,
         )
+        # Whether the registered hosts have been read since the start.
+        self._knows_hosts = False
         self._table: RoutingTable | None = None
         self._named: frozenset[str] = frozenset()
         self._decisions: dict[int, Decide] = {}
@@ -75,10 +77,13 @@
         self._logged: dict[str, object] = {}
         hosts = self._quotas.hosts
         deps.hosts.grantor = GrantorRegistration(
-            lambda: hosts.is_grantor(deps.clock.now()),
-            lambda: hosts.first_window.is_recent(deps.clock.now()),
-            hosts.note_earlier_grants,
-            lambda is_usable: hosts.first_window.note_part(is_usable=is_usable),
+            knows_hosts=lambda: self._knows_hosts,
+            is_grantor=lambda: hosts.is_grantor(deps.clock.now()),
+            is_starting=lambda: hosts.first_window.is_recent(deps.clock.now()),
+            note_earlier_grants=hosts.note_earlier_grants,
+            note_start_part=lambda is_usable: hosts.first_window.note_part(
+                is_usable=is_usable
+            ),
         )
 
     def count_state(self) -> dict[str, float]:
@@ -142,6 +147,7 @@
         self._apply_table()
         news = deps.get_news()
         if news is not None:
+            self._knows_hosts = True
             self._run(
                 self._quotas.update_hosts(deps.hosts.quota_hosts, news, now)
             )
--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -136,19 +136,19 @@
         """Renews a lease."""
         await self._store.renew_lease(lease)
 
-    async def end_lease(self, lease: int) -> None:
-        """Ends a lease and removes its keys."""
-        await self._store.end_lease(lease)
-
     async def put(
         self,
         key: str,
         content: bytes,
         lease: int,
         expected: int | None = None,
-    ) -> None:
+    ) -> int:
         """Writes a key that is removed when the lease ends."""
-        await self._store.put(key, content, lease, expected)
+        return await self._store.put(key, content, lease, expected)
+
+    async def remove(self, key: str, expected: int) -> None:
+        """Removes a key if it has the expected revision."""
+        await self._store.remove(key, expected)
 
     async def put_if(
         self, expected: Mapping[str, int], contents: Mapping[str, bytes]
--- a/packages/gateway/almonddock_gateway/store.py
+++ b/packages/gateway/almonddock_gateway/store.py
@@ -88,24 +88,24 @@
         """Renews a lease; raises :class:`LeaseEndedError` if it is gone."""
         ...
 
-    async def end_lease(self, lease: int) -> None:
-        """Ends a lease and removes its keys."""
-        ...
-
     async def put(
         self,
         key: str,
         content: bytes,
         lease: int,
         expected: int | None = None,
-    ) -> None:
+    ) -> int:
         """Writes a key that is removed when the lease ends.
 
         If a revision is ``expected``, only over that one; 0 means that the
-        key does not exist.
+        key does not exist. Returns the revision of the write.
         """
         ...
 
+    async def remove(self, key: str, expected: int) -> None:
+        """Removes a key if it has the expected revision."""
+        ...
+
     async def put_if(
         self, expected: Mapping[str, int], contents: Mapping[str, bytes]
     ) -> int | None:
--- a/packages/gateway/almonddock_gateway/tests/store_cases.py
+++ b/packages/gateway/almonddock_gateway/tests/store_cases.py
@@ -62,17 +62,17 @@
         """Not called in these tests."""
         raise NotImplementedError
 
-    async def end_lease(self, lease: int) -> None:
-        """Not called in these tests."""
-        raise NotImplementedError
-
     async def put(
         self,
         key: str,
         content: bytes,
         lease: int,
         expected: int | None = None,
-    ) -> None:
+    ) -> int:
+        """Not called in these tests."""
+        raise NotImplementedError
+
+    async def remove(self, key: str, expected: int) -> None:
         """Not called in these tests."""
         raise NotImplementedError
 
--- a/packages/gateway/almonddock_gateway/tests/test_quota_gate.py
+++ b/packages/gateway/almonddock_gateway/tests/test_quota_gate.py
@@ -56,11 +56,12 @@
         content: bytes,
         lease: int,
         expected: int | None = None,
-    ) -> None:
+    ) -> int:
         """Records a key."""
         self.content[key] = content
         if key.startswith('grantors/'):
             self.expected.append(expected)
+        return len(self.content)
 
 
 def note_start(
@@ -85,12 +86,13 @@
             hosts = self.make_hosts(store)
             noted: list[bool] = []
             hosts.grantor = GrantorRegistration(
+                knows_hosts=lambda: True,
                 is_grantor=lambda: True,
                 is_starting=lambda: True,
                 note_earlier_grants=partial(noted.append, True),
                 note_start_part=lambda is_usable: None,
             )
-            await hosts._renew()
+            await hosts.register()
             self.assertEqual(len(noted), expected)
             found = orjson.loads(store.content['grantors/here'])
             expected_content = {
@@ -99,7 +101,7 @@
                 'starting': True,
             }
             self.assertEqual(found, expected_content)
-            await hosts._renew()
+            await hosts.register()
             self.assertEqual(store.calls, ['read'])
 
     async def test_a_start_part_is_used_by_one_process_in_a_window(
@@ -117,13 +119,14 @@
             hosts = self.make_hosts(store)
             noted: list[tuple[bool, bool]] = []
             hosts.grantor = GrantorRegistration(
+                knows_hosts=lambda: True,
                 is_grantor=lambda: True,
                 is_starting=lambda: True,
                 note_earlier_grants=lambda: None,
                 note_start_part=partial(note_start, store, noted),
             )
-            await hosts._renew()
-            await hosts._renew()
+            await hosts.register()
+            await hosts.register()
             self.assertEqual(noted, expected)
 
     async def test_a_late_write_replaces_no_later_registration(self) -> None:
@@ -133,19 +136,20 @@
         hosts = self.make_hosts(store)
         starting = [True]
         hosts.grantor = GrantorRegistration(
+            knows_hosts=lambda: True,
             is_grantor=lambda: True,
             is_starting=lambda: starting[0],
             note_earlier_grants=self.fail,
             note_start_part=lambda is_usable: None,
         )
-        await hosts._renew()
+        await hosts.register()
         starting[0] = False
-        await hosts._renew()
+        await hosts.register()
         self.assertEqual(store.expected, [None, 7])
 
     async def test_without_quotas_nothing_more_is_registered(self) -> None:
         store = RegisteringStore()
-        await self.make_hosts(store)._renew()
+        await self.make_hosts(store).register()
         self.assertEqual(set(store.content), {'hosts/here'})
         self.assertEqual(store.calls, [])
 
