Estimate how long answers take to send before any was sent

Cause: an answer with shards missing is due when the caller's way and the time to send still fit into the goal.

Change: the delay is learned for all routes of a host together and begins at the resolution of timers; the time on the link comes from the size of the route's last answer, at first from the number of shards, and the rate of the link.

Why it works: what is known beforehand needs no learning. The tests test_first_answers_of_a_host and test_size_of_answers fail with the estimate taken out.

--- a/packages/core/almonddock_core/dispatch/__init__.py
+++ b/packages/core/almonddock_core/dispatch/__init__.py
@@ -59,7 +59,7 @@
     ReplyKind,
     TargetReply,
 )
-from almonddock_core.dispatch._sending_delay import SendingDelay
+from almonddock_core.dispatch._sending import AnswerSending, SendingDelay
 from almonddock_core.dispatch._timing import (
     HEDGE_SHARE,
     PARTIAL_SHARE,
@@ -73,6 +73,7 @@
     'RECORD_BYTES',
     'Action',
     'Answer',
+    'AnswerSending',
     'AttemptOutcome',
     'AttemptReason',
     'AttemptRecord',
--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -6,7 +6,7 @@
 
 from almonddock_core.dispatch._budget import RetryBudget
 from almonddock_core.dispatch._hedging import HedgeHistory
-from almonddock_core.dispatch._sending_delay import SendingDelay
+from almonddock_core.dispatch._sending import AnswerSending
 from almonddock_core.fairness import FairShares, Turn
 from almonddock_core.placement import (
     ColdStartLimiter,
@@ -42,8 +42,9 @@
     #: The configuration in force, for the routes that lead to a service and
     #: the limits of cold targets; None before the first one.
     table: RoutingTable | None = None
+    #: How long answers that are due take to be sent.
+    sending: AnswerSending = field(default_factory=AnswerSending)
     _latencies: dict[str, TypicalLatency] = field(default_factory=dict)
-    _sending_delays: dict[str, SendingDelay] = field(default_factory=dict)
     #: Chooses the targets of all shards of a query.
     placement: QueryPlacement = field(init=False)
 
@@ -87,30 +88,22 @@
         self.hedges.drop_idle(now)
         self.shares.drop_idle(now)
 
-    def get_sending_delay(self, route: Route) -> SendingDelay:
-        """Returns how long the answers of a route take to be sent."""
-        return self._sending_delays.setdefault(route.name, SendingDelay())
-
     def apply_configuration(self, table: RoutingTable) -> None:
         """Applies a configuration; drops latencies of routes that it lacks."""
         self.table = table
         if table.organisations is not None:
             self.shares.apply_organisations(table.organisations)
-        names = {
+        names = frozenset(
             route.name
             for by_prefix in table.routes.values()
             for route in by_prefix.values()
-        }
+        )
         self._latencies = {
             name: latency
             for name, latency in self._latencies.items()
             if name in names
         }
-        self._sending_delays = {
-            name: delay
-            for name, delay in self._sending_delays.items()
-            if name in names
-        }
+        self.sending.keep(names)
 
     def list_routes_to(self, service: str) -> tuple[str, ...]:
         """Returns the names of the routes that lead to a service."""
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection, Iterable
 from datetime import timedelta
+from functools import partial
 
 from almonddock_core.dispatch._actions import (
     Action,
@@ -46,7 +47,6 @@
         context: DispatchContext,
     ) -> None:
         self.request = request
-        self.sending_delay = context.get_sending_delay(request.route)
         #: The answer, once the dispatch has finished.
         self.answer: Answer | None = None
         #: Attempts beyond one for each service.
@@ -56,7 +56,7 @@
         self.latency = context.get_latency(request.route)
         self.timing = plan_timing(
             request,
-            self.sending_delay.expected,
+            context.sending.estimate(request.route),
             self.latency.measured,
         )
         self._branches = [Branch(service) for service in request.services]
@@ -69,6 +69,8 @@
         self.list_replies = self._attempts.list_replies
         #: Services whose hedge was refused, until a watcher was asked for it.
         self.unfunded: list[str] = []
+        #: Records how late an answer that was due was sent, and its bytes.
+        self.observe_sending = partial(context.sending.observe, request.route)
         self._now = request.arrived
 
     @property
--- a/packages/core/almonddock_core/tests/test_answer_due.py
+++ b/packages/core/almonddock_core/tests/test_answer_due.py
@@ -59,15 +59,39 @@
     def test_delay_of_host(self) -> None:
         """A host that was slow to send before answers earlier."""
         case = DispatchCase(make_route(4, latency_goal=GOAL))
+        case.context.sending.byte_time = MS / 10
         for _ in range(20):
-            delay = case.context.get_sending_delay(case.route)
-            delay.observe(11 * MS, 7 * MS)
+            case.context.sending.observe(case.route, 11 * MS, 70)
         case.start()
         for attempt in range(3):
             case.reply(attempt)
         case.advance(84 * MS)
         self.assertEqual(1, case.count_answers())
 
+    def test_first_answers_of_a_host(self) -> None:
+        """Hosts of a large deployment sent their few answers 2 ms too late."""
+        route = make_route(90, latency_goal=GOAL)
+        case = DispatchCase(route)
+        case.context.sending.byte_time = timedelta(seconds=8 / 12_500_000)
+        transfer = 90 * 28 * case.context.sending.byte_time
+        self.assertGreater(case.context.sending.estimate(route), MS + transfer)
+        observed = make_route(90, name='observed', latency_goal=GOAL)
+        for _ in range(3):
+            case.context.sending.observe(observed, 9 * MS, 90 * 28)
+        expected = 7 * MS + transfer
+        self.assertGreater(case.context.sending.estimate(route), expected)
+
+    def test_size_of_answers(self) -> None:
+        """The last answer of a route tells how long the next one takes."""
+        case = DispatchCase(make_route(4, latency_goal=GOAL))
+        sending = case.context.sending
+        sending.byte_time = MS / 10
+        for _ in range(20):
+            sending.observe(case.route, timedelta(), 100)
+        self.assertAlmostEqual(10, sending.estimate(case.route) / MS, delta=0.5)
+        sending.keep(frozenset())
+        self.assertGreater(sending.estimate(case.route), 12 * MS)
+
 
 class TestHedgeDue(unittest.TestCase):
     """Attempts are hedged once they are late and while it can still help."""
@@ -106,15 +130,15 @@
         """A steady delay is expected without a margin after a while."""
         delay = SendingDelay()
         for _ in range(50):
-            delay.observe(3 * MS, MS)
+            delay.observe(4 * MS)
         self.assertAlmostEqual(4, delay.expected / MS, places=1)
 
     def test_pause(self) -> None:
         """One pause of the process does not move answers for long."""
         delay = SendingDelay()
-        delay.observe(5 * SECOND, timedelta())
+        delay.observe(5 * SECOND)
         for _ in range(20):
-            delay.observe(timedelta(), timedelta())
+            delay.observe(timedelta())
         self.assertLess(delay.expected, 3 * MS)
 
 
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -60,8 +60,6 @@
     ask_for_grants: Callable[[Sequence[str], ReceiveGrants], None] = (
         lambda services, receive: None
     )
-    #: The time that a byte takes on this host's link; zero if unknown.
-    link_time: timedelta = timedelta()
 
 
 @dataclass(frozen=True, slots=True)
@@ -292,8 +290,7 @@
 
     def _observe_sending(self, due: timedelta) -> None:
         delay = self._settings.clock.now() - due
-        transfer = self.answer_bytes * self._settings.link_time
-        self.dispatch.sending_delay.observe(delay, transfer)
+        self.dispatch.observe_sending(delay, self.answer_bytes)
 
 
 def _find_threshold(dispatch: Dispatch) -> bytes:
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -6,7 +6,12 @@
 from collections.abc import Callable
 from datetime import timedelta
 
-from almonddock_core.dispatch import DispatchContext, Lending, RetryBudget
+from almonddock_core.dispatch import (
+    AnswerSending,
+    DispatchContext,
+    Lending,
+    RetryBudget,
+)
 from almonddock_core.memory import ProcessSize
 from almonddock_core.model import AlmonddockError
 from almonddock_core.placement import ColdStartLimiter
@@ -129,6 +134,7 @@
             self._budget,
             self._cold_limiter,
             rollouts=create_rollout_table(settings),
+            sending=AnswerSending(_compute_link_time(settings)),
         )
         self._pools = TargetPools(
             self._get_connection_limit,
@@ -174,7 +180,6 @@
                 Borrower(
                     self._lending, lambda: self._relays.links, self._clock
                 ).ask,
-                _compute_link_time(settings),
             ),
             Admission(
                 self._access,
