Take a status that HTTP does not define for no reply

Cause: the parser takes any three digits, and the connection to a target told final statuses from interim ones at 200 alone. All paths read replies with it.

Change: a head with a status outside 100 to 599 ends the connection. The attempt is lost: an idempotent request goes to another target, any other gets 502 at once, which promises nothing.

--- a/packages/gateway/almonddock_gateway/http/_client_connection.py
+++ b/packages/gateway/almonddock_gateway/http/_client_connection.py
@@ -18,7 +18,10 @@
 #: connection, in milliseconds; ends connections to unreachable peers.
 USER_TIMEOUT_MS = 2000
 
+#: The statuses that HTTP defines (RFC 9110, 15); those from 200 on are final.
+FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 NO_BODY_STATUSES = frozenset((204, 304))
 
 
@@ -190,6 +193,9 @@
     def on_headers_complete(self) -> None:
         """Handles the end of the headers; called by the parser."""
         status = self._parser.get_status_code()
+        if not FIRST_STATUS <= status <= LAST_STATUS:
+            self.abort()
+            return
         if status < FIRST_FINAL_STATUS:
             return
         self._reply.is_head_complete = True
--- a/packages/gateway/almonddock_gateway/tests/test_client_connection.py
+++ b/packages/gateway/almonddock_gateway/tests/test_client_connection.py
@@ -134,6 +134,24 @@
         self.end(clean=False)
         self.assertEqual(self.list_bodies(), [None])
 
+    def test_status_that_http_does_not_define_is_no_reply(self) -> None:
+        """Callers got a status of 600 and more, or waited after 000."""
+        for status in (b'000', b'001', b'099', b'600', b'999'):
+            with self.subTest(status=status):
+                self.setUp()
+                self.request(WHOLE.replace(b'200', status))
+                self.assertTrue(self.transport.closed)
+                self.end(clean=False)
+                self.assertEqual(self.list_bodies(), [None])
+
+    def test_statuses_at_the_bounds_are_replies(self) -> None:
+        for status in (200, 299, 418, 599):
+            with self.subTest(status=status):
+                self.setUp()
+                self.request(WHOLE.replace(b'200', b'%d' % status))
+                self.assertEqual(self.list_bodies(), [b'body'])
+                self.assertEqual(self.released, 1)
+
     def test_bytes_after_a_reply_end_the_connection(self) -> None:
         for extra in (FOREIGN, WHOLE, b'more'):
             with self.subTest(extra=extra):
