Ask the targets of a query through homes where hosts are many

Change: where a shard's targets have fewer connections than there are hosts, the shards are divided into groups of nine. Each group has a home in each data centre, chosen by rendezvous; the host that got the request sends it one relayed query in place of nine requests, as it does to other data centres. It still chooses the targets, hedges and answers. A second home takes over while the first can't be asked; without one targets are asked directly. Elsewhere nothing changes: the same code finds no groups. New log line: homes_changed.

Why it works: sending and reading 90 requests is divided among eleven hosts, and the homes keep connections to their targets open and warm.

--- a/packages/core/almonddock_core/placement/__init__.py
+++ b/packages/core/almonddock_core/placement/__init__.py
@@ -11,11 +11,18 @@
 from almonddock_core.placement._choice import Candidate, choose_target
 from almonddock_core.placement._cold import ColdStartLimiter
 from almonddock_core.placement._health import TargetHealth, UnrepeatableRequest
+from almonddock_core.placement._homes import (
+    HOMES_PER_GROUP,
+    assign_groups,
+    choose_homes,
+    count_groups,
+)
 from almonddock_core.placement._isolation import Reachability, is_isolated
 from almonddock_core.placement._latency import TypicalLatency
 from almonddock_core.placement._query import QueryPlacement
 
 __all__ = [
+    'HOMES_PER_GROUP',
     'Candidate',
     'ColdStartLimiter',
     'QueryPlacement',
@@ -23,6 +30,9 @@
     'TargetHealth',
     'TypicalLatency',
     'UnrepeatableRequest',
+    'assign_groups',
+    'choose_homes',
     'choose_target',
+    'count_groups',
     'is_isolated',
 ]
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -139,7 +139,7 @@
         actions: list[Action],
         flush_share: float,
     ) -> list[Action]:
-        """Sends sub-queries for other data centres through hosts there.
+        """Sends sub-queries through hosts of other data centres, and homes.
 
         Returns the remaining actions.
         """
@@ -147,7 +147,9 @@
         dispatch = self.dispatch
         if not dispatch.request.route.shards:
             return actions
-        groups = settings.relays.group(actions, self._relayed_services)
+        groups = settings.relays.group(
+            actions, dispatch.request.route.shards, self._relayed_services
+        )
         threshold = _find_threshold(dispatch) if groups else b''
         flush_after = dispatch.timing.hedge_after * flush_share
         for link, sends in groups:
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -274,7 +274,10 @@
                 loans,
             ),
             LinkServers(
-                self._following.server, self._rollouts.exchange, self._quotas
+                self._following.server,
+                self._rollouts.exchange,
+                self._quotas,
+                lambda: self._state.table,
             ),
             self._hosts,
             self.telemetry,
@@ -396,7 +399,7 @@
         known = table.services.get(service) if table else None
         if known is None:
             return 1
-        return max(1, known.max_connections // self._hosts.count)
+        return self._links.limit_connections(known)
 
     def _report_reachability(self, target: KnownTarget) -> None:
         """Logs that a target became reachable or unreachable.
--- a/packages/gateway/almonddock_gateway/linking.py
+++ b/packages/gateway/almonddock_gateway/linking.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import importlib
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from almonddock_core.framing import MAX_FRAME_BYTES
 from almonddock_core.memory import HostMemory, PartLimits
 from almonddock_core.quotas import CreditQuery
+from almonddock_core.routing import RoutingTable, Service
 from almonddock_gateway.controllers import HostController, QuotaController
+from almonddock_gateway.homes import (
+    count_groups_with_homes,
+    limit_connections,
+)
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.relays import (
     CountExchange,
@@ -50,6 +56,8 @@
     counts: CountExchange
     #: Answers queries for credits; None where quotas are not enforced.
     quotas: QuotaController | None = None
+    #: Returns the configuration in force; None before the first one.
+    get_table: Callable[[], RoutingTable | None] = lambda: None
 
 
 class HostLinks:
@@ -66,6 +74,7 @@
     ) -> None:
         self._quotas = servers.quotas
         self._counts = servers.counts
+        self._get_table = servers.get_table
         self._settings = settings
         self._hosts = hosts
         self._telemetry = telemetry
@@ -94,6 +103,11 @@
             return False
         return bool(self._quotas.list_grantors())
 
+    def limit_connections(self, service: Service) -> int:
+        """Returns the most connections of this host to a target."""
+        is_home = self._peers is not None and self._peers.homes.include_own
+        return limit_connections(service, self._hosts.count, is_home=is_home)
+
     async def open(self) -> 'PeerLinks':
         """Listens for links; returns this host's own, which :meth:`run` keeps.
 
@@ -128,6 +142,9 @@
                 self._memory,
                 tuple if self._quotas is None else self._quotas.list_grantors,
                 self._counts,
+                lambda: count_groups_with_homes(
+                    self._get_table(), self._hosts.count
+                ),
             ),
         )
         self._peers = peers
--- a/packages/gateway/almonddock_gateway/links/_peers.py
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -1,6 +1,7 @@
-"""The links of this host to other data centres and to its watchers.
+"""The links of this host to other data centres, to watchers and to homes.
 
-A watcher is a host that reads the store for others of its data centre.
+A watcher is a host that reads the store for others of its data centre, a home
+one that asks the targets of a group of shards for them.
 """
 
 import asyncio
@@ -15,7 +16,8 @@
 from almonddock_core.quotas import CreditQuery, CreditReply
 from almonddock_gateway.controllers import Peer
 from almonddock_gateway.http import ReplyMemory
-from almonddock_gateway.links._link import Link
+from almonddock_gateway.links._homes import Homes
+from almonddock_gateway.links._link import PING_AFTER_S, Link
 from almonddock_gateway.relays import (
     CountExchange,
     GrantQuery,
@@ -39,6 +41,9 @@
 #: it is dead.
 CREDIT_PING_AFTER_S = 2.0
 
+#: The same for a link to a home, which each host has several of.
+HOME_PING_AFTER_S = 5.0
+
 #: The timeout for opening a link, and the pause after a failure, in seconds.
 DIAL_TIMEOUT_S = 0.5
 
@@ -55,6 +60,9 @@
     list_grantors: Callable[[], Collection[str]] = tuple
     #: The counts of roll-outs that they carry.
     counts: CountExchange = field(default_factory=CountExchange)
+    #: Returns the number of groups of shards with a home, none where each host
+    #: asks targets itself.
+    count_groups: Callable[[], int] = int
 
 
 class PeerLinks:
@@ -76,14 +84,16 @@
         self._telemetry = telemetry
         self._memory = settings.memory
         self._list_grantors = settings.list_grantors
-        # Those that are linked to for nothing but credits.
-        self._credit_peers: frozenset[Peer] = frozenset()
+        # Those that are linked to for nothing but credits, or as homes, with
+        # the time after which an idle link is pinged.
+        self._quiet_peers: dict[Peer, float] = {}
+        #: The homes of this data centre.
+        self.homes = Homes(own_name, data_centre, settings.count_groups)
         self._links: dict[Peer, Link] = {}
         self._leaving: set[Link] = set()
         self._reply_handlers: dict[tuple[MessageLink, int], HandleReply] = {}
         self._numbers = itertools.count(1)
         self._rotation = itertools.count()
-        self._is_watcher = False
         self._dialling: dict[Peer, asyncio.Task[None]] = {}
 
     def find_link(self, data_centre: str) -> MessageLink | None:
@@ -93,10 +103,22 @@
                 link
                 for peer, link in self._links.items()
                 if peer.data_centre == data_centre
-                and peer not in self._credit_peers
+                and peer not in self._quiet_peers
             ],
         )
 
+    def find_home(self, group: int) -> MessageLink | None:
+        """Returns a usable link to the home of a group of shards.
+
+        Returns None if this host is its home, if it has none, or without a
+        link.
+        """
+        for name in self.homes.list_names(group):
+            link = self.find_link_to(name)
+            if link is not None or name == self._own_name:
+                return link
+        return None
+
     def find_any_link(self) -> MessageLink | None:
         """Returns a usable link to any host, None without one."""
         return self._pick_round_robin(list(self._links.values()))
@@ -110,7 +132,9 @@
 
     def find_watcher(self) -> MessageLink | None:
         """Returns a usable link to a watcher, None without one."""
-        watchers = self._list_watchers()
+        watchers, is_watcher = self._list_watchers()
+        if is_watcher:
+            return None
         return self._pick_round_robin(
             [link for peer, link in self._links.items() if peer in watchers],
         )
@@ -145,19 +169,25 @@
     def check(self) -> None:
         """Opens, checks and closes links; called several times a second."""
         needed = self._choose_peers()
-        self._credit_peers = (
-            _select_peers(self._list_peers(), self._list_grantors()) - needed
-        )
-        wanted = needed | self._credit_peers
+        if self.homes.update(self._list_peers()):
+            self._telemetry.log_event(
+                'homes_changed', homes=self.homes.list_preferred()
+            )
+        self._quiet_peers = {
+            peer: ping_after_s
+            for names, ping_after_s in (
+                (self.homes.names, HOME_PING_AFTER_S),
+                (self._list_grantors(), CREDIT_PING_AFTER_S),
+            )
+            for peer in _select_peers(self._list_peers(), names) - needed
+        }
+        wanted = needed | self._quiet_peers.keys()
         for peer in wanted:
             if peer not in self._links and peer not in self._dialling:
                 dial = asyncio.create_task(self._dial(peer))
                 self._dialling[peer] = dial
         for peer, link in self._links.items():
-            if peer in self._credit_peers:
-                link.check(CREDIT_PING_AFTER_S)
-            else:
-                link.check()
+            link.check(self._quiet_peers.get(peer, PING_AFTER_S))
         self._close_unwanted(wanted)
 
     def _close_unwanted(self, wanted: set[Peer]) -> None:
@@ -169,7 +199,7 @@
         """
         served = {
             peer.data_centre
-            for peer in wanted - self._credit_peers
+            for peer in wanted - self._quiet_peers.keys()
             if peer in self._links and self._links[peer].usable
         }
         busy = {link for link, _ in self._reply_handlers}
@@ -200,26 +230,15 @@
             for peers in by_data_centre.values()
             for peer in sorted(peers, key=rank)[:LINKS_PER_DATA_CENTRE]
         }
-        if self._counts.is_needed():
-            chosen |= self._list_all_watchers()
-        return chosen | self._list_watchers()
-
-    def _list_watchers(self) -> set[Peer]:
-        """Returns the watchers of this data centre, none if this is one."""
-        watchers = self._list_all_watchers()
-        return set() if self._is_watcher else watchers
-
-    def _list_all_watchers(self) -> set[Peer]:
-        """Returns the watchers of this data centre besides this host."""
-        here = {
-            peer.name: peer
-            for peer in self._list_peers()
-            if peer.data_centre == self._data_centre
-        }
-        names = (self._own_name, *here)
-        chosen = choose_watchers((name, self._data_centre) for name in names)
-        self._is_watcher = self._own_name in chosen
-        return {here[name] for name in chosen if name in here}
+        watchers, is_watcher = self._list_watchers()
+        if self._counts.is_needed() or not is_watcher:
+            chosen |= watchers
+        return chosen
+
+    def _list_watchers(self) -> tuple[set[Peer], bool]:
+        """Returns the watchers besides this host, and whether it is one."""
+        own = (self._own_name, self._data_centre)
+        return _select_watchers(own, self._list_peers())
 
     async def _dial(self, peer: Peer) -> None:
         try:
@@ -277,5 +296,20 @@
     return frozenset(peer for peer in peers if peer.name in names)
 
 
+def _select_watchers(
+    own: tuple[str, str], peers: Iterable[Peer]
+) -> tuple[set[Peer], bool]:
+    """Returns the watchers besides this host, and whether it is one.
+
+    ``own`` is its name and its data centre.
+    """
+    own_name, data_centre = own
+    here = {
+        peer.name: peer for peer in peers if peer.data_centre == data_centre
+    }
+    chosen = choose_watchers((name, data_centre) for name in (own_name, *here))
+    return {here[name] for name in chosen if name in here}, own_name in chosen
+
+
 def _rank_peer(own_name: str, peer: Peer) -> int:
     return zlib.crc32(f'{own_name} {peer.name}'.encode())
--- a/packages/gateway/almonddock_gateway/relays/_router.py
+++ b/packages/gateway/almonddock_gateway/relays/_router.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from almonddock_core.dispatch import Action, Send
+from almonddock_core.placement import assign_groups
 from almonddock_core.quotas import CreditQuery
 from almonddock_core.routing import Costs
 from almonddock_gateway.relays._messages import (
@@ -40,6 +41,14 @@
         """Returns a usable link to a host there, None without one."""
         ...
 
+    def find_home(self, group: int) -> MessageLink | None:
+        """Returns a usable link to the home of a group of shards.
+
+        Returns None if this host is its home, if it has none, or without a
+        link.
+        """
+        ...
+
     def find_any_link(self) -> MessageLink | None:
         """Returns a usable link to any host, None without one."""
         ...
@@ -83,7 +92,7 @@
 
 
 class RelayRouter:
-    """Groups sub-queries by the link to their data centre."""
+    """Groups sub-queries by the link that they are sent over."""
 
     def __init__(
         self,
@@ -99,10 +108,14 @@
     def group(
         self,
         actions: Sequence[Action],
+        shards: Sequence[str],
         relayed: Collection[str] = (),
     ) -> list[tuple[MessageLink, list[Send]]]:
         """Returns the sends to relay over each link; others go directly.
 
+        Those to another data centre go to a host there, those to this one to
+        the homes of their shards. ``shards`` are all shards of the query.
+
         Services in ``relayed`` have an attempt in a relay query already and
         are left out: records of merged replies carry no service, so a second
         reply would count them twice.
@@ -115,10 +128,27 @@
                 continue
             if action.target.entry.service not in relayed:
                 by_data_centre[action.target.entry.data_centre].append(action)
-        by_data_centre.pop(self._data_centre, None)
-        groups = []
+        groups = self._group_by_home(
+            by_data_centre.pop(self._data_centre, ()), shards
+        )
         for data_centre, sends in by_data_centre.items():
             link = self.links.find_link(data_centre)
             if link is not None:
                 groups.append((link, sends))
         return groups
+
+    def _group_by_home(
+        self, sends: Sequence[Send], shards: Sequence[str]
+    ) -> list[tuple[MessageLink, list[Send]]]:
+        if self.links is None or not sends:
+            return []
+        group_of = assign_groups(shards)
+        by_group: dict[int, list[Send]] = defaultdict(list)
+        for send in sends:
+            by_group[group_of[send.target.entry.service]].append(send)
+        by_link: dict[MessageLink, list[Send]] = defaultdict(list)
+        for group, members in by_group.items():
+            link = self.links.find_home(group)
+            if link is not None:
+                by_link[link] += members
+        return list(by_link.items())
--- a/packages/gateway/almonddock_gateway/tests/relay_cases.py
+++ b/packages/gateway/almonddock_gateway/tests/relay_cases.py
@@ -73,12 +73,18 @@
         self.link = FakeLink()
         #: Whether there is a watcher for this host.
         self.has_watcher = False
+        #: The links to the homes of groups of shards.
+        self.homes: dict[int, MessageLink] = {}
         self.handle: HandleReply | None = None
 
     def find_link(self, data_centre: str) -> MessageLink | None:
         """Returns the link for the other data centre."""
         return self.link if data_centre == THERE else None
 
+    def find_home(self, group: int) -> MessageLink | None:
+        """Returns the link of a group with a home."""
+        return self.homes.get(group)
+
     def find_any_link(self) -> MessageLink | None:
         """Returns the link."""
         return self.link
--- a/packages/gateway/almonddock_gateway/tests/test_links.py
+++ b/packages/gateway/almonddock_gateway/tests/test_links.py
@@ -15,6 +15,7 @@
 )
 from almonddock_core.model import ManualClock
 from almonddock_core.news import choose_watchers
+from almonddock_core.placement import choose_homes
 from almonddock_gateway.controllers import Peer
 from almonddock_gateway.http import ReplyMemory
 from almonddock_gateway.links import (
@@ -222,18 +223,22 @@
             ManualClock(),
         )
         self.listed: list[Peer] = []
+        #: The groups of shards that have a home.
+        self.groups = 0
         self.memory = ReplyMemory()
         self.peers = PeerLinks(
             'kyu-1',
             'a',
             lambda: self.listed,
             telemetry,
-            PeerLinkSettings(self.memory),
+            PeerLinkSettings(self.memory, count_groups=lambda: self.groups),
         )
 
-    def add_link(self, name: str) -> tuple[Peer, Link, FakeTransport]:
-        """Returns a usable link to a host of data centre b, with its peer."""
-        peer = Peer(name, 'b', '10.0.0.1', 1)
+    def add_link(
+        self, name: str, data_centre: str = 'b'
+    ) -> tuple[Peer, Link, FakeTransport]:
+        """Returns a usable link to a host, with its peer."""
+        peer = Peer(name, data_centre, '10.0.0.1', 1)
         link = Link(self.peers._receive, self.peers._forget_link, self.memory)
         transport = FakeTransport()
         link.connection_made(transport)
@@ -253,10 +258,58 @@
         """All hosts link to the same few, which would relay for all."""
         peer, link, _ = self.add_link('kyu-2')
         self.listed = [peer, Peer('kyu-3', 'b', '10.0.0.1', 1)]
-        self.peers._credit_peers = frozenset((peer,))
+        self.peers._quiet_peers = {peer: 2.0}
         self.assertIsNone(self.peers.find_link('b'))
         self.assertIs(self.peers.find_link_to('kyu-2'), link)
 
+    def add_homes(self) -> dict[str, Link]:
+        """Adds ten hosts of this data centre; returns links to all homes."""
+        names = [f'here-{number}' for number in range(10)]
+        self.listed = [Peer(name, 'a', '10.0.0.1', 1) for name in names]
+        homes = choose_homes(self.groups, ('kyu-1', *names))
+        return {
+            name: self.add_link(name, 'a')[1]
+            for name in names
+            if any(name in group for group in homes)
+        }
+
+    async def test_second_home_is_asked_while_the_first_one_is_not(
+        self,
+    ) -> None:
+        """A host that stops would have made every query late."""
+        self.groups = 4
+        links = self.add_homes()
+        self.peers.check()
+        homes = choose_homes(4, ('kyu-1', *(one.name for one in self.listed)))
+        for group, (first, second) in enumerate(homes):
+            if first == 'kyu-1':
+                self.assertIsNone(self.peers.find_home(group))
+                continue
+            self.assertIs(self.peers.find_home(group), links[first])
+            self.receive(links[first], Leaving())
+            self.assertIs(self.peers.find_home(group), links.get(second))
+        self.assertIsNone(self.peers.find_home(4))
+
+    async def test_links_to_homes_carry_no_queries_for_all_targets(
+        self,
+    ) -> None:
+        """All hosts link to the same few, which would relay for all."""
+        self.groups = 2
+        links = self.add_homes()
+        self.peers.check()
+        watchers = {peer.name for peer in self.peers._choose_peers()}
+        self.assertEqual(
+            set(links) - watchers,
+            {peer.name for peer in self.peers._quiet_peers},
+        )
+
+    async def test_without_groups_there_are_no_homes(self) -> None:
+        """A deployment of a few hosts asks targets itself."""
+        self.add_homes()
+        self.peers.check()
+        self.assertIsNone(self.peers.find_home(0))
+        self.assertEqual(self.peers._quiet_peers, {})
+
     async def test_leaving_host_gets_no_new_queries(self) -> None:
         _, link, transport = self.add_link('kyu-2')
         self.assertIs(self.peers.find_link('b'), link)
--- a/packages/gateway/almonddock_gateway/tests/test_relays.py
+++ b/packages/gateway/almonddock_gateway/tests/test_relays.py
@@ -295,13 +295,38 @@
             Send(number, target)
             for number, target in enumerate(table.list_all())
         ]
+        shards = (sends[0].target.entry.service,)
         router = RelayRouter('here')
-        self.assertEqual(router.group(sends), [])
+        self.assertEqual(router.group(sends, shards), [])
         links = FakeLinks()
         router.links = links  # type: ignore[assignment]
-        self.assertEqual(router.group(sends), [(links.link, sends[1:3])])
-        self.assertEqual(router.group(sends[:2]), [(links.link, sends[1:2])])
-        self.assertEqual(router.group(sends[:1]), [])
+        expected = [(links.link, sends[1:3])]
+        self.assertEqual(router.group(sends, shards), expected)
+        expected = [(links.link, sends[1:2])]
+        self.assertEqual(router.group(sends[:2], shards), expected)
+        self.assertEqual(router.group(sends[:1], shards), [])
+
+    def test_shards_of_this_data_centre_go_to_their_homes(self) -> None:
+        """Others are asked directly: they have no home, or it is this host."""
+        shards = tuple(f'desk-{number:02}' for number in range(20))
+        table = TargetTable()
+        for service in shards:
+            table.put(make_entry(service, service, 'here'), timedelta())
+        sends = [
+            Send(number, target)
+            for number, target in enumerate(table.list_all())
+        ]
+        router = RelayRouter('here')
+        links = FakeLinks()
+        router.links = links  # type: ignore[assignment]
+        self.assertEqual(router.group(sends, shards), [])
+        links.homes = {0: FakeLink(), 2: FakeLink()}
+        grouped = router.group(sends, shards, {'desk-01'})
+        expected = [
+            (links.homes[0], [sends[0], *sends[2:7]]),
+            (links.homes[2], sends[14:]),
+        ]
+        self.assertEqual(grouped, expected)
 
     def test_shard_is_relayed_only_once(self) -> None:
         """Two merged replies with its records would count them twice."""
@@ -316,10 +341,10 @@
         router = RelayRouter('here')
         links = FakeLinks()
         router.links = links  # type: ignore[assignment]
-        grouped = router.group(sends, {'desk-1'})
+        everything = ('desk-0', 'desk-1', 'desk-2')
+        grouped = router.group(sends, everything, {'desk-1'})
         self.assertEqual(grouped, [(links.link, [sends[0], sends[2]])])
-        everything = {'desk-0', 'desk-1', 'desk-2'}
-        self.assertEqual(router.group(sends, everything), [])
+        self.assertEqual(router.group(sends, everything, everything), [])
 
 
 if __name__ == '__main__':
