Register again when the store has lost a key of this host

The new process renewed its own lease and never wrote the key again: others did not count the host, or it used no part of a quota any more.

Change: the revision of each own key is kept; a view of the store that is as new and lacks the key starts a new registration. New log line: registration_lost.

--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -109,10 +109,10 @@
         self._clock = clock
         self._telemetry = telemetry
         self._lease: int | None = None
-        # When the lease is to be renewed.
-        self._renewal_due = timedelta()
-        # The revision at which this process has registered its address.
-        self._registered_at: int | None = None
+        # When the lease was granted or last renewed.
+        self._renewed_at = timedelta()
+        # The keys that this process has registered, with their revisions.
+        self._own_keys: dict[str, int] = {}
         #: The number of hosts including this one.
         self.count = 1
         self._counts: deque[tuple[timedelta, int]] = deque()
@@ -169,13 +169,15 @@
         """
         if self.grantor is not None and not self._has_read_own:
             await self._read_own(self.grantor)
-        if self._lease is None:
-            self._lease = await self._register_address()
+        lease = self._lease
+        if lease is None:
+            lease = await self._register_address()
+            self._lease = lease
             self._told_grantor = None
-        elif self._clock.now() >= self._renewal_due:
-            await self._store.renew_lease(self._lease)
-            self._schedule_renewal()
-        await self._register_grantor(self._lease)
+        elif self._clock.now() - self._renewed_at >= RENEWAL_INTERVAL:
+            await self._store.renew_lease(lease)
+            self._renewed_at = self._clock.now()
+        await self._register_grantor(lease)
 
     def apply_snapshot(self, view: StoreView) -> None:
         """Replaces the known hosts with those in the store."""
@@ -196,6 +198,8 @@
                 self._registrations[item.key] = item
         self.peers = frozenset(self._read_peers())
         self._update_count(view.revision)
+        if not view.has_more:
+            self._check_own_keys(view.revision)
 
     async def deregister(self) -> None:
         """Removes this host's address, so that others stop counting it.
@@ -203,11 +207,13 @@
         What it told of quotas is left to expire, as after a kill: the next
         process of this host may grant only if it finds that this one did.
         """
-        if self._registered_at is None:
+        registered = self._own_keys.get(self._address_key)
+        self._own_keys = {}
+        if registered is None:
             return
         try:
             async with asyncio.timeout(DEREGISTRATION_TIMEOUT.total_seconds()):
-                await self._store.remove(self._address_key, self._registered_at)
+                await self._store.remove(self._address_key, registered)
         except (StoreLostError, TimeoutError) as lost:
             self._telemetry.log_event(
                 'deregistration_failed', reason=repr(lost)
@@ -301,11 +307,9 @@
             # later process of this host has registered.
             item = await self._find_own()
             expected = 0 if item is None else item.revision
-        await self._store.put(
-            f'{settings.keys.grantor_prefix}{settings.host}',
-            orjson.dumps(content),
-            lease,
-            expected,
+        key = f'{settings.keys.grantor_prefix}{settings.host}'
+        self._own_keys[key] = await self._store.put(
+            key, orjson.dumps(content), lease, expected
         )
         self._told_grantor = (is_grantor, is_starting)
         self._telemetry.log_event(
@@ -323,16 +327,33 @@
     async def _register_address(self) -> int:
         """Registers under a new lease, which is returned."""
         lease = await self._store.grant_lease(REGISTRATION_TTL)
-        self._schedule_renewal()
-        self._registered_at = await self._store.put(
+        self._renewed_at = self._clock.now()
+        self._own_keys[self._address_key] = await self._store.put(
             self._address_key,
             self._encode_registration(),
             lease,
         )
         return lease
 
-    def _schedule_renewal(self) -> None:
-        self._renewal_due = self._clock.now() + RENEWAL_INTERVAL
+    def _check_own_keys(self, revision: int) -> None:
+        """Registers again if the store has lost a key of this process.
+
+        A write of an earlier process that the store executes late attaches the
+        key to the lease of that process, and the key ends with it.
+        """
+        lost = [
+            key
+            for key, written in self._own_keys.items()
+            if revision >= written
+            and key not in self._registrations
+            and key not in self._quota_hosts
+        ]
+        if lost:
+            self._telemetry.log_event(
+                'registration_lost', keys=lost, store_revision=revision
+            )
+            self._own_keys = {}
+            self._lease = None
 
     def _encode_registration(self) -> bytes:
         settings = self._settings
--- a/packages/gateway/almonddock_gateway/tests/test_quota_registration.py
+++ b/packages/gateway/almonddock_gateway/tests/test_quota_registration.py
@@ -196,6 +196,28 @@
         await self.hosts.deregister()
         self.assertNotIn('hosts/here', self.store.items)
 
+    async def test_a_registration_that_the_store_has_lost_is_renewed(
+        self,
+    ) -> None:
+        """A late write of an earlier process took it away for good."""
+        # What is told of quotas is written again after two windows.
+        for prefix, lived in (('hosts/', SHORT), ('grantors/', 12)):
+            with self.subTest(prefix=prefix):
+                self.setUp()
+                self.start(is_first=True)
+                await self.live(26)
+                earlier = self.hosts._lease or 0
+                content = self.store.items[f'{prefix}here'][0].content or b''
+                await self.end('stop')
+                self.start()
+                await self.live(lived)
+                await self.store.put(f'{prefix}here', content, earlier)
+                await self.live(CALM)
+                self.assertTrue(self.may_grant())
+                self.assertEqual(self.hosts._lease, 3)
+                view = await self.store.read_prefix(f'{prefix}here')
+                self.assertEqual(len(view.items), 1)
+
     async def test_a_grant_is_told_of_within_a_second(self) -> None:
         """A host that was killed before the next renewal forgot it."""
         self.start()
