soak: Keep bytes in order when a delay ends

Cause, as far as known: the proxy gave delayed bytes that arrived after the end of a delay the same time, and an event loop makes calls at the same time in any order (12 calls at one time were made as 0 2 6 5 11 10 9 8 7 1 3 4). A link is one compressed stream, in which swapped pieces can decode to what an earlier message held. No network delivers bytes in another order.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,6 +1,7 @@
 """A TCP proxy on loopback that can impair the connections through it."""
 
 import asyncio
+import math
 import socket
 import struct
 from collections.abc import Callable
@@ -181,7 +182,8 @@
         loop = asyncio.get_running_loop()
         now = loop.time()
         due = max(now + self._proxy.impairment.delay_s, self._next_call_at)
-        self._next_call_at = due
+        # Calls at the same time may be made in any order.
+        self._next_call_at = math.nextafter(due, math.inf)
         if due <= now:
             call()
         else:
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -57,6 +57,24 @@
         finally:
             self.proxy.impairment = UNIMPAIRED
 
+    async def test_bytes_stay_in_order_when_a_delay_ends(self) -> None:
+        """Links got bytes in another order, which no network delivers."""
+        reader, writer = await asyncio.open_connection(
+            self.address.host,
+            self.address.port,
+        )
+        self.addCleanup(writer.close)
+        writer.write(b'\0')
+        await reader.readexactly(1)
+        client = next(one for one in self.proxy._sides if not one._is_server)
+        self.proxy.impairment = PathImpairment(delay_s=0.05)
+        sent = bytes(range(1, 40))
+        for one in sent:
+            client.data_received(bytes((one,)))
+            self.proxy.impairment = UNIMPAIRED
+        async with asyncio.timeout(TIMEOUT_S):
+            self.assertEqual(await reader.readexactly(len(sent)), sent)
+
     async def test_unimpaired_and_delayed_paths_forward_all(self) -> None:
         for impairment in (UNIMPAIRED, PathImpairment(delay_s=0.05)):
             self.assertEqual(await self.ask(impairment), b'cdef')
