Register at once what an earlier process of a host granted

Cause: since a new process left an earlier registration in place until it had read the hosts. It uses its start part only once its own registration tells the next process of it, so that came about a second later.

Change: the first registration repeats what the earlier process has told, until the hosts are known. test_a_start_part_is_used_before_hosts_are_known failed before.

--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -288,10 +288,10 @@
         """Tells what this host grants, if that has changed."""
         if self.grantor is None:
             return
-        if self._has_granted_before and not self.grantor.knows_hosts():
-            # What an earlier process has told may still hold.
-            return
         is_grantor = self.grantor.is_grantor()
+        if not self.grantor.knows_hosts():
+            # What an earlier process has told may still hold.
+            is_grantor = self._has_granted_before
         is_starting = self.grantor.is_starting()
         if (is_grantor, is_starting) == self._told_grantor:
             return
--- a/packages/gateway/almonddock_gateway/tests/test_quota_registration.py
+++ b/packages/gateway/almonddock_gateway/tests/test_quota_registration.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
+import orjson
+
 from almonddock_core.model import ManualClock
 from almonddock_core.quotas import QuotaSettings
 from almonddock_gateway.controllers import (
@@ -174,6 +176,18 @@
                 await self.live(WINDOW // SECOND)
                 self.assertTrue(self.may_grant())
 
+    async def test_a_start_part_is_used_before_hosts_are_known(self) -> None:
+        """After a loss of all hosts callers were refused a second longer."""
+        self.start(is_first=True)
+        await self.live(CALM)
+        await self.end('kill')
+        self.start()
+        await self.hosts.register()
+        self.assertTrue(self.quotas._quotas.hosts.first_window.has_part)
+        item, _ = self.store.items['grantors/here']
+        told = {'data_centre': 'a', 'grants': True, 'starting': True}
+        self.assertEqual(orjson.loads(item.content or b''), told)
+
     async def test_a_host_that_was_gone_for_long_waits(self) -> None:
         """Another host may have got its part when its registration expired."""
         self.start(is_first=True)
