Log what a host read last, from where, and how old its configuration is

New: store_read every five seconds and when the source changes, configuration_put_away with the reason, configuration_age_ms in the lines of requests. No logic changes.

--- a/packages/cli/almonddock_cli/tests/test_explain.py
+++ b/packages/cli/almonddock_cli/tests/test_explain.py
@@ -57,7 +57,9 @@
 
     def finish(self, case: DispatchCase, status: int) -> list[LogLine]:
         self.clock.advance(case.now - self.clock.now())
-        self.telemetry.log_finished(FinishedExchange(case.dispatch), status, 7)
+        self.telemetry.log_finished(
+            FinishedExchange(case.dispatch), status, 7, timedelta(seconds=1)
+        )
         return self.read_log()
 
     def explain(self, case: DispatchCase, status: int) -> str:
--- a/packages/gateway/almonddock_gateway/controllers/_configuration.py
+++ b/packages/gateway/almonddock_gateway/controllers/_configuration.py
@@ -32,6 +32,8 @@
         self._telemetry = telemetry
         # The revision of the store with the last configuration read.
         self._revision = 0
+        # The revision of the last one that was put away.
+        self._put_away = 0
         #: Whether that could be read.
         self.is_readable = True
 
@@ -82,6 +84,7 @@
         if item.key != self._keys.configuration or item.content is None:
             return
         if item.revision == self._revision:
+            self._log_put_away(item, None)
             return
         before = self._state.table
         try:
@@ -97,8 +100,28 @@
             return
         if before is None or table.version > before.version:
             self._put_in_force(table, item.revision)
+        else:
+            self._log_put_away(item, table.version)
         self._note_read(item, is_readable=True)
 
+    def _log_put_away(self, item: StoreItem, version: int | None) -> None:
+        """Logs once that a configuration changes nothing here, and why.
+
+        ``version`` is None if it was not decoded, because a configuration of
+        the same revision was.
+        """
+        if item.revision == self._put_away:
+            return
+        self._put_away = item.revision
+        in_force = self._state.table
+        self._telemetry.log_event(
+            'configuration_put_away',
+            version=version,
+            in_force=in_force.version if in_force else None,
+            store_revision=item.revision,
+            reason='same revision' if version is None else 'not newer',
+        )
+
     def _note_read(self, item: StoreItem, *, is_readable: bool) -> None:
         if item.revision >= self._revision:
             self._revision = item.revision
--- a/packages/gateway/almonddock_gateway/entry/_entry.py
+++ b/packages/gateway/almonddock_gateway/entry/_entry.py
@@ -205,7 +205,12 @@
         routed = route_request(request, table, names)
         if isinstance(routed, Rejection):
             attempt_id = request.find(names.attempt_id) or b''
-            self._telemetry.log_rejected(attempt_id, routed, table.version)
+            self._telemetry.log_rejected(
+                attempt_id,
+                routed,
+                table.version,
+                self._access.describe_belief().age,
+            )
             arrival.connection.send(routed.status, (), b'')
             return None
         caller = self._access.identify(
@@ -249,8 +254,12 @@
                 status = raw[0]
                 exchange.answer_bytes = count_bytes(raw)
                 connection.send(*raw)
-            version = admitted.table.version
-            self._telemetry.log_finished(exchange, status, version)
+            self._telemetry.log_finished(
+                exchange,
+                status,
+                admitted.table.version,
+                self._access.describe_belief().age,
+            )
 
         exchange = TargetExchange(
             Dispatch(request, self._context),
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -44,6 +44,11 @@
 #: unresponsive connection one second later.
 WATCH_WAIT = timedelta(seconds=1)
 
+#: The pause between two lines on what was read last from where.
+READ_LOG_INTERVAL = timedelta(seconds=5)
+
+MILLISECOND = timedelta(milliseconds=1)
+
 
 @dataclass(frozen=True, slots=True)
 class FollowingDependencies:
@@ -94,6 +99,8 @@
         self.freshness = Freshness()
         self._store.age_bound = deps.settings.revocation_bound
         self._cache = StoreCache(ALL_KEYS, self._is_reading_directly)
+        # The source and time of the last line on a read.
+        self._logged_read: tuple[ReadSource, timedelta] | None = None
         self._follower = Follower(
             FollowSettings(
                 prefix=ALL_KEYS,
@@ -163,12 +170,34 @@
         if not view.has_more:
             self.freshness.note(view.as_of)
         self._note_applied(view)
+        self._log_read(view)
 
     def _note_applied(self, view: StoreView) -> None:
         """Records as of when the configuration in force is the newest."""
         if self._deps.configuration.is_readable and not view.has_more:
             self._deps.freshness.note(view.as_of)
 
+    def _log_read(self, view: StoreView) -> None:
+        """Logs what this host believes and from where, now and then."""
+        deps = self._deps
+        source = self._store.source
+        now = deps.clock.now()
+        if self._logged_read is not None:
+            logged_source, logged_at = self._logged_read
+            is_recent = now - logged_at < READ_LOG_INTERVAL
+            if source is logged_source and is_recent:
+                return
+        self._logged_read = (source, now)
+        age = deps.freshness.get_age(deps.suspended_clock.now())
+        table = deps.state.table
+        deps.telemetry.log_event(
+            'store_read',
+            source=source.value,
+            store_revision=view.revision,
+            configuration=table.version if table else None,
+            configuration_age_ms=None if age is None else age // MILLISECOND,
+        )
+
     def _is_reading_directly(self) -> bool:
         """Whether this host reads the store itself and successfully."""
         is_direct = self._store.source is ReadSource.STORE
--- a/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
@@ -103,8 +103,12 @@
         request_id: bytes,
         rejection: RejectedRequest,
         version: int,
+        age: timedelta | None,
     ) -> None:
-        """Logs a request that is invalid or has no route."""
+        """Logs a request that is invalid or has no route.
+
+        ``age`` is how long ago the version was known to be the newest.
+        """
         self._lines.write(
             LineBudget.FAILURE,
             'request_rejected',
@@ -112,6 +116,7 @@
             status=rejection.status,
             reason=rejection.reason,
             configuration=version,
+            configuration_age_ms=_count_age_ms(age),
         )
 
     def log_unavailable(self, request_id: bytes, reason: str) -> None:
@@ -173,8 +178,12 @@
         exchange: FinishedExchange,
         status: int,
         version: int,
+        age: timedelta | None,
     ) -> None:
-        """Logs the end of a request and updates the metrics."""
+        """Logs the end of a request and updates the metrics.
+
+        ``age`` is how long ago the version was known to be the newest.
+        """
         dispatch = exchange.dispatch
         request = dispatch.request
         route = request.route
@@ -197,6 +206,7 @@
             route=route.name,
             **_describe_organisation(request),
             configuration=version,
+            configuration_age_ms=_count_age_ms(age),
             status=status,
             elapsed_ms=_count_ms(elapsed),
             goal_ms=round(route.latency_goal / MS),
@@ -272,6 +282,10 @@
     return round(span / MS, 1)
 
 
+def _count_age_ms(age: timedelta | None) -> float | None:
+    return None if age is None else _count_ms(age)
+
+
 def _describe_organisation(request: DispatchedRequest) -> dict[str, Any]:
     found = request.organisation
     return {} if found is None else {'organisation': found.name}
