Order what the store says by its era, then by its revision

Cause: revisions of the store were taken as rising for ever. A host put away what it read below the revisions it knew, took a new version at the revision of a lost one for the lost one, and watched on from a revision that the restored store had reached again. Class: a position in a history was kept without the identity of that history.

The client of the store accepts answers of the newest era only; a watch from an earlier era counts as lost history, also if the store answers 200; a condition or a lease of an earlier era is not sent; a write that is answered in a later era counts as unknown. Links carry the era beside the number; hosts of earlier releases are served as before. Drained data centres that a copy lacks stay drained for 60 s, for the operator to write them again: before, that a host ignored the store had kept them.

--- a/packages/core/almonddock_core/model/__init__.py
+++ b/packages/core/almonddock_core/model/__init__.py
@@ -57,6 +57,11 @@
     SubReply,
     Urgency,
 )
+from almonddock_core.model._store_revision import (
+    get_era,
+    join_revision,
+    split_revision,
+)
 
 __all__ = [
     'AlmonddockError',
@@ -98,4 +103,7 @@
     'Urgency',
     'WorkloadId',
     'build_pointer',
+    'get_era',
+    'join_revision',
+    'split_revision',
 ]
--- a/packages/gateway/almonddock_gateway/controllers/_configuration.py
+++ b/packages/gateway/almonddock_gateway/controllers/_configuration.py
@@ -1,15 +1,22 @@
 """Applies the configuration and the list of drained data centres."""
 
 from collections.abc import Callable
+from datetime import timedelta
 
 from almonddock_core.dispatch import DispatchContext
-from almonddock_core.model import AlmonddockError
+from almonddock_core.model import AlmonddockError, Clock, get_era
 from almonddock_core.routing import RoutingTable
 from almonddock_gateway.entry import EntryState
 from almonddock_gateway.settings import StoreKeys
 from almonddock_gateway.store import StoreItem, StoreView
 from almonddock_gateway.telemetry import Telemetry
 
+#: How long a data centre stays drained that a restored store does not list,
+#: unless its removal is written: longer than operators take to repeat what was
+#: lost.
+REPEAT_PERIOD_S = 60
+REPEAT_PERIOD = timedelta(seconds=REPEAT_PERIOD_S)
+
 #: Decodes the configuration that operators write.
 DecodeTable = Callable[[bytes], RoutingTable]
 
@@ -23,13 +30,20 @@
         decode: DecodeTable,
         state: EntryState,
         context: DispatchContext,
+        clock: Clock,
         telemetry: Telemetry,
     ) -> None:
         self._keys = keys
         self._decode = decode
         self._state = state
         self._context = context
+        self._clock = clock
         self._telemetry = telemetry
+        # The era of the last snapshot.
+        self._era = 0
+        # The drained data centres that a restored store lacks, and until when
+        # they are believed.
+        self._unconfirmed: dict[str, timedelta] = {}
         # The revision of the store with the last configuration read.
         self._revision = 0
         # The revision of the last one that was put away.
@@ -44,7 +58,8 @@
             for item in view.items
             if (name := self._parse_drained_name(item))
         )
-        self._set_drained(drained, view.revision)
+        self._keep_drained(drained, get_era(view.revision))
+        self._set_drained(drained.union(self._unconfirmed), view.revision)
         for item in view.items:
             self._apply_configuration(item)
 
@@ -56,11 +71,36 @@
             if not name:
                 continue
             drained = self._context.targets.drained
+            self._unconfirmed.pop(name, None)
             if item.content is None:
                 drained -= {name}
             else:
                 drained |= {name}
             self._set_drained(drained, item.revision)
+        self._drop_unconfirmed(view.revision)
+
+    def _keep_drained(self, drained: frozenset[str], era: int) -> None:
+        """Keeps what a snapshot of a later era lacks.
+
+        The store may have lost the operator's request, who repeats it.
+        """
+        if era > self._era:
+            until = self._clock.now() + REPEAT_PERIOD
+            before = self._context.targets.drained
+            self._unconfirmed = dict.fromkeys(before, until)
+        self._era = era
+        for name in drained:
+            self._unconfirmed.pop(name, None)
+
+    def _drop_unconfirmed(self, revision: int) -> None:
+        """Serves data centres again whose request was not repeated."""
+        now = self._clock.now()
+        lapsed = {
+            name for name, until in self._unconfirmed.items() if now >= until
+        }
+        for name in lapsed:
+            self._unconfirmed.pop(name)
+        self._set_drained(self._context.targets.drained - lapsed, revision)
 
     def _parse_drained_name(self, item: StoreItem) -> str:
         prefix = self._keys.drained_prefix
--- a/packages/gateway/almonddock_gateway/controllers/_follower.py
+++ b/packages/gateway/almonddock_gateway/controllers/_follower.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from almonddock_core.model import Clock
+from almonddock_core.model import Clock, get_era
 from almonddock_gateway.store import (
     HistoryLostError,
     Store,
@@ -45,7 +45,8 @@
     apply_snapshot: Callable[[StoreView], None]
     #: Applies changes.
     apply_changes: Callable[[StoreView], None]
-    #: Called when the store answers again after a failure.
+    #: Called when the store answers again after a failure, and before a
+    #: snapshot of a later era of the store is applied.
     store_back: Callable[[], None]
 
 
@@ -69,8 +70,8 @@
         self._telemetry = telemetry
         # The revision to watch from; None if everything is to be read.
         self._revision: int | None = None
-        # The newest revision that was applied.
-        self._newest = 0
+        #: The newest revision that was applied.
+        self.newest = 0
         # When the store answered first, or again after a failure.
         self._recovered_at = timedelta()
         self._lost_since: timedelta | None = None
@@ -110,9 +111,10 @@
         if self._revision is None:
             view = await self._store.read_prefix(settings.prefix)
             self._note_answer()
-            if view.revision < self._newest:
+            if view.revision < self.newest:
                 await self._skip_outdated(view.revision)
                 return
+            self._note_era(view.revision)
             settings.apply_snapshot(view)
         else:
             view = await self._store.watch(
@@ -123,11 +125,11 @@
             self._note_answer()
             settings.apply_changes(view)
         known = self._revision or 0
-        self._newest = max(view.revision, self._newest)
-        self._revision = self._newest
+        self.newest = max(view.revision, self.newest)
+        self._revision = self.newest
         if not view.has_more:
             await asyncio.sleep(self._choose_pause().total_seconds())
-        elif self._newest <= known:
+        elif self.newest <= known:
             # The rest of the changes is asked for with the same call again.
             await asyncio.sleep(START_RETRY_PAUSE.total_seconds())
 
@@ -140,10 +142,24 @@
             'store_snapshot_outdated',
             prefix=self._settings.prefix,
             revision=revision,
-            newest=self._newest,
+            newest_revision=self.newest,
         )
         await asyncio.sleep(START_RETRY_PAUSE.total_seconds())
 
+    def _note_era(self, revision: int) -> None:
+        """Notes that the store was restored: keys may be written again now."""
+        era = get_era(revision)
+        if not self.newest or era == get_era(self.newest):
+            return
+        self._telemetry.log_event(
+            'store_era_changed',
+            prefix=self._settings.prefix,
+            revision=revision,
+            newest_revision=self.newest,
+        )
+        self._recovered_at = self._clock.now()
+        self._settings.store_back()
+
     def _choose_pause(self) -> timedelta:
         since = self._clock.now() - self._recovered_at
         return self._settings.choose_pause(since < RECOVERY_PERIOD)
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from almonddock_core.model import Clock
+from almonddock_core.model import Clock, get_era
 from almonddock_core.news import (
     Freshness,
     PauseInputs,
@@ -32,7 +32,7 @@
     StoreServer,
 )
 from almonddock_gateway.settings import GatewaySettings
-from almonddock_gateway.store import Store, StoreView
+from almonddock_gateway.store import Store, StoreLostError, StoreView
 from almonddock_gateway.telemetry import Telemetry
 
 #: All keys are followed with one watch, because each call to the store has a
@@ -128,6 +128,11 @@
         """When the store's entries were last read; None before."""
         return self._follower.fresh_at
 
+    @property
+    def store_era(self) -> int:
+        """The era of the store that was read last; it rises by restores."""
+        return get_era(self._follower.newest)
+
     @property
     def fault(self) -> str:
         """Why the last read of the store failed; empty if it did not."""
@@ -146,6 +151,8 @@
         view = await self._store.read_prefix(
             self._deps.settings.keys.configuration
         )
+        if get_era(view.revision) < self.store_era:
+            raise StoreLostError('the configuration is of an earlier era')
         self._deps.configuration.apply_changes(view)
         self._note_applied(view)
 
--- a/packages/gateway/almonddock_gateway/host.py
+++ b/packages/gateway/almonddock_gateway/host.py
@@ -198,6 +198,7 @@
             adapter.decoders.table,
             self._state,
             self._context,
+            self._clock,
             self.telemetry,
         )
         self._target_controller = TargetController(
@@ -427,6 +428,7 @@
         table = self._state.table
         return {
             'configuration_version': table.version if table else 0,
+            'store_era': self._following.store_era,
             'targets': len(self._targets),
             'hosts': self._hosts.count,
             'connections_opened': self._pools.count_dials(),
--- a/packages/gateway/almonddock_gateway/links/_store_codec.py
+++ b/packages/gateway/almonddock_gateway/links/_store_codec.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from typing import Any
 
+from almonddock_core.model import join_revision, split_revision
 from almonddock_gateway.links._columns import read_column
 from almonddock_gateway.links._cost_codec import read_costs, write_costs
 from almonddock_gateway.links._loan_codec import (
@@ -21,21 +22,26 @@
     query.number = message.number
     query.prefix = message.prefix
     query.changes = message.after is not None
-    query.after = message.after or 0
+    era, after = split_revision(message.after or 0)
+    query.era = era
+    query.after = after
+    query.hasEra = message.knows_eras
     query.wait = message.wait // US
     write_costs(query, message.costs)
     write_offer(query, message.offer)
 
 
 def read_store_query(query: Any) -> StoreQuery:
-    """Returns the query."""
+    """Returns the query; raises ValueError if its revision is not valid."""
+    after = join_revision(query.era, query.after)
     return StoreQuery(
         number=query.number,
         prefix=query.prefix,
-        after=query.after if query.changes else None,
+        after=after if query.changes else None,
         wait=query.wait * US,
         costs=read_costs(query),
         offer=read_offer(query),
+        knows_eras=query.hasEra,
     )
 
 
@@ -45,12 +51,15 @@
     view = message.view
     reply.number = message.number
     reply.outcome = int(message.outcome)
-    reply.revision = view.revision
+    era, number = split_revision(view.revision)
+    reply.era = era
+    reply.revision = number
+    reply.hasEra = message.knows_eras
     reply.hasMore = view.has_more
     reply.keys = [item.key for item in view.items]
     reply.contents = [item.content or b'' for item in view.items]
     reply.removed = [item.content is None for item in view.items]
-    reply.revisions = [item.revision for item in view.items]
+    reply.revisions = [split_revision(item.revision)[1] for item in view.items]
     if message.view_age is not None:
         reply.isDated = True
         reply.viewAge = message.view_age // US
@@ -59,7 +68,12 @@
 
 
 def read_store_reply(reply: Any) -> StoreReply:
-    """Returns the reply; raises ValueError if list lengths differ."""
+    """Returns the reply.
+
+    Raises:
+        ValueError: list lengths differ, or a revision is not valid.
+    """
+    era = reply.era
     columns = zip(
         read_column(reply.keys),
         read_column(reply.contents),
@@ -68,14 +82,21 @@
         strict=True,
     )
     items = [
-        StoreItem(key, None if removed else bytes(content), revision)
+        StoreItem(
+            key,
+            None if removed else bytes(content),
+            join_revision(era, revision),
+        )
         for key, content, removed, revision in columns
     ]
     return StoreReply(
         number=reply.number,
         outcome=StoreOutcome(reply.outcome),
-        view=StoreView(items, reply.revision, reply.hasMore),
+        view=StoreView(
+            items, join_revision(era, reply.revision), reply.hasMore
+        ),
         view_age=reply.viewAge * US if reply.isDated else None,
         costs=read_costs(reply),
         clock=reply.clock * US,
+        knows_eras=reply.hasEra,
     )
--- a/packages/gateway/almonddock_gateway/links/messages.capnp
+++ b/packages/gateway/almonddock_gateway/links/messages.capnp
@@ -79,6 +79,9 @@
   # reply.
   lent @7 :UInt32;
   asOf @8 :UInt64;
+  # The era of the store that "after" is of; earlier releases do not state it.
+  era @9 :UInt32;
+  hasEra @10 :Bool;
 }
 
 struct StoreReply {
@@ -101,6 +104,10 @@
   viewAge @11 :Int64;
   # The sender's clock in microseconds.
   clock @12 :UInt64;
+  # The era of the store that all revisions are of; earlier releases do not
+  # state it.
+  era @13 :UInt32;
+  hasEra @14 :Bool;
 }
 
 struct CreditQuery {
--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 from datetime import timedelta
 
-from almonddock_core.model import Clock
+from almonddock_core.model import Clock, get_era, join_revision, split_revision
 from almonddock_core.news import ReadSource
 from almonddock_gateway.relays._loans import LoanExchange
 from almonddock_gateway.relays._messages import (
@@ -33,6 +33,7 @@
     Store,
     StoreLostError,
     StoreView,
+    place_in_era,
     read_dated,
 )
 from almonddock_gateway.supervision import run_until_done
@@ -99,6 +100,8 @@
         self.age_bound: timedelta | None = None
         # Until then no watcher is asked.
         self._watchers_rest_until = timedelta()
+        # The newest era of the store that was read.
+        self._era = 0
         self._loans = LoanExchange() if loans is None else loans
         self._probing: asyncio.Task[None] | None = None
         #: Where the last answer came from; NONE before the first one, and
@@ -166,18 +169,17 @@
         ``query`` gets its number when it is sent.
         """
         view = await self._read_through_watcher(query)
-        if view is not None:
-            return view
-        if self._probing is None:
+        if view is None and self._probing is None:
             try:
                 view = await self._read_directly(read_directly)
             except StoreLostError as lost:
                 self._start_probing(lost)
             else:
                 self.source = ReadSource.STORE
-                return view
-        view = await self._read_through_peer(query)
-        self.source = ReadSource.PEER
+        if view is None:
+            view = await self._read_through_peer(query)
+            self.source = ReadSource.PEER
+        self._era = get_era(view.revision)
         return view
 
     async def _read_directly(
@@ -281,7 +283,15 @@
         sent = self._clock.now()
         reply = await _exchange(links, link, query, timeout_s)
         as_of = None if reply.view_age is None else sent - reply.view_age
-        return reply, replace(_read_view(reply), as_of=as_of)
+        view = _read_view(reply)
+        known = max(self._era, get_era(query.after or 0))
+        if not reply.knows_eras:
+            view = place_in_era(view, known)
+        if get_era(view.revision) < known:
+            raise StoreLostError(
+                f'another host has not read era {known} of the store yet'
+            )
+        return reply, replace(view, as_of=as_of)
 
     def _check_age(self, view: StoreView) -> None:
         """Raises an error if a watcher knows too little to rely on it.
@@ -387,16 +397,25 @@
 
     async def _read(self, query: StoreQuery) -> StoreView:
         wait = min(query.wait, MAX_WAIT)
-        if self._cache.is_fresh() and query.prefix == self._cache.prefix:
-            return await self._cache.read(query.after, wait)
+        after = query.after
+        if after is not None and not query.knows_eras:
+            after = join_revision(self._cache.era, split_revision(after)[1])
+        if self._can_use_cache(query.prefix, after):
+            return await self._cache.read(after, wait)
         if self._direct_reads >= MAX_DIRECT_READS:
             raise StoreLostError('too many queries of other hosts')
         self._direct_reads += 1
         try:
-            return await self._read_directly(query.prefix, query.after, wait)
+            return await self._read_directly(query.prefix, after, wait)
         finally:
             self._direct_reads -= 1
 
+    def _can_use_cache(self, prefix: str, after: int | None) -> bool:
+        """Whether the cache is as new as what the host that asks knows."""
+        if not self._cache.is_fresh() or prefix != self._cache.prefix:
+            return False
+        return get_era(after or 0) <= self._cache.era
+
     async def _read_directly(
         self, prefix: str, after: int | None, wait: timedelta
     ) -> StoreView:
--- a/packages/gateway/almonddock_gateway/relays/_messages.py
+++ b/packages/gateway/almonddock_gateway/relays/_messages.py
@@ -139,6 +139,9 @@
     costs: Costs = ()
     #: What the sender lends of its retry budget.
     offer: LoanOffer = LoanOffer()
+    #: Whether the sender tells the eras of the store apart; false for earlier
+    #: releases.
+    knows_eras: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,6 +159,9 @@
     #: The sender's clock, which means nothing to others; zero if the sender
     #: grants no attempts.
     clock: timedelta = timedelta()
+    #: Whether the sender tells the eras of the store apart; false for earlier
+    #: releases.
+    knows_eras: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/almonddock_gateway/relays/_store_cache.py
+++ b/packages/gateway/almonddock_gateway/relays/_store_cache.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Collection
 from datetime import timedelta
 
+from almonddock_core.model import get_era
 from almonddock_core.news import ChangeLog, Freshness
 from almonddock_gateway.store import HistoryLostError, StoreItem, StoreView
 
@@ -24,6 +25,11 @@
         self._changed = asyncio.Event()
         self._freshness = Freshness()
 
+    @property
+    def era(self) -> int:
+        """The era of the store that the cache is of."""
+        return get_era(self._log.revision or 0)
+
     def apply_snapshot(self, view: StoreView) -> None:
         """Replaces all items with those of the store."""
         self._log.apply_snapshot(view.items, view.revision)
--- a/packages/gateway/almonddock_gateway/store.py
+++ b/packages/gateway/almonddock_gateway/store.py
@@ -1,11 +1,20 @@
-"""The interface of the store, which an adapter implements."""
+"""The interface of the store, which an adapter implements.
+
+All revisions order what the store says over its whole history, also after it
+was restored from a copy: see :func:`almonddock_core.model.join_revision`.
+"""
 
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from typing import Protocol
 
-from almonddock_core.model import AlmonddockError, Clock
+from almonddock_core.model import (
+    AlmonddockError,
+    Clock,
+    join_revision,
+    split_revision,
+)
 
 
 class StoreLostError(AlmonddockError):
@@ -18,14 +27,24 @@
     """The connection of a call ended; the store may answer the next call."""
 
 
+class EraChangedError(StoreLostError):
+    """The store was restored from a copy during the call, or since then.
+
+    Whether a write has been executed is not known.
+    """
+
+
 class HistoryLostError(AlmonddockError):
-    """The store no longer keeps the changes after the given revision."""
+    """The store does not have the changes after the given revision.
+
+    It has discarded them, or was restored from a copy without them.
+    """
 
     code = 'history_lost'
 
 
 class LeaseEndedError(AlmonddockError):
-    """The lease ran out or was revoked."""
+    """The lease ran out, was revoked, or is of an earlier era of the store."""
 
     code = 'lease_ended'
 
@@ -98,7 +117,9 @@
         """Writes a key that is removed when the lease ends.
 
         If a revision is ``expected``, only over that one; 0 means that the
-        key does not exist. Returns the revision of the write.
+        key does not exist. Returns the revision of the write. Raises
+        :class:`LeaseEndedError` if the lease is gone, and
+        :class:`EraChangedError` if the store was restored meanwhile.
         """
         ...
 
@@ -112,11 +133,24 @@
         """Writes all keys if others have the expected revisions.
 
         A revision of 0 stands for a key that does not exist. Returns the
-        revision of the write, None if one of them differs.
+        revision of the write, None if one of them differs. Raises
+        :class:`EraChangedError` if the store was restored meanwhile.
         """
         ...
 
 
+def place_in_era(view: StoreView, era: int) -> StoreView:
+    """Returns a view whose sender does not know eras, in the given one."""
+
+    def place(revision: int) -> int:
+        return join_revision(era, split_revision(revision)[1])
+
+    items = [
+        replace(item, revision=place(item.revision)) for item in view.items
+    ]
+    return replace(view, items=items, revision=place(view.revision))
+
+
 async def read_dated(
     read: Callable[[], Awaitable[StoreView]], clock: Clock
 ) -> StoreView:
--- a/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
@@ -14,7 +14,7 @@
     MergedAnswer,
     Refusal,
 )
-from almonddock_core.model import Clock
+from almonddock_core.model import Clock, split_revision
 from almonddock_core.routing import Rejected, Route, TargetChange
 from almonddock_gateway.telemetry._lines import LineBudget, LineWriter
 from almonddock_gateway.telemetry._metrics import GatewayMetrics
@@ -83,7 +83,7 @@
 
     def log_event(self, event: str, /, **fields: Any) -> None:
         """Logs a start, a stop, a reload or a change of known state."""
-        self._lines.write(LineBudget.STATE, event, **fields)
+        self._lines.write(LineBudget.STATE, event, **_split_revisions(fields))
 
     def log_target_changes(
         self, changes: Iterable[TargetChange], revision: int
@@ -340,3 +340,21 @@
             if record.outcome in {AttemptOutcome.OPEN, AttemptOutcome.CANCELLED}
         ]
     return described
+
+
+def _split_revisions(fields: dict[str, Any]) -> dict[str, Any]:
+    """Returns the fields, with eras of the store in fields of their own.
+
+    A revision of era 0 is written as the number alone, as is one of a store
+    that does not state eras.
+    """
+    split: dict[str, Any] = {}
+    for name, found in fields.items():
+        split[name] = found
+        if not name.endswith('revision') or not isinstance(found, int):
+            continue
+        era, number = split_revision(found)
+        split[name] = number
+        if era:
+            split[name.replace('revision', 'era')] = era
+    return split
