Link the watchers of a data centre to each other

Watchers opened links to other data centres only, and to each other only during a roll-out; both hosts of a small data centre are watchers. Beside it, reads through peers shared their turn among links with requests, so a peer without the store could be asked each time.

Watchers now link to each other. A peer that gave no answer is asked again only after all others.

test_all_of_a_few_hosts_are_watchers asserted that two hosts of a data centre have no link, which was the fault. test_host_that_the_store_turns_away_can_ask_its_neighbour replaces it: it requires exactly that link, usable, and still no watcher to read from. Shown to fail before: it, test_peer_without_the_store_is_not_asked_again_before_others and test_watcher_of_many_hosts_links_to_the_other_one_only.

Passed: lint; test_links, test_linking, test_watchers, test_store_following, test_relays, test_homes, test_rollout_messages, test_end_to_end, test_rollouts, test_quota_hosts.

--- a/packages/gateway/almonddock_gateway/links/_peers.py
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -8,7 +8,13 @@
 import itertools
 import zlib
 from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import (
+    Callable,
+    Collection,
+    Container,
+    Iterable,
+    Sequence,
+)
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -119,9 +125,25 @@
                 return link
         return None
 
-    def find_any_link(self) -> MessageLink | None:
-        """Returns a usable link to any host, None without one."""
-        return self._pick_round_robin(list(self._links.values()))
+    def find_any_link(
+        self, avoided: Container[MessageLink] = ()
+    ) -> MessageLink | None:
+        """Returns a usable link to any host, None without one.
+
+        Returns the one that was returned longest ago, and one of those to be
+        ``avoided`` only if there is no other.
+        """
+        usable = [
+            peer
+            for peer, link in self._links.items()
+            if link.usable and link not in self._leaving
+        ]
+        if not usable:
+            return None
+        peer = min(usable, key=lambda one: self._links[one] in avoided)
+        link = self._links.pop(peer)
+        self._links[peer] = link
+        return link
 
     def find_link_to(self, name: str) -> MessageLink | None:
         """Returns a usable link to one host, None without one."""
@@ -219,6 +241,7 @@
         """Returns the watchers and some hosts of each other data centre.
 
         Each host ranks these differently, so that links are spread evenly.
+        Watchers link to each other: the store may turn one of them away.
         """
         rank = partial(_rank_peer, self._own_name)
         by_data_centre: dict[str, list[Peer]] = defaultdict(list)
@@ -230,10 +253,8 @@
             for peers in by_data_centre.values()
             for peer in sorted(peers, key=rank)[:LINKS_PER_DATA_CENTRE]
         }
-        watchers, is_watcher = self._list_watchers()
-        if self._counts.is_needed() or not is_watcher:
-            chosen |= watchers
-        return chosen
+        watchers, _ = self._list_watchers()
+        return chosen | watchers
 
     def _list_watchers(self) -> tuple[set[Peer], bool]:
         """Returns the watchers besides this host, and whether it is one."""
--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -10,6 +10,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import replace
 from datetime import timedelta
+from weakref import WeakSet
 
 from almonddock_core.model import Clock
 from almonddock_core.news import ReadSource
@@ -101,6 +102,8 @@
         self._watchers_rest_until = timedelta()
         self._loans = LoanExchange() if loans is None else loans
         self._probing: asyncio.Task[None] | None = None
+        # Links over which no answer came; all others are asked before them.
+        self._unhelpful_links: WeakSet[MessageLink] = WeakSet()
         #: Where the last answer came from; NONE before the first one, and
         #: after the store or a watcher failed.
         self.source = ReadSource.NONE
@@ -201,6 +204,7 @@
             raise lost
         if self._probing is None:
             self._telemetry.log_event('store_shared', reason=lost.message)
+            self._unhelpful_links.clear()
             self._probing = asyncio.create_task(
                 run_until_done('probing', self._probe, self._telemetry)
             )
@@ -259,12 +263,20 @@
 
     async def _read_through_peer(self, query: StoreQuery) -> StoreView:
         links = self._router.links
-        link = links.find_any_link() if links is not None else None
+        unhelpful = self._unhelpful_links
+        link = links.find_any_link(unhelpful) if links is not None else None
         if links is None or link is None:
             raise StoreLostError('no usable link to another host')
+        if link in unhelpful:
+            # None of the others helped either.
+            unhelpful.clear()
         if self.age_bound is not None:
             query = replace(query, wait=min(query.wait, WATCHER_WAIT))
-        _, view = await self._query_host(link, query, PEER_TIMEOUT_S)
+        try:
+            _, view = await self._query_host(link, query, PEER_TIMEOUT_S)
+        except StoreLostError:
+            unhelpful.add(link)
+            raise
         return view
 
     async def _query_host(
--- a/packages/gateway/almonddock_gateway/relays/_router.py
+++ b/packages/gateway/almonddock_gateway/relays/_router.py
@@ -1,7 +1,7 @@
 """Selects the sub-queries to relay through another host."""
 
 from collections import defaultdict
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Container, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -49,8 +49,14 @@
         """
         ...
 
-    def find_any_link(self) -> MessageLink | None:
-        """Returns a usable link to any host, None without one."""
+    def find_any_link(
+        self, avoided: Container[MessageLink] = ()
+    ) -> MessageLink | None:
+        """Returns a usable link to any host, None without one.
+
+        Returns the one that was returned longest ago, and one of those to be
+        ``avoided`` only if there is no other.
+        """
         ...
 
     def find_watcher(self) -> MessageLink | None:
