Let the store of the soak return from copies

The soak lost the store, slowed it and cut its history, but never let it lose what it had confirmed, as it does in a drill of the users.

The operator writes the newest version and the drained data centres again, the targets their entries. The promises stay as they are, and these kinds give hosts no time of grace: what is written after the return is due as at any time.

--- a/soak/injector.py
+++ b/soak/injector.py
@@ -12,6 +12,7 @@
 from soak.installation import Installation
 from soak.observations import FaultSpan
 from soak.proxy import SILENT, UNIMPAIRED, PathImpairment, Proxy
+from soak.returns import restore_store, write_again
 from soak.schedule import Fault, FaultKind
 from soak.settings import DATA_CENTRES
 from soak.signals import kill_in_series, reload_in_series, stop_in_series
@@ -148,9 +149,13 @@
         now = self._installation.now()
         await asyncio.sleep((fault.at - now).total_seconds())
         start = self._installation.now()
-        await self._select_handler(fault)(fault)
+        copied = await restore_store(self._installation, fault)
+        if copied is None:
+            await self._select_handler(fault)(fault)
         end = self._installation.now()
         self.spans.append(FaultSpan(fault.kind, fault.subject, start, end))
+        if copied is not None:
+            await write_again(self._installation, copied)
 
     def _select_handler(self, fault: Fault) -> Callable:  # type: ignore[type-arg]
         if fault.kind in STORE_FAULTS:
--- a/soak/installation.py
+++ b/soak/installation.py
@@ -6,7 +6,7 @@
 import pathlib
 import random
 import signal
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from types import MappingProxyType
 from typing import Any
@@ -25,6 +25,7 @@
     describe_settings,
 )
 from soak.callers import HostEndpoint
+from soak.drills import StoreCopies
 from soak.observations import OutOfService, Version
 from soak.processes import MAX_DESCRIPTORS, HostProcess
 from soak.proxy import Proxy
@@ -92,6 +93,7 @@
         self.store = StoreStandin(
             page_size=STORE_PAGE_SIZE, rewrite=self._rewrite
         )
+        self.copies = StoreCopies(self.store, self.now)
         self.records = TargetRecords()
         self.targets: list[SoakTarget] = []
         self.hosts: list[SoakHost] = []
@@ -136,6 +138,7 @@
             await target.start(self.address)
             self.targets.append(target)
             self._tasks.append(asyncio.create_task(target.run()))
+        self._tasks.append(asyncio.create_task(self.copies.run()))
         self.configure()
         server = HttpServer(self.store.handle)
         self._servers.append(server)
@@ -157,7 +160,7 @@
             target.close()
         for server in self._servers:
             server.close()
-        for task in self._tasks[: len(self.targets)]:
+        for task in self._tasks[: len(self.targets) + 1]:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
@@ -167,28 +170,35 @@
             return False
         before = self.versions[-1].number if self.versions else 0
         number = before + self.rng.randint(1, 3)
-        routes = build_routes(self)
-        services = sorted({target.spec.service for target in self.targets})
-        self.store.put(
-            KEYS.configuration,
-            describe_configuration(
-                number,
-                routes,
-                [
-                    Service(
-                        one,
-                        MAX_CONNECTIONS,
-                        COLD_RATE,
-                        timedelta(seconds=3),
-                        HEALTH_PATH,
-                    )
-                    for one in services
-                ],
-            ),
-        )
-        self.versions.append(Version(number, self.now(), routes))
+        self._write_version(Version(number, self.now(), build_routes(self)))
         return True
 
+    def write_again(self, copied: timedelta) -> bool:
+        """Writes what the operator wrote after a copy, from which the store is.
+
+        Its bounds count anew from then. Returns whether the store accepts
+        writes.
+        """
+        if self.store.fault in NO_WRITES:
+            return False
+        if self.versions[-1].written >= copied:
+            self._write_version(replace(self.versions[-1], written=self.now()))
+        drained = {one.name for one in self.drained if one.until is None}
+        for name in DATA_CENTRES:
+            key = f'{KEYS.drained_prefix}{name}'
+            is_listed = bool(self.store.list_keys(key))
+            if name in drained and not is_listed:
+                self.drain(name)
+            elif name not in drained:
+                self.store.remove(key)
+        return True
+
+    def remove_unreported(self) -> None:
+        """Removes the entries that targets have stopped to report."""
+        for key in self.store.list_keys(KEYS.target_prefix):
+            if not any(target.reports(key) for target in self.targets):
+                self.store.remove(key)
+
     def drain(self, name: str) -> bool:
         """Drains a data centre; returns whether the store accepts writes."""
         if self.store.fault in NO_WRITES:
@@ -230,6 +240,27 @@
         self._tasks.append(asyncio.create_task(rival.run()))
         return rival
 
+    def _write_version(self, version: Version) -> None:
+        services = sorted({target.spec.service for target in self.targets})
+        self.store.put(
+            KEYS.configuration,
+            describe_configuration(
+                version.number,
+                version.routes,
+                [
+                    Service(
+                        one,
+                        MAX_CONNECTIONS,
+                        COLD_RATE,
+                        timedelta(seconds=3),
+                        HEALTH_PATH,
+                    )
+                    for one in services
+                ],
+            ),
+        )
+        self.versions.append(version)
+
     async def _build_host(self, number: int, store: Address) -> SoakHost:
         host_address = f'{self._network}.{FIRST_HOST_OCTET + number}'
         name = f'host-{number}'
--- a/soak/promises/_disturbances.py
+++ b/soak/promises/_disturbances.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 from soak.observations import Evidence, FaultSpan
-from soak.schedule import FaultKind
+from soak.schedule import LATER_GROUPS, FaultKind
 from soak.settings import Promises
 
 #: Faults that may keep all hosts from learning of changes in the store.
@@ -24,6 +24,9 @@
     ),
 )
 
+#: Faults that end with the return of the store: what is written from then on
+#: has to be learned in time.
+RETURN_KINDS = LATER_GROUPS['copies of the store']
 
 #: Name prefixes of the kinds of faults that affect a single host.
 HOST_PREFIXES = ('HOST_', 'STORE_PATH_', 'CALLER_', 'LINK_')
@@ -69,11 +72,16 @@
     since: timedelta,
     until: timedelta,
 ) -> bool:
-    """Whether a host could read the store in a time span and just before it."""
+    """Whether a host could read the store in a time span and just before it.
+
+    What was written before the store came back from a copy may be lost. What
+    is written after that is bounded from then on, without a time of grace.
+    """
     spans = _list_overlapping(evidence, since - promises.contact, until)
-    return not any(
-        span.kind in STORE_FAULTS or _affects(span, host) for span in spans
-    )
+    if any(span.kind in STORE_FAULTS or _affects(span, host) for span in spans):
+        return False
+    spans = _list_overlapping(evidence, since, until)
+    return not any(span.kind in RETURN_KINDS for span in spans)
 
 
 def must_be_ready(
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -68,6 +68,8 @@
     LINK_IDLE = 'idle connections to the port for links'
     TARGET_LEAVE_UNLISTED = 'target leaves, and only its replies say so'
     TARGET_REST = 'target refuses requests and states for how long'
+    STORE_RETURN = 'store returns from a copy'
+    STORE_RETURN_TWICE = 'store returns from copies twice in a row'
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +82,8 @@
     #: The number of the affected host, target or data centre.
     subject: int
     #: The time until the fault is reverted, for kinds that are reverted. For
-    #: changes of the configuration, it selects what changes.
+    #: changes of the configuration, it selects what changes; for returns of the
+    #: store, it is the age of the copy.
     duration: timedelta
 
 
@@ -129,6 +132,9 @@
         ),
         'overlapping processes': frozenset((FaultKind.HOST_OVERLAP,)),
         'descriptors': frozenset((FaultKind.CALLER_IDLE,)),
+        'copies of the store': frozenset(
+            (FaultKind.STORE_RETURN, FaultKind.STORE_RETURN_TWICE),
+        ),
     },
 )
 LATER_KINDS = frozenset(itertools.chain(*LATER_GROUPS.values()))
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -183,6 +183,14 @@
             describe_target(replace(entry, cold_for=left), self._sequence),
         )
 
+    def reports(self, key: str) -> bool:
+        """Whether an entry of the store is the one that it sends."""
+        entry = self._entry
+        return (
+            entry is not None
+            and key == f'{KEYS.target_prefix}{entry.target_id}'
+        )
+
     def expire_entry(self) -> None:
         """Removes the entry, which the next heartbeat writes again."""
         if self._entry is not None:
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -250,6 +250,34 @@
                 changed = replace(evidence, calls=calls, arrivals=arrivals)
                 self.assertEqual(list_broken(changed), promises)
 
+    def test_version_after_a_return_of_the_store_is_due_in_time(self) -> None:
+        """One written before may be lost; one written after is bounded."""
+        for kind, end, promises in (
+            (FaultKind.STORE_RETURN, 26.0, {'in force'}),
+            (FaultKind.STORE_RETURN_TWICE, 26.0, {'in force'}),
+            (FaultKind.STORE_RETURN, 26.2, set()),
+            (FaultKind.STORE_DOWN, 26.0, set()),
+        ):
+            versions = (build_version(1, 0), build_version(2, 26.1, 'archive'))
+            span = FaultSpan(kind, 0, seconds(25), seconds(end))
+            evidence = add_call('old', 30)
+            calls = [one for one in evidence.calls if one.sent < seconds(60)]
+            late = add_call('z', 60, answer=answer_single('z', 'archive'))
+            arrivals = [
+                *evidence.arrivals,
+                build_arrival('old', 'ledger', 30.01),
+                build_arrival('z', 'archive', 60.01),
+            ]
+            changed = replace(
+                evidence,
+                calls=[*calls, late.calls[-1]],
+                arrivals=[one for one in arrivals if one.attempt_id != 'late'],
+                versions=versions,
+                spans=(span,),
+            )
+            with self.subTest(kind=kind, end=end):
+                self.assertEqual(list_broken(changed), promises)
+
 
 #: A target to which only the requests of a test go.
 OTHER_TARGET = 't1-1'
