Take a lost version that is written again with other content

What callers would see: after the store came back from a copy, the operator may give the number of a version that was lost to another one. Hosts that had the lost one in force ran its routes and keys until the next version.

Cause: a configuration was put in force for a higher version only, whatever the history of the store was that the number came from.

Change: the same version with other content is put in force if the one in force was last read in an earlier era. Within an era, and for a lower version, nothing changes. What is in force and read again is no longer logged as put away in each era.

--- a/packages/gateway/almonddock_gateway/controllers/_configuration.py
+++ b/packages/gateway/almonddock_gateway/controllers/_configuration.py
@@ -48,6 +48,8 @@
         self._revision = 0
         # The revision of the last one that was put away.
         self._put_away = 0
+        # The last revision that was read with the one in force.
+        self._confirmed = 0
         #: Whether that could be read.
         self.is_readable = True
 
@@ -138,12 +140,27 @@
                 in_force=before.version if before else None,
             )
             return
-        if before is None or table.version > before.version:
+        if before is None or self._replaces(table, item.revision, before):
             self._put_in_force(table, item.revision)
+        elif table == before:
+            self._confirmed = max(item.revision, self._confirmed)
         else:
             self._log_put_away(item, table.version)
         self._note_read(item, is_readable=True)
 
+    def _replaces(
+        self, table: RoutingTable, revision: int, before: RoutingTable
+    ) -> bool:
+        """Whether a configuration is newer than the one in force.
+
+        The operator may give the number of a version that the store has lost
+        to another one.
+        """
+        if table.version != before.version:
+            return table.version > before.version
+        is_later = get_era(revision) > get_era(self._confirmed)
+        return is_later and table != before
+
     def _log_put_away(self, item: StoreItem, version: int | None) -> None:
         """Logs once that a configuration changes nothing here, and why.
 
@@ -170,6 +187,7 @@
     def _put_in_force(self, table: RoutingTable, revision: int) -> None:
         before = self._state.table
         self._state.table = table
+        self._confirmed = revision
         self._context.apply_configuration(table)
         self._telemetry.log_event(
             'configuration_in_force',
--- /dev/null
+++ b/packages/gateway/almonddock_gateway/tests/test_configuration.py
@@ -0,0 +1,102 @@
+"""Tests of the configuration that a host takes from a restored store."""
+
+import unittest
+from unittest.mock import Mock
+
+from almonddock_core.model import ManualClock, join_revision
+from almonddock_core.routing import RoutingTable, build_routing_table
+from almonddock_core.tests.dispatch_cases import (
+    LIMITS,
+    DispatchCase,
+    make_route,
+)
+from almonddock_gateway.controllers import ConfigurationController
+from almonddock_gateway.entry import EntryState
+from almonddock_gateway.settings import StoreKeys
+from almonddock_gateway.store import StoreItem, StoreView
+from almonddock_gateway.telemetry import Telemetry
+
+KEYS = StoreKeys('op/', 'op/config', 'op/drained/', 'targets/', 'hosts/')
+
+
+def decode(content: bytes) -> RoutingTable:
+    """Returns a table with one route, from its version and prefix."""
+    version, prefix = content.decode().split()
+    return build_routing_table(
+        int(version), LIMITS, (), [make_route(prefix=prefix)]
+    )
+
+
+def build_view(era: int, number: int, content: bytes | None) -> StoreView:
+    """Returns a view with a configuration, or without one."""
+    revision = join_revision(era, number)
+    items = (
+        []
+        if content is None
+        else [StoreItem(KEYS.configuration, content, revision)]
+    )
+    return StoreView(items, revision)
+
+
+class ConfigurationCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.state = EntryState()
+        self.clock = ManualClock()
+        self.telemetry = Mock(spec=Telemetry)
+        self.controller = ConfigurationController(
+            KEYS,
+            decode,
+            self.state,
+            DispatchCase(make_route()).context,
+            self.clock,
+            self.telemetry,
+        )
+        self.read(1, 20, b'9 /a/')
+
+    def read(self, era: int, number: int, content: bytes | None) -> StoreView:
+        """Applies a snapshot, and returns it."""
+        view = build_view(era, number, content)
+        self.controller.apply_snapshot(view)
+        return view
+
+    def write(self, era: int, number: int, content: bytes) -> StoreView:
+        """Applies a change, and returns it."""
+        view = build_view(era, number, content)
+        self.controller.apply_changes(view)
+        return view
+
+    def check_in_force(self, content: bytes) -> None:
+        self.assertEqual(self.state.table, decode(content))
+
+
+class RestoredConfigurationTest(ConfigurationCase):
+    def test_lost_version_that_is_written_with_other_content_is_taken(
+        self,
+    ) -> None:
+        """Hosts ran the lost one until the next version."""
+        self.read(2, 10, b'8 /old/')
+        self.write(2, 20, b'9 /b/')
+        self.check_in_force(b'9 /b/')
+
+    def test_hosts_that_knew_the_lost_version_agree_with_others(self) -> None:
+        """A version that was seen in an era has no other content in it."""
+        self.read(2, 10, b'9 /a/')
+        self.write(2, 11, b'9 /b/')
+        self.check_in_force(b'9 /a/')
+
+    def test_lower_version_of_the_copy_is_not_taken(self) -> None:
+        self.read(2, 10, b'8 /old/')
+        self.check_in_force(b'9 /a/')
+        self.write(2, 11, b'10 /c/')
+        self.check_in_force(b'10 /c/')
+
+    def test_version_that_is_written_again_is_not_put_away(self) -> None:
+        """Each read of what is in force was logged as put away."""
+        self.telemetry.log_event.reset_mock()
+        for number in (10, 11):
+            self.read(2, number, b'9 /a/')
+        self.telemetry.log_event.assert_not_called()
+
+
+if __name__ == '__main__':
+    unittest.main()
