Name the order of a roll-out's record by the store's number alone

What callers would have seen: after the store came back from a copy, a version that had been rolled back was rolled out again, without an order from the operator.

Cause: each key has a new revision in a new era, also the unchanged order. The record named the order by its revision of the earlier era, so that the order counted as one that repeats the version after the verdict.

--- a/packages/core/almonddock_core/rollouts/_records.py
+++ b/packages/core/almonddock_core/rollouts/_records.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, replace
 from datetime import timedelta
 
+from almonddock_core.model import join_revision, split_revision
+
 
 class RolloutState(enum.Enum):
     """How far a roll-out is; the last two are final for one order."""
@@ -87,6 +89,17 @@
         """Returns the record with a verdict."""
         return replace(self, state=state, reason=reason)
 
+    def place_in_era(self, era: int) -> 'RolloutRecord':
+        """Returns the record with the store's numbers of its order in an era.
+
+        A copy of the store that holds a record also holds its order.
+        """
+        return replace(
+            self,
+            order_revision=_place_revision(self.order_revision, era),
+            answered_revision=_place_revision(self.answered_revision, era),
+        )
+
     def enter(
         self,
         stage: RolloutStage,
@@ -139,3 +152,7 @@
         answered_revision=order.revision,
         reason='ordered',
     )
+
+
+def _place_revision(revision: int, era: int) -> int:
+    return join_revision(era, split_revision(revision)[1])
--- a/packages/gateway/almonddock_gateway/controllers/_rollouts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_rollouts.py
@@ -136,7 +136,7 @@
         if item.content is None:
             return
         try:
-            record = decode_record(item.content)
+            record = decode_record(item.content, item.revision)
         except (ValueError, TypeError, KeyError) as fault:
             self._log_unreadable(item, repr(fault))
             return
--- a/packages/gateway/almonddock_gateway/rollouts/_records.py
+++ b/packages/gateway/almonddock_gateway/rollouts/_records.py
@@ -1,10 +1,15 @@
-"""The records of roll-outs as the store holds them, in JSON."""
+"""The records of roll-outs as the store holds them, in JSON.
+
+A record names its order by the store's number alone: the era is that of the
+record, because both are in the same copy of the store.
+"""
 
 from datetime import timedelta
 from typing import Any
 
 import orjson
 
+from almonddock_core.model import get_era, split_revision
 from almonddock_core.rollouts import (
     RolloutRecord,
     RolloutStage,
@@ -20,8 +25,8 @@
         {
             'service': record.service,
             'version': record.version,
-            'order_revision': record.order_revision,
-            'answered_revision': record.answered_revision,
+            'order_revision': split_revision(record.order_revision)[1],
+            'answered_revision': split_revision(record.answered_revision)[1],
             'duration_ms': record.duration // MS,
             'state': record.state.value,
             'stage': record.stage.value,
@@ -38,8 +43,8 @@
     )
 
 
-def decode_record(encoded: bytes) -> RolloutRecord:
-    """Returns the record.
+def decode_record(encoded: bytes, revision: int) -> RolloutRecord:
+    """Returns the record that the store holds at a revision.
 
     Raises:
         ValueError: the bytes are not JSON, or a value is not valid.
@@ -47,7 +52,7 @@
         KeyError: a field is missing.
     """
     body: dict[str, Any] = orjson.loads(encoded)
-    return RolloutRecord(
+    record = RolloutRecord(
         service=str(body['service']),
         version=str(body['version']),
         order_revision=int(body['order_revision']),
@@ -65,3 +70,4 @@
         barred_versions=frozenset(map(str, body['barred_versions'])),
         reason=str(body['reason']),
     )
+    return record.place_in_era(get_era(revision))
--- a/packages/gateway/almonddock_gateway/tests/test_rollout_messages.py
+++ b/packages/gateway/almonddock_gateway/tests/test_rollout_messages.py
@@ -3,10 +3,12 @@
 import unittest
 from datetime import timedelta
 
+from almonddock_core.model import join_revision
 from almonddock_core.rollouts import (
     CountTable,
     Group,
     HostCounts,
+    RolloutOrder,
     RolloutRecord,
     RolloutStage,
     RolloutState,
@@ -23,6 +25,25 @@
     'front-1', 7, 'desk', 3, 2, 90, 4, {Group(True, 'one', 'a'): Tally(4, 1, 2)}
 )
 
+RECORD = RolloutRecord(
+    service='desk',
+    version='v2',
+    order_revision=5,
+    duration=timedelta(seconds=20),
+    state=RolloutState.ROLLED_BACK,
+    stage=RolloutStage.BURST,
+    stage_number=2,
+    stage_began=timedelta(seconds=8),
+    trial_rate=1.5,
+    allowance=60,
+    burst_time=timedelta(seconds=2),
+    was_loaded=True,
+    old_versions=frozenset(('v0', 'v1')),
+    barred_versions=frozenset(('v3',)),
+    answered_revision=6,
+    reason='failures on all routes',
+)
+
 
 class RolloutMessagesTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -58,25 +79,22 @@
         self.assertEqual(self.there.list_all(), [])
 
     def test_record_round_trips(self) -> None:
-        record = RolloutRecord(
-            service='desk',
-            version='v2',
-            order_revision=5,
-            duration=timedelta(seconds=20),
-            state=RolloutState.ROLLED_BACK,
-            stage=RolloutStage.BURST,
-            stage_number=2,
-            stage_began=timedelta(seconds=8),
-            trial_rate=1.5,
-            allowance=60,
-            burst_time=timedelta(seconds=2),
-            was_loaded=True,
-            old_versions=frozenset(('v0', 'v1')),
-            barred_versions=frozenset(('v3',)),
-            answered_revision=6,
-            reason='failures on all routes',
-        )
-        self.assertEqual(decode_record(encode_record(record)), record)
+        self.assertEqual(decode_record(encode_record(RECORD), 9), RECORD)
+
+    def test_rolled_back_version_stays_so_in_a_restored_store(self) -> None:
+        """The unchanged order counted as one that repeats the version."""
+        encoded = encode_record(RECORD)
+        for era in (0, 1, 7):
+            with self.subTest(era=era):
+                record = decode_record(encoded, join_revision(era, 9))
+                order = RolloutOrder(
+                    RECORD.service,
+                    RECORD.version,
+                    RECORD.duration,
+                    join_revision(era, RECORD.answered_revision),
+                )
+                self.assertTrue(record.answers(order))
+                self.assertEqual(encode_record(record), encoded)
 
 
 if __name__ == '__main__':
