Decide on roll-outs in a restored store that lacks the claim

What callers would have seen: after the store came back from a copy without the claim or the record of a roll-out, no host decided on roll-outs any more. A bad version was not rolled back by a record, a good one not completed.

Shown: the test with the stand-in store of the core's fleet, which can be restored now, failed with the revisions kept; it passes now.

--- a/packages/core/almonddock_core/rollouts/_claim.py
+++ b/packages/core/almonddock_core/rollouts/_claim.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from almonddock_core.model import get_era
+
 #: The pause between two writes of the host that decides.
 RENEWAL_MS = 600
 RENEWAL = timedelta(milliseconds=RENEWAL_MS)
@@ -41,6 +43,8 @@
     changed_at: timedelta = timedelta()
     #: When this host last wrote it.
     written_at: timedelta | None = None
+    #: The era of the store.
+    era: int = 0
 
     @property
     def is_held(self) -> bool:
@@ -49,11 +53,18 @@
 
     def observe(self, holder: str, revision: int, now: timedelta) -> None:
         """Takes in what the store holds."""
-        if revision > self.revision:
+        if revision > self.revision and get_era(revision) >= self.era:
             self.revision = revision
             self.holder = holder
             self.changed_at = now
 
+    def enter_era(self, era: int, now: timedelta) -> None:
+        """Forgets the claim, which a store restored from a copy may lack."""
+        self.era = era
+        self.revision = 0
+        self.holder = ''
+        self.changed_at = now
+
     def give_up(self, now: timedelta) -> None:
         """Records that a write did not hold: another host decides."""
         self.holder = 'another host'
--- a/packages/core/almonddock_core/rollouts/_stored.py
+++ b/packages/core/almonddock_core/rollouts/_stored.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
+from almonddock_core.model import get_era
 from almonddock_core.rollouts._records import RolloutOrder, RolloutRecord
 from almonddock_core.rollouts._table import RolloutTable
 
@@ -17,10 +18,20 @@
         """Takes the table that acts on the orders and records."""
         #: The revision at which the store holds the record of each service.
         self.revisions: dict[str, int] = {}
+        #: The era of the store.
+        self.era = 0
         self._table = table
         self._orders: dict[str, RolloutOrder] = {}
         self._records: dict[str, RolloutRecord] = {}
 
+    def enter_era(self, era: int) -> None:
+        """Prepares for what a store holds that was restored from a copy.
+
+        What is known of records stays, also of those that the copy lacks.
+        """
+        self.era = era
+        self.revisions = {}
+
     def replace_orders(self, orders: Iterable[RolloutOrder]) -> None:
         """Replaces all orders."""
         self._orders = {order.service: order for order in orders}
@@ -35,6 +46,8 @@
 
     def put_record(self, record: RolloutRecord, revision: int) -> None:
         """Takes in a record unless a newer one is known."""
+        if get_era(revision) < self.era:
+            return
         if revision > self.revisions.get(record.service, 0):
             self.revisions[record.service] = revision
             self._records[record.service] = record
--- a/packages/core/almonddock_core/tests/rollout_fleet.py
+++ b/packages/core/almonddock_core/tests/rollout_fleet.py
@@ -2,9 +2,10 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
+from almonddock_core.model import get_era, join_revision, split_revision
 from almonddock_core.rollouts import (
     ClaimView,
     ConditionalWrite,
@@ -108,6 +109,34 @@
         self.revision += 1
         self.orders.pop(SERVICE, None)
 
+    def take_copy(self) -> 'FakeStore':
+        """Returns a copy to restore the store from."""
+        return replace(
+            self,
+            records=dict(self.records),
+            orders=dict(self.orders),
+            written=[],
+        )
+
+    def restore(self, copy: 'FakeStore') -> None:
+        """Replaces the content by that of a copy, in the next era."""
+        era = get_era(self.revision) + 1
+
+        def place(revision: int) -> int:
+            return join_revision(era, split_revision(revision)[1])
+
+        owner, revision = copy.claim
+        self.revision = place(copy.revision)
+        self.claim = (owner, place(revision) if revision else 0)
+        self.records = {
+            service: (record.place_in_era(era), place(revision))
+            for service, (record, revision) in copy.records.items()
+        }
+        self.orders = {
+            service: replace(order, revision=place(order.revision))
+            for service, order in copy.orders.items()
+        }
+
     def _find_order_revision(self, service: str) -> int:
         order = self.orders.get(service)
         return order.revision if order else 0
@@ -162,6 +191,10 @@
         """Reads the whole store."""
         self.table.hosts = hosts
         self.table.known_at = now
+        era = get_era(store.revision)
+        if era > self.stored.era:
+            self.claim.enter_era(era, now)
+            self.stored.enter_era(era)
         self.claim.observe(*store.claim, now)
         self.stored.replace_orders(store.orders.values())
         for record, revision in store.records.values():
--- a/packages/core/almonddock_core/tests/test_rollouts.py
+++ b/packages/core/almonddock_core/tests/test_rollouts.py
@@ -285,6 +285,24 @@
         self.assertIsNone(fleet.store.commit(write, decider.claim.owner))
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """The store comes back from a copy some seconds old."""
+
+    def setUp(self) -> None:
+        self.fleet = RolloutFleet()
+        self.fleet.run(2)
+
+    def test_hosts_decide_though_the_copy_lacks_claim_and_record(self) -> None:
+        """No write held any more: all named revisions of an earlier era."""
+        copy = self.fleet.store.take_copy()
+        self.fleet.order()
+        self.fleet.run(4)
+        self.fleet.store.restore(copy)
+        self.fleet.store.order()
+        self.fleet.run(18)
+        self.assertEqual(self.fleet.states, [RUNNING, COMPLETED])
+
+
 @st.composite
 def schedule_faults(draw: st.DrawFn) -> list[tuple[float, str, int]]:
     """Returns pauses, each with a fault and the host that it hits."""
--- a/packages/gateway/almonddock_gateway/controllers/_rollouts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_rollouts.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from almonddock_core.model import AlmonddockError, Clock
+from almonddock_core.model import AlmonddockError, Clock, get_era
 from almonddock_core.rollouts import (
     ClaimView,
     ConditionalWrite,
@@ -75,6 +75,10 @@
 
     def apply_snapshot(self, view: StoreView) -> None:
         """Replaces the known orders, and takes in the records."""
+        era = get_era(view.revision)
+        if era > self._stored.era:
+            self._claim.enter_era(era, self._deps.clock.now())
+            self._stored.enter_era(era)
         self._stored.replace_orders(())
         self.apply_changes(view)
 
