Keep verdicts on roll-outs that a restored store has lost

What callers would have seen: after the store came back from a copy taken before the verdict, a version that had been rolled back got requests again, by the record of the copy: from 40 to 296 requests in the test's tier of four hosts.

Cause: the record of the new era has the higher revision, and was taken as the newer decision on the order.

Change: hosts carry the records that they know into the next era, until the store holds one that is as far for the same order. The host that decides writes a carried record again; if it is a verdict, each host that knows it may take the claim for that at once, because the one that decides may not know it. At most one write holds, as before.

Shown: the new test, with copies from each half second of a roll-out, failed before; it passes now, also with a host restarted after each restore. test_rollouts passes.

--- a/packages/core/almonddock_core/rollouts/_claim.py
+++ b/packages/core/almonddock_core/rollouts/_claim.py
@@ -76,10 +76,17 @@
         self.written_at = now
 
     def may_take(
-        self, hosts: Iterable[str], waiting_since: timedelta, now: timedelta
+        self,
+        hosts: Iterable[str],
+        waiting_since: timedelta,
+        now: timedelta,
+        *,
+        is_urgent: bool = False,
     ) -> bool:
         """Whether this host should write the claim to decide from now on.
 
+        If it ``is_urgent``, also while another host decides.
+
         ``waiting_since`` is when there was first something to decide: without
         that, the host that decides writes nothing.
         """
@@ -87,6 +94,8 @@
             {self.host, *hosts}, key=lambda name: zlib.crc32(name.encode())
         )
         turn = min(MAX_TURN, ranked.index(self.host))
+        if is_urgent:
+            return now - waiting_since >= STAGGER * turn
         wait = TAKEOVER if self.holder else timedelta()
         since = max(self.changed_at, waiting_since)
         return now - since >= wait + STAGGER * turn
--- a/packages/core/almonddock_core/rollouts/_decider.py
+++ b/packages/core/almonddock_core/rollouts/_decider.py
@@ -7,6 +7,7 @@
 from almonddock_core.rollouts._claim import ClaimView
 from almonddock_core.rollouts._decision import Fleet, decide
 from almonddock_core.rollouts._records import RolloutBounds, RolloutRecord
+from almonddock_core.rollouts._service import ServiceRollout
 from almonddock_core.rollouts._stored import StoredRollouts
 from almonddock_core.rollouts._table import MAX_AGE, RolloutTable
 
@@ -46,8 +47,7 @@
         self, find_fleet: FindFleet, now: timedelta
     ) -> ConditionalWrite | None:
         """Returns what to write now, None if nothing is due."""
-        undecided = self.table.list_undecided()
-        if not undecided:
+        if not self._list_due():
             self._waiting_since = None
             return None
         if self._waiting_since is None:
@@ -55,8 +55,7 @@
         if not self._is_current(now):
             return None
         if not self.claim.is_held:
-            hosts = self.table.hosts
-            if not self.claim.may_take(hosts, self._waiting_since, now):
+            if not self._may_take(now):
                 return None
             return ConditionalWrite(self.claim.revision)
         changed = self._decide_all(find_fleet, now)[:MAX_RECORDS]
@@ -82,6 +81,25 @@
         """Records that the store has refused a write."""
         self.claim.give_up(now)
 
+    def _list_due(self) -> list[ServiceRollout]:
+        """Returns the roll-outs for which something is to be written."""
+        undecided = self.table.list_undecided()
+        lost = self.stored.list_lost()
+        return undecided + [one for one in lost if not one.is_undecided]
+
+    def _may_take(self, now: timedelta) -> bool:
+        """Whether this host should take the claim.
+
+        It does not wait for the host that decides if the store has lost a
+        verdict: that one may not know it, and send requests to the version.
+        """
+        since = self._waiting_since or now
+        lost = self.stored.list_lost()
+        is_urgent = not all(one.is_undecided for one in lost)
+        return self.claim.may_take(
+            self.table.hosts, since, now, is_urgent=is_urgent
+        )
+
     def _find_order_revision(self, service: str) -> int:
         rollout = self.table.find(service)
         if rollout is None or rollout.is_withdrawn:
@@ -91,10 +109,11 @@
     def _decide_all(
         self, find_fleet: FindFleet, now: timedelta
     ) -> list[RolloutRecord]:
-        """Returns the records that differ from those in force."""
+        """Returns the records that differ from those of the store."""
+        lost = self.stored.list_lost()
         decided = [
             (
-                rollout.record,
+                None if rollout in lost else rollout.record,
                 decide(
                     rollout,
                     find_fleet(rollout.order.service),
@@ -103,7 +122,7 @@
                     now,
                 ),
             )
-            for rollout in self.table.list_undecided()
+            for rollout in self._list_due()
         ]
         return [record for before, record in decided if record != before]
 
--- a/packages/core/almonddock_core/rollouts/_records.py
+++ b/packages/core/almonddock_core/rollouts/_records.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from types import MappingProxyType
 
 from almonddock_core.model import join_revision, split_revision
 
@@ -28,6 +29,16 @@
     MOVED = 'moved'
 
 
+#: A version that was rolled back is not completed by the same order.
+_FINALITY = MappingProxyType(
+    {
+        RolloutState.RUNNING: 0,
+        RolloutState.COMPLETED: 1,
+        RolloutState.ROLLED_BACK: 2,
+    }
+)
+
+
 @dataclass(frozen=True, slots=True)
 class RolloutBounds:
     """What a bad version may get, from the deployment's settings."""
@@ -122,12 +133,23 @@
             and self.answered_revision >= order.revision
         )
 
+    def is_ahead_of(self, other: 'RolloutRecord') -> bool:
+        """Whether this decision was made after another on the same order."""
+        return self._rank() > other._rank()
+
     def list_barred(self) -> frozenset[str]:
         """Returns the versions that get nothing once another is ordered."""
         if self.state is RolloutState.COMPLETED:
             return self.barred_versions | self.old_versions
         return self.barred_versions | {self.version}
 
+    def _rank(self) -> tuple[int, int, int]:
+        return (
+            self.answered_revision,
+            _FINALITY[self.state],
+            self.stage_number,
+        )
+
 
 def start_record(
     order: RolloutOrder,
--- a/packages/core/almonddock_core/rollouts/_stored.py
+++ b/packages/core/almonddock_core/rollouts/_stored.py
@@ -5,6 +5,7 @@
 
 from almonddock_core.model import get_era
 from almonddock_core.rollouts._records import RolloutOrder, RolloutRecord
+from almonddock_core.rollouts._service import ServiceRollout
 from almonddock_core.rollouts._table import RolloutTable
 
 
@@ -23,6 +24,9 @@
         self._table = table
         self._orders: dict[str, RolloutOrder] = {}
         self._records: dict[str, RolloutRecord] = {}
+        # The records of the era before, as far as this one has none that is as
+        # far: a restored store may have lost them.
+        self._carried: dict[str, RolloutRecord] = {}
 
     def enter_era(self, era: int) -> None:
         """Prepares for what a store holds that was restored from a copy.
@@ -30,6 +34,11 @@
         What is known of records stays, also of those that the copy lacks.
         """
         self.era = era
+        self._carried = {
+            service: record.place_in_era(era)
+            for service, record in (self._records | self._carried).items()
+        }
+        self._records = {}
         self.revisions = {}
 
     def replace_orders(self, orders: Iterable[RolloutOrder]) -> None:
@@ -54,4 +63,33 @@
 
     def apply(self, now: timedelta) -> None:
         """Lets the table act on what is known."""
-        self._table.apply(self._orders, self._records, now)
+        self._drop_carried()
+        records = self._records | self._carried
+        self._table.apply(self._orders, records, now)
+
+    def list_lost(self) -> list[ServiceRollout]:
+        """Returns the roll-outs whose record the store has lost."""
+        rollouts = map(self._table.find, self._carried)
+        return [
+            rollout
+            for rollout in rollouts
+            if rollout is not None
+            and rollout.record is self._carried[rollout.order.service]
+        ]
+
+    def _drop_carried(self) -> None:
+        """Keeps what an earlier era has decided until this one is as far."""
+        self._carried = {
+            service: carried
+            for service, carried in self._carried.items()
+            if self._is_ahead(carried)
+        }
+
+    def _is_ahead(self, carried: RolloutRecord) -> bool:
+        record = self._records.get(carried.service)
+        if record is None:
+            return True
+        order = self._orders.get(carried.service)
+        if order is not None and carried.version != order.version:
+            return record.version != order.version
+        return carried.is_ahead_of(record)
--- a/packages/core/almonddock_core/tests/test_rollouts.py
+++ b/packages/core/almonddock_core/tests/test_rollouts.py
@@ -30,6 +30,7 @@
     STEP_S,
     Entry,
     FakeHost,
+    FakeStore,
     RolloutFleet,
     Target,
     Work,
@@ -302,6 +303,31 @@
         self.fleet.run(18)
         self.assertEqual(self.fleet.states, [RUNNING, COMPLETED])
 
+    def test_verdict_that_the_copy_lacks_holds_and_is_written_again(
+        self,
+    ) -> None:
+        """The version got requests again, by the record of the copy."""
+        copies: list[FakeStore] = []
+        fleet = self.fleet
+        fleet.behave_new = fail_often
+        fleet.order()
+        fleet.run(0.2)
+        while not fleet.store.verdict_at:
+            copies.append(fleet.store.take_copy())
+            fleet.run(0.5)
+        fleet.run(2)
+        sent = len(fleet.exposed)
+        for copy in copies:
+            with self.subTest(revision=copy.revision):
+                fleet.store.restore(copy)
+                fleet.run(2.5)
+                fleet.restart(fleet.hosts[0])
+                fleet.hosts[0].read(fleet.store, [], fleet.now)
+                fleet.run(2)
+                self.assertEqual(len(fleet.exposed), sent)
+                record, _ = fleet.store.records[SERVICE]
+                self.assertIs(record.state, ROLLED_BACK)
+
 
 @st.composite
 def schedule_faults(draw: st.DrawFn) -> list[tuple[float, str, int]]:
