--- a/packages/core/almonddock_core/rollouts/_records.py
+++ b/packages/core/almonddock_core/rollouts/_records.py
@@ -3,6 +3,9 @@
 import enum
 from dataclasses import dataclass, replace
 from datetime import timedelta
+from types import MappingProxyType
+
+from almonddock_core.model import join_revision, split_revision
 
 
 class RolloutState(enum.Enum):
@@ -26,6 +29,16 @@
     MOVED = 'moved'
 
 
+#: A version that was rolled back is not completed by the same order.
+_FINALITY = MappingProxyType(
+    {
+        RolloutState.RUNNING: 0,
+        RolloutState.COMPLETED: 1,
+        RolloutState.ROLLED_BACK: 2,
+    }
+)
+
+
 @dataclass(frozen=True, slots=True)
 class RolloutBounds:
     """What a bad version may get, from the deployment's settings."""
@@ -87,6 +100,17 @@
         """Returns the record with a verdict."""
         return replace(self, state=state, reason=reason)
 
+    def place_in_era(self, era: int) -> 'RolloutRecord':
+        """Returns the record with the store's numbers of its order in an era.
+
+        A copy of the store that holds a record also holds its order.
+        """
+        return replace(
+            self,
+            order_revision=_place_revision(self.order_revision, era),
+            answered_revision=_place_revision(self.answered_revision, era),
+        )
+
     def enter(
         self,
         stage: RolloutStage,
@@ -109,12 +133,23 @@
             and self.answered_revision >= order.revision
         )
 
+    def is_ahead_of(self, other: 'RolloutRecord') -> bool:
+        """Whether this decision was made after another on the same order."""
+        return self._rank() > other._rank()
+
     def list_barred(self) -> frozenset[str]:
         """Returns the versions that get nothing once another is ordered."""
         if self.state is RolloutState.COMPLETED:
             return self.barred_versions | self.old_versions
         return self.barred_versions | {self.version}
 
+    def _rank(self) -> tuple[int, int, int]:
+        return (
+            self.answered_revision,
+            _FINALITY[self.state],
+            self.stage_number,
+        )
+
 
 def start_record(
     order: RolloutOrder,
@@ -139,3 +174,7 @@
         answered_revision=order.revision,
         reason='ordered',
     )
+
+
+def _place_revision(revision: int, era: int) -> int:
+    return join_revision(era, split_revision(revision)[1])
