Take no proof from a store that lacks the version in force

What callers would see: with a bound for withdrawn keys, a key may be let in for as long as the store, back from a copy, lacks the version that withdrew it.

Cause: each read of the store counted as a proof that the configuration in force is the newest, also one that showed an older version, or none.

Change: a read counts if the version in force was read in its era, so that versions that are written again in another order count too. If it is not written again within 60 s, the store is believed, or hosts would refuse callers until the next version.

--- a/packages/gateway/almonddock_gateway/controllers/_configuration.py
+++ b/packages/gateway/almonddock_gateway/controllers/_configuration.py
@@ -12,8 +12,8 @@
 from almonddock_gateway.telemetry import Telemetry
 
 #: How long a data centre stays drained that a restored store does not list,
-#: unless its removal is written: longer than operators take to repeat what was
-#: lost.
+#: unless its removal is written, and how long a lower version in it proves
+#: nothing: longer than operators take to repeat what was lost.
 REPEAT_PERIOD_S = 60
 REPEAT_PERIOD = timedelta(seconds=REPEAT_PERIOD_S)
 
@@ -39,8 +39,10 @@
         self._context = context
         self._clock = clock
         self._telemetry = telemetry
-        # The era of the last snapshot.
+        # The era of the last snapshot, and until when operators may repeat what
+        # the store lost before it.
         self._era = 0
+        self._repeat_until = timedelta()
         # The drained data centres that a restored store lacks, and until when
         # they are believed.
         self._unconfirmed: dict[str, timedelta] = {}
@@ -81,15 +83,29 @@
             self._set_drained(drained, item.revision)
         self._drop_unconfirmed(view.revision)
 
+    def is_newest(self, view: StoreView) -> bool:
+        """Whether a view shows that no newer configuration is in force.
+
+        It does not if the one in force was not read in its era: the store has
+        lost that version, and may have lost later ones with it. Operators write
+        them again; after the time for that the store is believed.
+        """
+        if not self.is_readable or view.has_more:
+            return False
+        era = get_era(view.revision)
+        if self._state.table is None or era == get_era(self._confirmed):
+            return True
+        return era == self._era and self._clock.now() >= self._repeat_until
+
     def _keep_drained(self, drained: frozenset[str], era: int) -> None:
         """Keeps what a snapshot of a later era lacks.
 
         The store may have lost the operator's request, who repeats it.
         """
         if era > self._era:
-            until = self._clock.now() + REPEAT_PERIOD
+            self._repeat_until = self._clock.now() + REPEAT_PERIOD
             before = self._context.targets.drained
-            self._unconfirmed = dict.fromkeys(before, until)
+            self._unconfirmed = dict.fromkeys(before, self._repeat_until)
         self._era = era
         for name in drained:
             self._unconfirmed.pop(name, None)
--- a/packages/gateway/almonddock_gateway/following.py
+++ b/packages/gateway/almonddock_gateway/following.py
@@ -181,7 +181,7 @@
 
     def _note_applied(self, view: StoreView) -> None:
         """Records as of when the configuration in force is the newest."""
-        if self._deps.configuration.is_readable and not view.has_more:
+        if self._deps.configuration.is_newest(view):
             self._deps.freshness.note(view.as_of)
 
     def _log_read(self, view: StoreView) -> None:
--- a/packages/gateway/almonddock_gateway/tests/test_configuration.py
+++ b/packages/gateway/almonddock_gateway/tests/test_configuration.py
@@ -11,6 +11,7 @@
     make_route,
 )
 from almonddock_gateway.controllers import ConfigurationController
+from almonddock_gateway.controllers._configuration import REPEAT_PERIOD
 from almonddock_gateway.entry import EntryState
 from almonddock_gateway.settings import StoreKeys
 from almonddock_gateway.store import StoreItem, StoreView
@@ -98,5 +99,49 @@
         self.telemetry.log_event.assert_not_called()
 
 
+class ProofTest(ConfigurationCase):
+    """Which reads show that no key in force was withdrawn."""
+
+    def test_copy_without_the_version_in_force_proves_nothing(self) -> None:
+        """Withdrawn keys were let in by versions that the store had lost."""
+        for content in (b'8 /old/', None):
+            with self.subTest(content=content):
+                view = self.read(2, 10, content)
+                self.assertFalse(self.controller.is_newest(view))
+                changes = build_view(2, 11, None)
+                self.controller.apply_changes(changes)
+                self.assertFalse(self.controller.is_newest(changes))
+
+    def test_version_that_is_written_again_is_a_proof(self) -> None:
+        for number, content in enumerate((b'9 /a/', b'9 /b/', b'10 /c/'), 2):
+            with self.subTest(content=content):
+                self.read(number, 10, b'8 /old/')
+                view = self.write(number, 11, content)
+                self.assertTrue(self.controller.is_newest(view))
+
+    def test_versions_that_are_written_again_in_another_order_are_a_proof(
+        self,
+    ) -> None:
+        """Hosts refused all callers until the next version."""
+        self.read(2, 10, b'8 /old/')
+        self.write(2, 11, b'9 /a/')
+        view = self.write(2, 12, b'8 /old/')
+        self.assertTrue(self.controller.is_newest(view))
+
+    def test_lower_version_is_a_proof_once_it_is_not_replaced(self) -> None:
+        """Hosts that saw only the last of those refused callers for ever."""
+        self.read(2, 10, b'8 /old/')
+        self.clock.advance(REPEAT_PERIOD)
+        view = build_view(2, 11, None)
+        self.controller.apply_changes(view)
+        self.assertTrue(self.controller.is_newest(view))
+        self.check_in_force(b'9 /a/')
+
+    def test_next_copy_proves_nothing_again(self) -> None:
+        self.read(2, 10, b'9 /a/')
+        view = self.read(3, 10, b'8 /old/')
+        self.assertFalse(self.controller.is_newest(view))
+
+
 if __name__ == '__main__':
     unittest.main()
