--- a/packages/gateway/almonddock_gateway/tests/link_messages.py
+++ b/packages/gateway/almonddock_gateway/tests/link_messages.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 
 from almonddock_core.dispatch import LoanOffer
+from almonddock_core.model import join_revision
+from almonddock_core.model._store_revision import MAX_ERA, MAX_NUMBER
 from almonddock_core.quotas import CreditQuery, CreditReply
 from almonddock_core.tests.mutations import decode_mutations
 from almonddock_gateway.links import decode, encode
@@ -61,6 +63,16 @@
         costs=(('t1', 3.0),),
         clock=5000 * MS,
     ),
+    StoreQuery(3, '', join_revision(MAX_ERA, MAX_NUMBER), MS),
+    StoreQuery(4, '', 7, MS, knows_eras=False),
+    StoreReply(
+        3,
+        StoreOutcome.ANSWERED,
+        StoreView(
+            [StoreItem('a', b'x', join_revision(2, 1))], join_revision(2, 9)
+        ),
+    ),
+    StoreReply(4, StoreOutcome.ANSWERED, StoreView([], 9), knows_eras=False),
     CreditQuery(4, 'north', 3, 2000 * MS),
     CreditReply(4, 'north', 2, 40 * MS, grants=True),
     StoreQuery(2, 'prefix/', 3, MS, offer=LoanOffer(1.25, 5000 * MS)),
--- a/packages/gateway/almonddock_gateway/tests/test_store_following.py
+++ b/packages/gateway/almonddock_gateway/tests/test_store_following.py
@@ -22,6 +22,7 @@
     HistoryLostError,
     StoreLostError,
     StoreView,
+    place_in_era,
 )
 from almonddock_gateway.tests.fakes import FakeLink
 from almonddock_gateway.tests.store_cases import (
@@ -141,6 +142,19 @@
         calls = await self.count_calls(replace(ONE, has_more=True))
         self.assertLess(calls, 10)
 
+    async def test_snapshot_of_a_later_era_is_applied_as_after_an_outage(
+        self,
+    ) -> None:
+        """Hosts that saw no outage dropped targets that the copy lacked."""
+        restored = place_in_era(StoreView([], 3), 1)
+        store = await self.follow(4, TWO, HistoryLostError('x'), restored)
+        self.assertEqual(
+            store.calls,
+            ['read', 'watch 6', 'read', f'watch {restored.revision}'],
+        )
+        self.assertEqual(self.snapshots, [TWO, restored])
+        self.assertEqual(self.recoveries, 1)
+
     async def test_older_snapshot_is_read_again(self) -> None:
         """A target that has left must not come back.
 
@@ -234,6 +248,26 @@
         with self.assertRaises(StoreLostError):
             await self.ask_other_host(fallback, None)
 
+    async def test_answers_of_an_earlier_era_are_not_taken(self) -> None:
+        """A peer that has not read the restored store told of the lost one."""
+        fallback = self.make(place_in_era(ONE, 2), StoreLostError('x'))
+        self.connect()
+        await fallback.read_prefix('p/')
+        reply = StoreReply(7, StoreOutcome.ANSWERED, place_in_era(TWO, 1))
+        with self.assertRaises(StoreLostError):
+            await self.ask_other_host(fallback, reply)
+
+    async def test_peer_of_an_earlier_release_is_taken_to_be_in_the_era(
+        self,
+    ) -> None:
+        fallback = self.make(place_in_era(ONE, 2), StoreLostError('x'))
+        self.connect()
+        await fallback.read_prefix('p/')
+        reply = StoreReply(7, StoreOutcome.ANSWERED, TWO, knows_eras=False)
+        self.assertEqual(
+            await self.ask_other_host(fallback, reply), place_in_era(TWO, 2)
+        )
+
 
 class StoreServerTest(StoreCase):
     async def test_outcome_of_a_read_is_sent_to_the_other_host(self) -> None:
--- a/packages/gateway/almonddock_gateway/tests/test_watchers.py
+++ b/packages/gateway/almonddock_gateway/tests/test_watchers.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from datetime import timedelta
 
-from almonddock_core.model import ManualClock
+from almonddock_core.model import ManualClock, join_revision
 from almonddock_core.news import ReadSource
 from almonddock_gateway.relays import (
     FallbackStore,
@@ -25,6 +25,7 @@
     HistoryLostError,
     StoreLostError,
     StoreView,
+    place_in_era,
 )
 from almonddock_gateway.tests.fakes import FakeLink
 from almonddock_gateway.tests.store_cases import (
@@ -222,5 +223,51 @@
         self.assertEqual(self.store.calls, ['watch 5'])
 
 
+class RestoredCacheTest(StoreCase):
+    """Hosts ask a watcher that has read era 2 of the store."""
+
+    def setUp(self) -> None:
+        self.view = place_in_era(ONE, 2)
+        self.cache = StoreCache('', lambda: True)
+        self.cache.apply_snapshot(self.view)
+        self.store = ScriptedStore(place_in_era(TWO, 3))
+
+    async def ask(
+        self, after: int | None, *, knows_eras: bool = True
+    ) -> StoreReply:
+        link = FakeLink()
+        server = StoreServer(self.store, self.cache, ManualClock())
+        query = StoreQuery(3, '', after, timedelta(), knows_eras=knows_eras)
+        server.receive(link, query)
+        await self.settle(lambda: bool(link.sent))
+        reply = link.sent[0]
+        assert isinstance(reply, StoreReply)
+        return reply
+
+    async def test_revision_of_an_earlier_era_has_no_history(self) -> None:
+        """The number is in the cache too, but of another write."""
+        for number in (4, 5, 6):
+            reply = await self.ask(join_revision(1, number))
+            self.assertIs(reply.outcome, StoreOutcome.HISTORY_LOST)
+        self.assertEqual(self.store.calls, [])
+
+    async def test_revision_of_the_same_era_is_answered(self) -> None:
+        reply = await self.ask(join_revision(2, 5))
+        self.assertEqual(reply.view, StoreView([], self.view.revision))
+
+    async def test_host_that_knows_a_later_era_is_not_served_from_the_cache(
+        self,
+    ) -> None:
+        after = join_revision(3, 4)
+        reply = await self.ask(after)
+        self.assertEqual(self.store.calls, [f'watch {after}'])
+        self.assertEqual(reply.view, place_in_era(TWO, 3))
+
+    async def test_host_of_an_earlier_release_is_told_changes(self) -> None:
+        self.cache.apply_changes(place_in_era(TWO, 2), ())
+        reply = await self.ask(5, knows_eras=False)
+        self.assertEqual(reply.view, place_in_era(TWO, 2))
+
+
 if __name__ == '__main__':
     unittest.main()
