Wait for the operator to repeat orders that a restored store has lost

What callers would have seen: after the store came back from a copy taken before an order, the roll-out was ended as withdrawn, and begun anew once the operator had written the order again; a version that had been rolled back on the order got requests again.

Change: orders of the era before stay in force for 60 s unless the store shows one for the service or its removal. Until then no record of a running roll-out is written. An order of the same version and duration is the repetition of the lost one, and has its answer.

--- a/packages/core/almonddock_core/rollouts/_decider.py
+++ b/packages/core/almonddock_core/rollouts/_decider.py
@@ -65,7 +65,9 @@
             self.claim.revision,
             tuple(changed),
             tuple(self.stored.revisions.get(one.service, 0) for one in changed),
-            tuple(self._find_order_revision(one.service) for one in changed),
+            tuple(
+                self.stored.find_order_revision(one.service) for one in changed
+            ),
         )
 
     def record_written(
@@ -82,8 +84,16 @@
         self.claim.give_up(now)
 
     def _list_due(self) -> list[ServiceRollout]:
-        """Returns the roll-outs for which something is to be written."""
-        undecided = self.table.list_undecided()
+        """Returns the roll-outs for which something is to be written.
+
+        Without its order the record of a running one would say that the order
+        was withdrawn.
+        """
+        undecided = [
+            rollout
+            for rollout in self.table.list_undecided()
+            if not self.stored.is_held(rollout.order.service)
+        ]
         lost = self.stored.list_lost()
         return undecided + [one for one in lost if not one.is_undecided]
 
@@ -100,12 +110,6 @@
             self.table.hosts, since, now, is_urgent=is_urgent
         )
 
-    def _find_order_revision(self, service: str) -> int:
-        rollout = self.table.find(service)
-        if rollout is None or rollout.is_withdrawn:
-            return 0
-        return rollout.order.revision
-
     def _decide_all(
         self, find_fleet: FindFleet, now: timedelta
     ) -> list[RolloutRecord]:
--- a/packages/core/almonddock_core/rollouts/_records.py
+++ b/packages/core/almonddock_core/rollouts/_records.py
@@ -61,6 +61,14 @@
     #: The revision of the store at which it was written.
     revision: int
 
+    def place_in_era(self, era: int) -> 'RolloutOrder':
+        """Returns the order with its number of the store in an era."""
+        return replace(self, revision=_place_revision(self.revision, era))
+
+    def is_repeated_by(self, other: 'RolloutOrder') -> bool:
+        """Whether another order is the same but for its revision."""
+        return self == replace(other, revision=self.revision)
+
 
 @dataclass(frozen=True, slots=True)
 class RolloutRecord:
--- a/packages/core/almonddock_core/rollouts/_stored.py
+++ b/packages/core/almonddock_core/rollouts/_stored.py
@@ -1,6 +1,7 @@
 """The orders and records of the store, as one host has read them."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 from datetime import timedelta
 
 from almonddock_core.model import get_era
@@ -8,6 +9,11 @@
 from almonddock_core.rollouts._service import ServiceRollout
 from almonddock_core.rollouts._table import RolloutTable
 
+#: How long an order that a restored store lacks stays in force, unless its
+#: removal is written: longer than operators take to repeat what was lost.
+REPEAT_PERIOD_S = 60
+REPEAT_PERIOD = timedelta(seconds=REPEAT_PERIOD_S)
+
 
 class StoredRollouts:
     """Keeps the newest record of each service, also against a late read.
@@ -24,15 +30,24 @@
         self._table = table
         self._orders: dict[str, RolloutOrder] = {}
         self._records: dict[str, RolloutRecord] = {}
+        # The orders of the era before that this one lacks, and until when the
+        # operator is waited for to repeat them.
+        self._held: dict[str, tuple[RolloutOrder, timedelta]] = {}
         # The records of the era before, as far as this one has none that is as
         # far: a restored store may have lost them.
         self._carried: dict[str, RolloutRecord] = {}
 
-    def enter_era(self, era: int) -> None:
+    def enter_era(self, era: int, now: timedelta) -> None:
         """Prepares for what a store holds that was restored from a copy.
 
         What is known of records stays, also of those that the copy lacks.
+        Orders stay as long as operators take to repeat them.
         """
+        until = now + REPEAT_PERIOD
+        self._held = {
+            service: (order.place_in_era(era), until)
+            for service, order in self._list_orders().items()
+        }
         self.era = era
         self._carried = {
             service: record.place_in_era(era)
@@ -43,15 +58,30 @@
 
     def replace_orders(self, orders: Iterable[RolloutOrder]) -> None:
         """Replaces all orders."""
-        self._orders = {order.service: order for order in orders}
+        self._orders = {}
+        for order in orders:
+            self.put_order(order)
 
     def put_order(self, order: RolloutOrder) -> None:
         """Adds or replaces an order."""
         self._orders[order.service] = order
+        held, _ = self._held.pop(order.service, (None, None))
+        if held is not None and held.is_repeated_by(order):
+            self._answer(order, held)
 
     def remove_order(self, service: str) -> None:
         """Records that an order was withdrawn."""
         self._orders.pop(service, None)
+        self._held.pop(service, None)
+
+    def is_held(self, service: str) -> bool:
+        """Whether the order in force is one that the store has lost."""
+        return service in self._held
+
+    def find_order_revision(self, service: str) -> int:
+        """Returns the revision of an order in the store, 0 without one."""
+        order = self._orders.get(service)
+        return 0 if order is None else order.revision
 
     def put_record(self, record: RolloutRecord, revision: int) -> None:
         """Takes in a record unless a newer one is known."""
@@ -63,9 +93,14 @@
 
     def apply(self, now: timedelta) -> None:
         """Lets the table act on what is known."""
+        self._held = {
+            service: (order, until)
+            for service, (order, until) in self._held.items()
+            if now < until
+        }
         self._drop_carried()
         records = self._records | self._carried
-        self._table.apply(self._orders, records, now)
+        self._table.apply(self._list_orders(), records, now)
 
     def list_lost(self) -> list[ServiceRollout]:
         """Returns the roll-outs whose record the store has lost."""
@@ -77,6 +112,21 @@
             and rollout.record is self._carried[rollout.order.service]
         ]
 
+    def _list_orders(self) -> dict[str, RolloutOrder]:
+        held = {service: order for service, (order, _) in self._held.items()}
+        return held | self._orders
+
+    def _answer(self, order: RolloutOrder, lost: RolloutOrder) -> None:
+        """Lets the record that answers a lost order answer its repetition."""
+        service = order.service
+        record = self._carried.get(service) or self._records.get(service)
+        if record is None or not record.answers(lost):
+            return
+        if not record.answers(order):
+            self._carried[service] = replace(
+                record, answered_revision=order.revision
+            )
+
     def _drop_carried(self) -> None:
         """Keeps what an earlier era has decided until this one is as far."""
         self._carried = {
--- a/packages/core/almonddock_core/tests/rollout_fleet.py
+++ b/packages/core/almonddock_core/tests/rollout_fleet.py
@@ -194,7 +194,7 @@
         era = get_era(store.revision)
         if era > self.stored.era:
             self.claim.enter_era(era, now)
-            self.stored.enter_era(era)
+            self.stored.enter_era(era, now)
         self.claim.observe(*store.claim, now)
         self.stored.replace_orders(store.orders.values())
         for record, revision in store.records.values():
--- a/packages/core/almonddock_core/tests/test_rollouts.py
+++ b/packages/core/almonddock_core/tests/test_rollouts.py
@@ -328,6 +328,53 @@
                 record, _ = fleet.store.records[SERVICE]
                 self.assertIs(record.state, ROLLED_BACK)
 
+    def test_order_that_the_copy_lacks_counts_until_it_is_repeated(
+        self,
+    ) -> None:
+        """Its roll-out was ended as if the operator had withdrawn it."""
+        copy = self.fleet.store.take_copy()
+        self.fleet.order()
+        self.fleet.run(6)
+        self.fleet.store.restore(copy)
+        self.fleet.run(2)
+        self.fleet.store.order()
+        self.fleet.run(12)
+        self.assertEqual(self.fleet.states, [RUNNING, COMPLETED])
+
+    def test_order_that_is_not_repeated_is_withdrawn_in_the_end(self) -> None:
+        copy = self.fleet.store.take_copy()
+        self.fleet.order(duration_s=300)
+        self.fleet.run(6)
+        self.fleet.store.restore(copy)
+        self.fleet.run(63)
+        self.assertEqual(self.fleet.states, [RUNNING, ROLLED_BACK])
+
+    def test_order_that_is_repeated_after_a_verdict_is_no_new_one(
+        self,
+    ) -> None:
+        """The version that was rolled back got requests again."""
+        fleet = self.fleet
+        fleet.behave_new = fail_often
+        copy = fleet.store.take_copy()
+        fleet.order()
+        fleet.run(20)
+        sent = len(fleet.exposed)
+        for more in (0, 5):
+            with self.subTest(more=more):
+                fleet.store.restore(copy)
+                fleet.run(1)
+                fleet.store.revision += more
+                fleet.store.order()
+                fleet.run(5)
+                self.assertEqual(fleet.states, [RUNNING, ROLLED_BACK])
+                self.assertEqual(len(fleet.exposed), sent)
+        fleet.behave_new = behave_well
+        fleet.order()
+        fleet.run(20)
+        self.assertEqual(
+            fleet.states, [RUNNING, ROLLED_BACK, RUNNING, COMPLETED]
+        )
+
 
 @st.composite
 def schedule_faults(draw: st.DrawFn) -> list[tuple[float, str, int]]:
--- a/packages/gateway/almonddock_gateway/controllers/_rollouts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_rollouts.py
@@ -77,8 +77,9 @@
         """Replaces the known orders, and takes in the records."""
         era = get_era(view.revision)
         if era > self._stored.era:
-            self._claim.enter_era(era, self._deps.clock.now())
-            self._stored.enter_era(era)
+            now = self._deps.clock.now()
+            self._claim.enter_era(era, now)
+            self._stored.enter_era(era, now)
         self._stored.replace_orders(())
         self.apply_changes(view)
 
