Ignore entries of targets that a restored store has from before

What callers would see: requests to targets that were draining or had left, later than drain_ms, because the store came back from a copy in which they were ready.

Change: entries carry their sequence, which no comparison of entries counts. Without a start time or a sequence the store is believed as before. Changes are taken as before, so a target that runs is back with its next heartbeat.

--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -48,6 +48,8 @@
     started_ms: int | None
     #: The version of its software; empty if unknown.
     version: str = ''
+    #: Counts the entries that this incarnation has written; None if unknown.
+    sequence: int | None = field(default=None, compare=False)
 
 
 @dataclass(slots=True)
@@ -112,6 +114,9 @@
     #: Dropped targets that had said that they leave or rest. A target whose
     #: entry comes back may still run.
     _unwilling: dict[str, KnownTarget] = field(default_factory=dict)
+    #: The last entries of dropped targets. A store that is restored from a
+    #: copy may list them again.
+    _dropped: dict[str, TargetEntry] = field(default_factory=dict)
     _store_recovered_at: timedelta | None = None
 
     def __len__(self) -> int:
@@ -184,6 +189,7 @@
         known.lapse_ends = None
         before = known.entry
         if before == entry:
+            known.entry = entry
             return None
         if before.service != entry.service or _is_moved(before, entry):
             return self._add(entry, now)
@@ -210,13 +216,20 @@
         entries: Iterable[TargetEntry],
         now: timedelta,
     ) -> list[TargetChange]:
-        """Replaces the known entries with all entries of the store."""
+        """Replaces the known entries with all entries of the store.
+
+        Ignores those that their targets have replaced or taken back since.
+        """
         listed = {entry.target_id: entry for entry in entries}
         missing = [
             target_id for target_id in self._targets if target_id not in listed
         ]
         changes = [self.remove(target_id, now) for target_id in missing]
-        changes.extend(self.put(entry, now) for entry in listed.values())
+        changes.extend(
+            self.put(entry, now)
+            for entry in listed.values()
+            if not self._is_outdated(entry)
+        )
         return [change for change in changes if change is not None]
 
     def drop_lapsed(self, now: timedelta) -> list[TargetChange]:
@@ -230,6 +243,16 @@
             self._drop(target, now)
         return [_describe(target.entry, 'gone') for target in lapsed]
 
+    def _is_outdated(self, entry: TargetEntry) -> bool:
+        """Whether its incarnation has written or removed an entry since."""
+        known = self._targets.get(entry.target_id)
+        if known is not None:
+            later = _count_later(entry, known.entry)
+            return later is not None and later < 0
+        dropped = self._dropped.get(entry.target_id)
+        later = None if dropped is None else _count_later(entry, dropped)
+        return later is not None and later <= 0
+
     def _may_be_lapse(self, now: timedelta) -> bool:
         recovered = self._store_recovered_at
         return (
@@ -240,6 +263,7 @@
         known = self._targets.get(entry.target_id)
         if known is not None:
             self._drop(known, now)
+        self._dropped.pop(entry.target_id, None)
         added = KnownTarget(
             entry=entry,
             health=TargetHealth(slots=entry.slots),
@@ -257,8 +281,10 @@
         self._services[known.entry.service].remove(known)
         if known.leaving or now < known.rests_until:
             self._unwilling[target_id] = known
-        if len(self._unwilling) > MAX_REMEMBERED:
-            self._unwilling.pop(next(iter(self._unwilling)))
+        self._dropped[target_id] = known.entry
+        for remembered in (self._unwilling, self._dropped):
+            if len(remembered) > MAX_REMEMBERED:
+                remembered.pop(next(iter(remembered)))
 
     def _restore_will(self, added: KnownTarget) -> None:
         """Applies what the same run of a target had said in its replies."""
@@ -274,6 +300,18 @@
     return before.started_ms != entry.started_ms
 
 
+def _count_later(entry: TargetEntry, other: TargetEntry) -> int | None:
+    """Returns how many entries after another one an entry was written.
+
+    Returns None for entries that are not known to be of one incarnation.
+    """
+    if entry.started_ms is None or _is_restarted(entry, other):
+        return None
+    if entry.sequence is None or other.sequence is None:
+        return None
+    return entry.sequence - other.sequence
+
+
 def _is_moved(before: TargetEntry, entry: TargetEntry) -> bool:
     return (before.host, before.port) != (entry.host, entry.port)
 
--- a/packages/core/almonddock_core/tests/test_routing.py
+++ b/packages/core/almonddock_core/tests/test_routing.py
@@ -2,10 +2,12 @@
 
 import unittest
 from collections import Counter
+from dataclasses import replace
 from datetime import timedelta
 
 from almonddock_core.routing import (
     KnownTarget,
+    TargetEntry,
     TargetState,
     TargetTable,
     WeightedRotation,
@@ -115,6 +117,51 @@
         self.assertEqual(len(self.table.list_usable('desk', START)), 1)
 
 
+class RestoredTableTest(unittest.TestCase):
+    """A store that is restored from a copy lists older entries."""
+
+    def setUp(self) -> None:
+        self.table = TargetTable()
+        self.before = replace(make_entry('a', started_ms=1), sequence=4)
+        self.table.put(self.before, START)
+
+    def count_usable(self, *listed: TargetEntry) -> int:
+        """Returns the number of usable targets once these are listed."""
+        self.table.replace_all(listed, START)
+        return len(self.table.list_usable('desk', START))
+
+    def test_draining_target_is_not_used_again(self) -> None:
+        draining = replace(self.before, state=TargetState.DRAINING, sequence=5)
+        self.table.put(draining, START)
+        self.assertEqual(self.count_usable(self.before), 0)
+        again = replace(self.before, started_ms=2, sequence=1)
+        self.assertEqual(self.count_usable(again), 1)
+
+    def test_target_that_has_left_is_not_used_again(self) -> None:
+        self.table.put(replace(self.before, sequence=5), START)
+        self.table.remove('a', START)
+        for sequence in (4, 5):
+            listed = replace(self.before, sequence=sequence)
+            self.assertEqual(self.count_usable(listed), 0)
+        self.table.put(replace(self.before, sequence=6), START)
+        self.assertEqual(self.count_usable(replace(self.before, sequence=7)), 1)
+
+    def test_entries_without_an_order_are_taken(self) -> None:
+        self.table.remove('a', START)
+        for changes in ({'started_ms': None}, {'sequence': None}):
+            with self.subTest(changes=changes):
+                listed = replace(self.before, **changes)
+                self.assertEqual(self.count_usable(listed), 1)
+                self.table.remove('a', START)
+
+    def test_few_targets_that_have_left_are_remembered(self) -> None:
+        for number in range(MAX_REMEMBERED + 1):
+            name = f'other-{number}'
+            self.table.put(replace(self.before, target_id=name), START)
+            self.table.remove(name, START)
+        self.assertEqual(len(self.table._dropped), MAX_REMEMBERED)
+
+
 class TargetTableTest(unittest.TestCase):
     def setUp(self) -> None:
         self.table = TargetTable()
