Keep hosts that a restored store lacks until they register again

What callers would have seen (not measured with requests): after the store came back from a copy without some of the hosts, the others forgot these, and divided quotas among those left.

Change: hosts, and hosts that enforce quotas, stay known in a new era for the time to live of a registration, unless the store shows them or their removal. What is known of the hosts has moved into a class of its own, with the decoding of registrations.

Shown: the tests of test_hosts for a host that the copy lacks, once and twice in a row, failed before; they pass now, with test_quota_registration.

--- a/packages/gateway/almonddock_gateway/controllers/__init__.py
+++ b/packages/gateway/almonddock_gateway/controllers/__init__.py
@@ -6,13 +6,14 @@
 )
 from almonddock_gateway.controllers._decoders import Decoders
 from almonddock_gateway.controllers._follower import Follower, FollowSettings
-from almonddock_gateway.controllers._hosts import HostController, Peer
+from almonddock_gateway.controllers._hosts import HostController
 from almonddock_gateway.controllers._isolation import IsolationController
 from almonddock_gateway.controllers._quotas import (
     QuotaController,
     QuotaDependencies,
     build_quota_controller,
 )
+from almonddock_gateway.controllers._registrations import Peer
 from almonddock_gateway.controllers._rollouts import (
     DecodeOrder,
     EncodeState,
--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -6,9 +6,8 @@
 """
 
 import asyncio
-import ipaddress
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -17,6 +16,12 @@
 from almonddock_core.model import Clock
 from almonddock_core.news import WATCHERS_PER_DATA_CENTRE
 from almonddock_core.quotas import HostPlace
+from almonddock_gateway.controllers._registrations import (
+    REGISTRATION_TTL,
+    Peer,
+    Registrations,
+    decode_quota_host,
+)
 from almonddock_gateway.settings import GatewaySettings
 from almonddock_gateway.store import (
     LeaseEndedError,
@@ -32,10 +37,6 @@
 DEREGISTRATION_TIMEOUT_MS = 200
 DEREGISTRATION_TIMEOUT = timedelta(milliseconds=DEREGISTRATION_TIMEOUT_MS)
 
-#: The time to live of a registration without a renewal.
-REGISTRATION_TTL_S = 15
-REGISTRATION_TTL = timedelta(seconds=REGISTRATION_TTL_S)
-
 #: The pause between two renewals.
 RENEWAL_INTERVAL = timedelta(seconds=5)
 
@@ -49,23 +50,10 @@
 HOST_COUNT_WINDOW_S = 20
 HOST_COUNT_WINDOW = timedelta(seconds=HOST_COUNT_WINDOW_S)
 
-MAX_PORT = 65_535
-
 #: The pause after a call that failed, or a registration that ended.
 RETRY_PAUSE = timedelta(seconds=1)
 
 
-@dataclass(frozen=True, slots=True)
-class Peer:
-    """Another host of the tier."""
-
-    name: str
-    data_centre: str
-    #: The address where it accepts links.
-    host: str
-    port: int
-
-
 @dataclass(frozen=True, slots=True)
 class GrantorRegistration:
     """How a host that enforces quotas registers beside its address."""
@@ -82,18 +70,6 @@
     note_start_part: Callable[[bool], None]
 
 
-@dataclass(frozen=True, slots=True)
-class _QuotaHost:
-    """The registration of a host that enforces quotas."""
-
-    place: HostPlace
-    #: Whether it grants.
-    grants: bool
-    #: Whether it may have used its start part within a window; earlier
-    #: releases, which have none, do not tell.
-    is_starting: bool
-
-
 class HostController:
     """Registers this host, and tracks the number and addresses of all."""
 
@@ -115,8 +91,8 @@
         self._own_keys: dict[str, int] = {}
         #: The number of hosts including this one.
         self.count = 1
+        self._known = Registrations(settings, clock, telemetry)
         self._counts: deque[tuple[timedelta, int]] = deque()
-        self._registrations: dict[str, StoreItem] = {}
         #: How this host registers for quotas; None if it enforces none.
         self.grantor: GrantorRegistration | None = None
         self._has_read_own = False
@@ -124,10 +100,11 @@
         self._has_granted_before = False
         self._has_start_part = False
         self._told_grantor: tuple[bool, bool] | None = None
-        #: The hosts that enforce quotas, by key.
-        self._quota_hosts: dict[str, HostPlace] = {}
-        #: The other hosts as of the last read.
-        self.peers: frozenset[Peer] = frozenset()
+
+    @property
+    def peers(self) -> frozenset[Peer]:
+        """The other hosts as of the last read."""
+        return self._known.peers
 
     @property
     def has_followers(self) -> bool:
@@ -139,7 +116,7 @@
     @property
     def quota_hosts(self) -> tuple[HostPlace, ...]:
         """The hosts that enforce quotas, this one included."""
-        return tuple(self._quota_hosts.values())
+        return tuple(self._known.quota_hosts.values())
 
     async def run(self) -> None:
         """Keeps this host registered until cancelled."""
@@ -181,25 +158,13 @@
 
     def apply_snapshot(self, view: StoreView) -> None:
         """Replaces the known hosts with those in the store."""
-        self._registrations = {}
-        self._quota_hosts = {}
-        self.apply_changes(view)
+        self._known.apply_snapshot(view)
+        self._note_read(view)
 
     def apply_changes(self, view: StoreView) -> None:
         """Applies added, changed and removed registrations."""
-        prefix = self._settings.keys.host_prefix
-        for item in view.items:
-            self._apply_quota_host(item)
-            if not item.key.startswith(prefix):
-                continue
-            if item.content is None:
-                self._registrations.pop(item.key, None)
-            else:
-                self._registrations[item.key] = item
-        self.peers = frozenset(self._read_peers())
-        self._update_count(view.revision)
-        if not view.has_more:
-            self._check_own_keys(view.revision)
+        self._known.apply_changes(view)
+        self._note_read(view)
 
     async def deregister(self) -> None:
         """Removes this host's address, so that others stop counting it.
@@ -219,6 +184,11 @@
                 'deregistration_failed', reason=repr(lost)
             )
 
+    def _note_read(self, view: StoreView) -> None:
+        self._update_count(view.revision)
+        if not view.has_more:
+            self._check_own_keys(view.revision)
+
     def _update_count(self, revision: int) -> None:
         """Updates the count; includes this host even if not listed yet."""
         before = self.count
@@ -235,26 +205,6 @@
                 store_revision=revision,
             )
 
-    def _apply_quota_host(self, item: StoreItem) -> None:
-        prefix = self._settings.keys.grantor_prefix
-        if not item.key.startswith(prefix):
-            return
-        self._quota_hosts.pop(item.key, None)
-        if item.content is None:
-            return
-        name = item.key.removeprefix(prefix)
-        try:
-            quota_host = _decode_quota_host(name, item.content)
-        except (ValueError, TypeError) as fault:
-            self._telemetry.log_event(
-                'host_unreadable',
-                peer=name,
-                store_revision=item.revision,
-                reason=str(fault),
-            )
-            return
-        self._quota_hosts[item.key] = quota_host.place
-
     async def _read_own(self, grantor: GrantorRegistration) -> None:
         """Reads what an earlier process of this host has registered."""
         item = await self._find_own()
@@ -263,7 +213,7 @@
             self._telemetry.log_event('quota_registration_missing')
             return
         try:
-            earlier = _decode_quota_host(item.key, item.content)
+            earlier = decode_quota_host(item.key, item.content)
         except (ValueError, TypeError):
             return
         self._telemetry.log_event(
@@ -330,7 +280,7 @@
         self._renewed_at = self._clock.now()
         self._own_keys[self._address_key] = await self._store.put(
             self._address_key,
-            self._encode_registration(),
+            _encode_registration(self._settings),
             lease,
         )
         return lease
@@ -344,9 +294,7 @@
         lost = [
             key
             for key, written in self._own_keys.items()
-            if revision >= written
-            and key not in self._registrations
-            and key not in self._quota_hosts
+            if revision >= written and key not in self._known
         ]
         if lost:
             self._telemetry.log_event(
@@ -355,64 +303,12 @@
             self._own_keys = {}
             self._lease = None
 
-    def _encode_registration(self) -> bytes:
-        settings = self._settings
-        return orjson.dumps(
-            {
-                'data_centre': settings.data_centre,
-                'host': settings.links.host,
-                'port': settings.links.port,
-            },
-        )
-
-    def _read_peers(self) -> Iterator[Peer]:
-        prefix = self._settings.keys.host_prefix
-        for item in self._registrations.values():
-            name = item.key.removeprefix(prefix)
-            if item.content is None or name == self._settings.host:
-                continue
-            try:
-                yield _decode_peer(name, item.content)
-            except (ValueError, TypeError) as fault:
-                self._telemetry.log_event(
-                    'host_unreadable',
-                    peer=name,
-                    store_revision=item.revision,
-                    reason=str(fault),
-                )
 
-
-def _decode_quota_host(name: str, content: bytes) -> _QuotaHost:
-    """Returns a host that enforces quotas.
-
-    Raises:
-        ValueError: the registration is not JSON.
-        TypeError: a field is missing or has the wrong type.
-    """
-    found = orjson.loads(content)
-    if not isinstance(found, dict):
-        raise TypeError('expected an object')
-    data_centre = found.get('data_centre')
-    if not isinstance(data_centre, str):
-        raise TypeError('expected the name of a data centre')
-    return _QuotaHost(
-        HostPlace(name, data_centre),
-        grants=found.get('grants') is True,
-        is_starting=found.get('starting') is not False,
+def _encode_registration(settings: GatewaySettings) -> bytes:
+    return orjson.dumps(
+        {
+            'data_centre': settings.data_centre,
+            'host': settings.links.host,
+            'port': settings.links.port,
+        },
     )
-
-
-def _decode_peer(name: str, content: bytes) -> Peer:
-    """Returns the host that a registration describes.
-
-    Raises:
-        ValueError: the registration is not JSON, or a value is not valid.
-        TypeError: a field is missing or unknown, or has the wrong type.
-    """
-    peer = Peer(name=name, **orjson.loads(content))
-    if peer.port.__class__ is not int or not isinstance(peer.data_centre, str):
-        raise TypeError('expected a port and the name of a data centre')
-    ipaddress.IPv4Address(peer.host)
-    if not 0 < peer.port <= MAX_PORT:
-        raise ValueError(f'{peer.port} is not a valid port')
-    return peer
