Register again as soon as a new era of the store begins

What callers would have seen: none directly. A host whose registration the copy held went on with its lease of the earlier era until the next renewal was due, up to five seconds later; its registration could lapse with the copy's lease meanwhile, and a stop in that time did not remove its address.

The event `registration_outdated` says so.

Shown: both new tests of test_quota_registration failed before; they pass now, with the other tests of the module and test_hosts.

--- a/packages/gateway/almonddock_gateway/controllers/_hosts.py
+++ b/packages/gateway/almonddock_gateway/controllers/_hosts.py
@@ -13,7 +13,7 @@
 
 import orjson
 
-from almonddock_core.model import Clock
+from almonddock_core.model import Clock, get_era
 from almonddock_core.news import WATCHERS_PER_DATA_CENTRE
 from almonddock_core.quotas import HostPlace
 from almonddock_gateway.controllers._registrations import (
@@ -158,6 +158,7 @@
 
     def apply_snapshot(self, view: StoreView) -> None:
         """Replaces the known hosts with those in the store."""
+        self._forget_own_keys(get_era(view.revision))
         self._known.apply_snapshot(view)
         self._note_read(view)
 
@@ -285,6 +286,26 @@
         )
         return lease
 
+    def _forget_own_keys(self, era: int) -> None:
+        """Registers again if a later era of the store has begun.
+
+        The lease of the earlier one may belong to another host now.
+        """
+        outdated = [
+            key
+            for key, written in self._own_keys.items()
+            if get_era(written) < era
+        ]
+        if not outdated:
+            return
+        self._telemetry.log_event(
+            'registration_outdated', keys=outdated, era=era
+        )
+        for key in outdated:
+            self._own_keys.pop(key)
+        if self._address_key in outdated:
+            self._lease = None
+
     def _check_own_keys(self, revision: int) -> None:
         """Registers again if the store has lost a key of this process.
 
--- a/packages/gateway/almonddock_gateway/tests/test_quota_registration.py
+++ b/packages/gateway/almonddock_gateway/tests/test_quota_registration.py
@@ -6,7 +6,12 @@
 
 import orjson
 
-from almonddock_core.model import ManualClock
+from almonddock_core.model import (
+    ManualClock,
+    get_era,
+    join_revision,
+    split_revision,
+)
 from almonddock_core.quotas import QuotaSettings
 from almonddock_gateway.controllers import (
     HostController,
@@ -44,6 +49,19 @@
     leases: dict[int, timedelta] = field(default_factory=dict)
     revision: int = 1
 
+    def restore(self) -> None:
+        """Begins a new era with the same content."""
+        era = get_era(self.revision) + 1
+
+        def place(revision: int) -> int:
+            return join_revision(era, split_revision(revision)[1])
+
+        self.revision = place(self.revision)
+        self.items = {
+            key: (replace(item, revision=place(item.revision)), lease)
+            for key, (item, lease) in self.items.items()
+        }
+
     def show(self) -> StoreView:
         """Returns what the store holds now."""
         now = self.clock.now()
@@ -242,3 +260,29 @@
         self.start()
         await self.live(SHORT)
         self.assertTrue(self.quotas._quotas.hosts.is_grantor(self.clock.now()))
+
+    async def test_a_host_registers_again_soon_after_a_restore(self) -> None:
+        """It did so with its next renewal, up to five seconds later."""
+        self.start(is_first=True)
+        await self.live(CALM)
+        for era in (1, 2):
+            with self.subTest(era=era):
+                before = self.hosts._lease
+                self.store.restore()
+                await self.live(2)
+                self.assertNotEqual(self.hosts._lease, before)
+                for key in ('hosts/here', 'grantors/here'):
+                    item, lease = self.store.items[key]
+                    self.assertEqual(lease, self.hosts._lease)
+                    self.assertEqual(get_era(item.revision), era)
+                registered = self.hosts._lease
+                await self.live(SHORT)
+                self.assertEqual(self.hosts._lease, registered)
+
+    async def test_a_host_that_was_restored_removes_its_address(self) -> None:
+        self.start(is_first=True)
+        await self.live(CALM)
+        self.store.restore()
+        await self.live(2)
+        await self.hosts.deregister()
+        self.assertNotIn('hosts/here', self.store.items)
