Keep counts and stages of running roll-outs through a restore of the store

What callers would have seen (not measured with requests): after the store came back from a copy, hosts forgot what they had counted for a running roll-out, and dealt out the requests of its stage anew.

Cause: rows of counts, the stage in force and the order of permits were kept by the revision of the order, which is another one in a new era.

Change: the record of a running roll-out in a later era is known by the order's number; rows move to the new revision, and the stage goes on.

Shown: the new test failed before (no requests counted); it passes now, with the core's test_rollouts, test_restored_rollouts and test_rollout_messages (32 passed).

--- a/packages/core/almonddock_core/rollouts/_counts.py
+++ b/packages/core/almonddock_core/rollouts/_counts.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +144,12 @@
         """Returns the counts of all hosts for one order."""
         return sum_counts(self.list_rows(service, order_revision))
 
+    def move(self, service: str, before: int, after: int) -> None:
+        """Gives the rows of an order its revision in a later era."""
+        for key, row in self._rows.items():
+            if row.service == service and row.order_revision == before:
+                self._rows[key] = replace(row, order_revision=after)
+
     def drop_others(self, order_revisions: Mapping[str, int]) -> None:
         """Keeps the rows of these orders only, by service."""
         self._rows = {
--- a/packages/core/almonddock_core/rollouts/_service.py
+++ b/packages/core/almonddock_core/rollouts/_service.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Protocol, TypeVar
 
+from almonddock_core.model import split_revision
 from almonddock_core.rollouts._counts import Group, Tally
 from almonddock_core.rollouts._history import CountHistory
 from almonddock_core.rollouts._permits import Permits
@@ -119,11 +120,15 @@
     )
 
 
+def is_same_order(before: RolloutRecord, record: RolloutRecord) -> bool:
+    """Whether two records of a version are on one order, also by eras."""
+    _, number = split_revision(before.order_revision)
+    return number == split_revision(record.order_revision)[1]
+
+
 def is_same_stage(before: RolloutRecord, record: RolloutRecord) -> bool:
-    return (before.order_revision, before.stage_number) == (
-        record.order_revision,
-        record.stage_number,
-    )
+    is_same_number = before.stage_number == record.stage_number
+    return is_same_number and is_same_order(before, record)
 
 
 def restore_rollout(record: RolloutRecord, now: timedelta) -> ServiceRollout:
--- a/packages/core/almonddock_core/rollouts/_table.py
+++ b/packages/core/almonddock_core/rollouts/_table.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 from datetime import timedelta
 
+from almonddock_core.model import split_revision
 from almonddock_core.rollouts._counts import (
     CountTable,
     Group,
@@ -23,6 +24,7 @@
     Versioned,
     is_in_force,
     is_replaced,
+    is_same_order,
     is_same_stage,
     restore_rollout,
 )
@@ -230,12 +232,17 @@
         before = rollout.record
         rollout.record = record
         rollout.barred = record.barred_versions
-        if before is not None and is_same_stage(before, record):
-            return
+        if before is not None and is_same_order(before, record):
+            self.counts.move(
+                record.service, before.order_revision, record.order_revision
+            )
+            if is_same_stage(before, record):
+                return
         rollout.stage_at = now
         rollout.permits = None
         if record.stage is RolloutStage.TRIAL:
-            seed = f'{record.service} {record.order_revision}'
+            _, number = split_revision(record.order_revision)
+            seed = f'{record.service} {number}'
             rollout.permits = Permits(
                 self._host, self.hosts, seed, record.trial_rate, now
             )
--- a/packages/core/almonddock_core/tests/test_rollouts.py
+++ b/packages/core/almonddock_core/tests/test_rollouts.py
@@ -328,6 +328,29 @@
                 record, _ = fleet.store.records[SERVICE]
                 self.assertIs(record.state, ROLLED_BACK)
 
+    def test_counts_and_permits_of_a_running_roll_out_stay(self) -> None:
+        """They were forgotten, and the stage began anew."""
+        fleet = self.fleet
+        fleet.order()
+        fleet.run(6)
+        rollouts = [host.table.list_running()[0] for host in fleet.hosts]
+        before = [self.describe(host) for host in fleet.hosts]
+        self.assertTrue(all(one.permits for one in rollouts))
+        fleet.store.restore(fleet.store.take_copy())
+        for host in fleet.hosts:
+            host.read(fleet.store, [], fleet.now)
+        after = [self.describe(host) for host in fleet.hosts]
+        self.assertEqual(after, before)
+
+    def describe(self, host: FakeHost) -> tuple[object, ...]:
+        """Returns what a host knows of the stage of a running roll-out."""
+        rollout = host.table.list_running()[0]
+        assert rollout.record is not None
+        order_revision = rollout.record.order_revision
+        counts = host.table.counts.sum(SERVICE, order_revision)
+        self.assertGreater(counts.requests, 0)
+        return counts, rollout.permits, rollout.stage_at
+
     def test_order_that_the_copy_lacks_counts_until_it_is_repeated(
         self,
     ) -> None:
