--- a/packages/core/almonddock_core/model/__init__.py
+++ b/packages/core/almonddock_core/model/__init__.py
@@ -58,12 +58,14 @@
     Urgency,
 )
 from almonddock_core.model._store_revision import (
+    MAX_ERA,
     get_era,
     join_revision,
     split_revision,
 )
 
 __all__ = [
+    'MAX_ERA',
     'AlmonddockError',
     'Answer',
     'AttemptId',
--- a/packages/core/almonddock_core/rollouts/_stored.py
+++ b/packages/core/almonddock_core/rollouts/_stored.py
@@ -122,10 +122,10 @@
         record = self._carried.get(service) or self._records.get(service)
         if record is None or not record.answers(lost):
             return
-        if not record.answers(order):
-            self._carried[service] = replace(
-                record, answered_revision=order.revision
-            )
+        # Numbers of the lost order may be above those of this era.
+        self._carried[service] = replace(
+            record, answered_revision=order.revision
+        )
 
     def _drop_carried(self) -> None:
         """Keeps what an earlier era has decided until this one is as far."""
--- a/packages/gateway/almonddock_gateway/controllers/_configuration.py
+++ b/packages/gateway/almonddock_gateway/controllers/_configuration.py
@@ -105,7 +105,8 @@
         if era > self._era:
             self._repeat_until = self._clock.now() + REPEAT_PERIOD
             before = self._context.targets.drained
-            self._unconfirmed = dict.fromkeys(before, self._repeat_until)
+            known = dict.fromkeys(before, self._repeat_until)
+            self._unconfirmed = known | self._unconfirmed
         self._era = era
         for name in drained:
             self._unconfirmed.pop(name, None)
--- a/packages/gateway/almonddock_gateway/relays/_fallback_store.py
+++ b/packages/gateway/almonddock_gateway/relays/_fallback_store.py
@@ -34,7 +34,6 @@
     Store,
     StoreLostError,
     StoreView,
-    place_in_era,
     read_dated,
 )
 from almonddock_gateway.supervision import run_until_done
@@ -182,7 +181,7 @@
         if view is None:
             view = await self._read_through_peer(query)
             self.source = ReadSource.PEER
-        self._era = get_era(view.revision)
+        self._era = max(get_era(view.revision), self._era)
         return view
 
     async def _read_directly(
@@ -297,9 +296,9 @@
         as_of = None if reply.view_age is None else sent - reply.view_age
         view = _read_view(reply)
         known = max(self._era, get_era(query.after or 0))
-        if not reply.knows_eras:
-            view = place_in_era(view, known)
-        if get_era(view.revision) < known:
+        # An earlier release may answer from what the store has lost.
+        may_be_lost = known > 0 and not reply.knows_eras
+        if may_be_lost or get_era(view.revision) < known:
             raise StoreLostError(
                 f'another host has not read era {known} of the store yet'
             )
--- a/packages/gateway/almonddock_gateway/store.py
+++ b/packages/gateway/almonddock_gateway/store.py
@@ -9,12 +9,7 @@
 from datetime import timedelta
 from typing import Protocol
 
-from almonddock_core.model import (
-    AlmonddockError,
-    Clock,
-    join_revision,
-    split_revision,
-)
+from almonddock_core.model import AlmonddockError, Clock
 
 
 class StoreLostError(AlmonddockError):
@@ -139,18 +134,6 @@
         ...
 
 
-def place_in_era(view: StoreView, era: int) -> StoreView:
-    """Returns a view whose sender does not know eras, in the given one."""
-
-    def place(revision: int) -> int:
-        return join_revision(era, split_revision(revision)[1])
-
-    items = [
-        replace(item, revision=place(item.revision)) for item in view.items
-    ]
-    return replace(view, items=items, revision=place(view.revision))
-
-
 async def read_dated(
     read: Callable[[], Awaitable[StoreView]], clock: Clock
 ) -> StoreView:
--- a/packages/gateway/almonddock_gateway/tests/store_cases.py
+++ b/packages/gateway/almonddock_gateway/tests/store_cases.py
@@ -4,9 +4,14 @@
 import os
 import unittest
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from datetime import timedelta
 
-from almonddock_core.model import ManualClock
+from almonddock_core.model import (
+    ManualClock,
+    join_revision,
+    split_revision,
+)
 from almonddock_gateway.relays import (
     FallbackStore,
     LinkMessage,
@@ -137,3 +142,15 @@
         await self.settle(lambda: self.links.handle is not None)
         self.links.deliver(answer)
         return await task
+
+
+def place_in_era(view: StoreView, era: int) -> StoreView:
+    """Returns a view with the same numbers of the store in an era."""
+
+    def place(revision: int) -> int:
+        return join_revision(era, split_revision(revision)[1])
+
+    items = [
+        replace(item, revision=place(item.revision)) for item in view.items
+    ]
+    return replace(view, items=items, revision=place(view.revision))
--- a/packages/gateway/almonddock_gateway/tests/test_store_following.py
+++ b/packages/gateway/almonddock_gateway/tests/test_store_following.py
@@ -22,7 +22,6 @@
     HistoryLostError,
     StoreLostError,
     StoreView,
-    place_in_era,
 )
 from almonddock_gateway.tests.fakes import FakeLink
 from almonddock_gateway.tests.store_cases import (
@@ -32,6 +31,7 @@
     ScriptedStore,
     Step,
     StoreCase,
+    place_in_era,
 )
 
 
@@ -257,16 +257,25 @@
         with self.assertRaises(StoreLostError):
             await self.ask_other_host(fallback, reply)
 
-    async def test_peer_of_an_earlier_release_is_taken_to_be_in_the_era(
+    async def test_peer_of_an_earlier_release_is_not_read_once_restored(
         self,
     ) -> None:
+        """It may answer from what the store has lost, at higher numbers."""
         fallback = self.make(place_in_era(ONE, 2), StoreLostError('x'))
         self.connect()
         await fallback.read_prefix('p/')
         reply = StoreReply(7, StoreOutcome.ANSWERED, TWO, knows_eras=False)
-        self.assertEqual(
-            await self.ask_other_host(fallback, reply), place_in_era(TWO, 2)
-        )
+        with self.assertRaises(StoreLostError):
+            await self.ask_other_host(fallback, reply)
+
+    async def test_peer_of_an_earlier_release_is_read_in_the_first_era(
+        self,
+    ) -> None:
+        fallback = self.make(ONE, StoreLostError('x'))
+        self.connect()
+        await fallback.read_prefix('p/')
+        reply = StoreReply(7, StoreOutcome.ANSWERED, TWO, knows_eras=False)
+        self.assertEqual(await self.ask_other_host(fallback, reply), TWO)
 
 
 class StoreServerTest(StoreCase):
--- a/packages/gateway/almonddock_gateway/tests/test_watchers.py
+++ b/packages/gateway/almonddock_gateway/tests/test_watchers.py
@@ -25,7 +25,6 @@
     HistoryLostError,
     StoreLostError,
     StoreView,
-    place_in_era,
 )
 from almonddock_gateway.tests.fakes import FakeLink
 from almonddock_gateway.tests.store_cases import (
@@ -35,6 +34,7 @@
     ScriptedStore,
     Step,
     StoreCase,
+    place_in_era,
 )
 
 
