Type the entries of a test one by one

mypy refused the changes that test_entries_without_an_order_are_taken passed on as a dictionary. The test checks the same two entries; the 20 tests of the module pass.

--- a/packages/core/almonddock_core/tests/test_routing.py
+++ b/packages/core/almonddock_core/tests/test_routing.py
@@ -148,9 +148,11 @@
 
     def test_entries_without_an_order_are_taken(self) -> None:
         self.table.remove('a', START)
-        for changes in ({'started_ms': None}, {'sequence': None}):
-            with self.subTest(changes=changes):
-                listed = replace(self.before, **changes)
+        for listed in (
+            replace(self.before, started_ms=None),
+            replace(self.before, sequence=None),
+        ):
+            with self.subTest(listed=listed):
                 self.assertEqual(self.count_usable(listed), 1)
                 self.table.remove('a', START)
 
