Ignore a replaced order that a copy of the store brings back

Change: hosts remember the last orders of each service. One of these is not in force in a new era as long as the order after it is waited for, 60 s at most.

Shown: the new test failed before; it passes now, with test_rollouts.

--- a/packages/core/almonddock_core/rollouts/_stored.py
+++ b/packages/core/almonddock_core/rollouts/_stored.py
@@ -1,5 +1,6 @@
 """The orders and records of the store, as one host has read them."""
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import replace
 from datetime import timedelta
@@ -14,6 +15,10 @@
 REPEAT_PERIOD_S = 60
 REPEAT_PERIOD = timedelta(seconds=REPEAT_PERIOD_S)
 
+#: How many orders of each service are remembered, in order not to take one
+#: that a copy of the store brings back for a new one.
+MAX_HISTORY = 8
+
 
 class StoredRollouts:
     """Keeps the newest record of each service, also against a late read.
@@ -33,6 +38,10 @@
         # The orders of the era before that this one lacks, and until when the
         # operator is waited for to repeat them.
         self._held: dict[str, tuple[RolloutOrder, timedelta]] = {}
+        # Orders that this era has again though later ones had replaced them.
+        self._outdated: dict[str, RolloutOrder] = {}
+        # The last orders of each service.
+        self._history: dict[str, deque[RolloutOrder]] = {}
         # The records of the era before, as far as this one has none that is as
         # far: a restored store may have lost them.
         self._carried: dict[str, RolloutRecord] = {}
@@ -48,6 +57,10 @@
             service: (order.place_in_era(era), until)
             for service, order in self._list_orders().items()
         }
+        for history in self._history.values():
+            placed = [order.place_in_era(era) for order in history]
+            history.clear()
+            history.extend(placed)
         self.era = era
         self._carried = {
             service: record.place_in_era(era)
@@ -59,19 +72,31 @@
     def replace_orders(self, orders: Iterable[RolloutOrder]) -> None:
         """Replaces all orders."""
         self._orders = {}
+        self._outdated = {}
         for order in orders:
             self.put_order(order)
 
     def put_order(self, order: RolloutOrder) -> None:
         """Adds or replaces an order."""
-        self._orders[order.service] = order
-        held, _ = self._held.pop(order.service, (None, None))
-        if held is not None and held.is_repeated_by(order):
+        service = order.service
+        history = self._history.setdefault(service, deque(maxlen=MAX_HISTORY))
+        held, _ = self._held.get(service, (None, None))
+        is_repeated = held is not None and held.is_repeated_by(order)
+        if held is not None and not is_repeated and order in history:
+            self._outdated[service] = order
+            return
+        if order not in history:
+            history.append(order)
+        self._orders[service] = order
+        self._outdated.pop(service, None)
+        self._held.pop(service, None)
+        if held is not None and is_repeated:
             self._answer(order, held)
 
     def remove_order(self, service: str) -> None:
         """Records that an order was withdrawn."""
         self._orders.pop(service, None)
+        self._outdated.pop(service, None)
         self._held.pop(service, None)
 
     def is_held(self, service: str) -> bool:
@@ -80,7 +105,7 @@
 
     def find_order_revision(self, service: str) -> int:
         """Returns the revision of an order in the store, 0 without one."""
-        order = self._orders.get(service)
+        order = self._orders.get(service) or self._outdated.get(service)
         return 0 if order is None else order.revision
 
     def put_record(self, record: RolloutRecord, revision: int) -> None:
@@ -98,6 +123,8 @@
             for service, (order, until) in self._held.items()
             if now < until
         }
+        for service in self._outdated.keys() - self._held.keys():
+            self._orders[service] = self._outdated.pop(service)
         self._drop_carried()
         records = self._records | self._carried
         self._table.apply(self._list_orders(), records, now)
--- a/packages/core/almonddock_core/tests/test_rollouts.py
+++ b/packages/core/almonddock_core/tests/test_rollouts.py
@@ -364,6 +364,27 @@
         self.fleet.run(12)
         self.assertEqual(self.fleet.states, [RUNNING, COMPLETED])
 
+    def test_replaced_order_that_the_copy_holds_is_not_in_force_again(
+        self,
+    ) -> None:
+        """The version that the operator had given up got requests again."""
+        fleet = self.fleet
+        fleet.order()
+        fleet.run(6)
+        copy = fleet.store.take_copy()
+        fleet.store.order('v3')
+        fleet.run(2)
+        sent = len(fleet.exposed)
+        fleet.store.restore(copy)
+        fleet.run(5)
+        self.assertEqual(len(fleet.exposed), sent)
+        fleet.old.extend(Target(Entry('v3', place)) for place in 'abc')
+        fleet.store.order('v3')
+        fleet.run(20)
+        self.assertEqual(len(fleet.exposed), sent)
+        self.assertEqual(fleet.store.written[-1].version, 'v3')
+        self.assertEqual(fleet.states[-1], COMPLETED)
+
     def test_order_that_is_not_repeated_is_withdrawn_in_the_end(self) -> None:
         copy = self.fleet.store.take_copy()
         self.fleet.order(duration_s=300)
