Write a lost verdict on a roll-out together with the claim

Cause: a host that knew a verdict which the restored store lacks took the claim first, and wrote the verdict with its next write. Another host that knew it could take the claim in between; with many hosts the verdict could have stayed unwritten for long. Seen in the code, not in a run.

Change: the write that takes the claim holds the verdicts, in one transaction.

Shown: the new test of what each host writes failed before; RestoredStoreTest passes.

--- a/packages/core/almonddock_core/rollouts/_decider.py
+++ b/packages/core/almonddock_core/rollouts/_decider.py
@@ -1,6 +1,6 @@
 """What the host that decides writes to the store, and under which condition."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -54,12 +54,12 @@
             self._waiting_since = now
         if not self._is_current(now):
             return None
-        if not self.claim.is_held:
-            if not self._may_take(now):
-                return None
-            return ConditionalWrite(self.claim.revision)
-        changed = self._decide_all(find_fleet, now)[:MAX_RECORDS]
-        if not changed and not self.claim.is_renewal_due(now):
+        is_held = self.claim.is_held
+        if not is_held and not self._may_take(now):
+            return None
+        due = self._list_due() if is_held else self._list_lost_verdicts()
+        changed = self._decide_all(due, find_fleet, now)[:MAX_RECORDS]
+        if is_held and not changed and not self.claim.is_renewal_due(now):
             return None
         return ConditionalWrite(
             self.claim.revision,
@@ -94,8 +94,11 @@
             for rollout in self.table.list_undecided()
             if not self.stored.is_held(rollout.order.service)
         ]
+        return undecided + self._list_lost_verdicts()
+
+    def _list_lost_verdicts(self) -> list[ServiceRollout]:
         lost = self.stored.list_lost()
-        return undecided + [one for one in lost if not one.is_undecided]
+        return [one for one in lost if not one.is_undecided]
 
     def _may_take(self, now: timedelta) -> bool:
         """Whether this host should take the claim.
@@ -104,14 +107,16 @@
         verdict: that one may not know it, and send requests to the version.
         """
         since = self._waiting_since or now
-        lost = self.stored.list_lost()
-        is_urgent = not all(one.is_undecided for one in lost)
+        is_urgent = bool(self._list_lost_verdicts())
         return self.claim.may_take(
             self.table.hosts, since, now, is_urgent=is_urgent
         )
 
     def _decide_all(
-        self, find_fleet: FindFleet, now: timedelta
+        self,
+        rollouts: Iterable[ServiceRollout],
+        find_fleet: FindFleet,
+        now: timedelta,
     ) -> list[RolloutRecord]:
         """Returns the records that differ from those of the store."""
         lost = self.stored.list_lost()
@@ -126,7 +131,7 @@
                     now,
                 ),
             )
-            for rollout in self._list_due()
+            for rollout in rollouts
         ]
         return [record for before, record in decided if record != before]
 
--- a/packages/core/almonddock_core/tests/test_rollouts.py
+++ b/packages/core/almonddock_core/tests/test_rollouts.py
@@ -328,6 +328,25 @@
                 record, _ = fleet.store.records[SERVICE]
                 self.assertIs(record.state, ROLLED_BACK)
 
+    def test_lost_verdict_is_written_together_with_the_claim(self) -> None:
+        """Hosts that know it took the claim from each other before."""
+        fleet = self.fleet
+        fleet.behave_new = fail_often
+        fleet.order()
+        fleet.run(1)
+        copy = fleet.store.take_copy()
+        fleet.run(19)
+        fleet.store.restore(copy)
+        later = fleet.now + timedelta(seconds=2)
+        for host in fleet.hosts:
+            host.read(fleet.store, [], fleet.now)
+            host.decider.plan_write(fleet._find_fleet, fleet.now)
+            host.table.known_at = later
+            write = host.decider.plan_write(fleet._find_fleet, later)
+            assert write is not None
+            states = [record.state for record in write.records]
+            self.assertEqual(states, [ROLLED_BACK])
+
     def test_counts_and_permits_of_a_running_roll_out_stay(self) -> None:
         """They were forgotten, and the stage began anew."""
         fleet = self.fleet
