--- a/packages/core/almonddock_core/tests/test_rollouts.py
+++ b/packages/core/almonddock_core/tests/test_rollouts.py
@@ -328,6 +328,25 @@
                 record, _ = fleet.store.records[SERVICE]
                 self.assertIs(record.state, ROLLED_BACK)
 
+    def test_lost_verdict_is_written_together_with_the_claim(self) -> None:
+        """Hosts that know it took the claim from each other before."""
+        fleet = self.fleet
+        fleet.behave_new = fail_often
+        fleet.order()
+        fleet.run(1)
+        copy = fleet.store.take_copy()
+        fleet.run(19)
+        fleet.store.restore(copy)
+        later = fleet.now + timedelta(seconds=2)
+        for host in fleet.hosts:
+            host.read(fleet.store, [], fleet.now)
+            host.decider.plan_write(fleet._find_fleet, fleet.now)
+            host.table.known_at = later
+            write = host.decider.plan_write(fleet._find_fleet, later)
+            assert write is not None
+            states = [record.state for record in write.records]
+            self.assertEqual(states, [ROLLED_BACK])
+
     def test_counts_and_permits_of_a_running_roll_out_stay(self) -> None:
         """They were forgotten, and the stage began anew."""
         fleet = self.fleet
@@ -364,6 +383,27 @@
         self.fleet.run(12)
         self.assertEqual(self.fleet.states, [RUNNING, COMPLETED])
 
+    def test_replaced_order_that_the_copy_holds_is_not_in_force_again(
+        self,
+    ) -> None:
+        """The version that the operator had given up got requests again."""
+        fleet = self.fleet
+        fleet.order()
+        fleet.run(6)
+        copy = fleet.store.take_copy()
+        fleet.store.order('v3')
+        fleet.run(2)
+        sent = len(fleet.exposed)
+        fleet.store.restore(copy)
+        fleet.run(5)
+        self.assertEqual(len(fleet.exposed), sent)
+        fleet.old.extend(Target(Entry('v3', place)) for place in 'abc')
+        fleet.store.order('v3')
+        fleet.run(20)
+        self.assertEqual(len(fleet.exposed), sent)
+        self.assertEqual(fleet.store.written[-1].version, 'v3')
+        self.assertEqual(fleet.states[-1], COMPLETED)
+
     def test_order_that_is_not_repeated_is_withdrawn_in_the_end(self) -> None:
         copy = self.fleet.store.take_copy()
         self.fleet.order(duration_s=300)
