Ignore earlier incarnations of targets that a restored store lists

What callers would see: requests to the address of a target that had been replaced, until its next report, because a copy of the store listed the incarnation before. Shown by the review on TargetTable.

Cause: any other start time counted as a newer incarnation.

test_earlier_incarnation_does_not_replace_the_one_that_runs failed before; test_routing passes (21).

--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -301,12 +301,15 @@
 
 
 def _count_later(entry: TargetEntry, other: TargetEntry) -> int | None:
-    """Returns how many entries after another one an entry was written.
+    """Returns a number above 0 if an entry was written after another one.
 
-    Returns None for entries that are not known to be of one incarnation.
+    Returns one below 0 if it was written before, 0 for the same entry, and
+    None if that is not known.
     """
-    if entry.started_ms is None or _is_restarted(entry, other):
+    if entry.started_ms is None or other.started_ms is None:
         return None
+    if _is_restarted(other, entry):
+        return entry.started_ms - other.started_ms
     if entry.sequence is None or other.sequence is None:
         return None
     return entry.sequence - other.sequence
--- a/packages/core/almonddock_core/tests/test_routing.py
+++ b/packages/core/almonddock_core/tests/test_routing.py
@@ -137,6 +137,16 @@
         again = replace(self.before, started_ms=2, sequence=1)
         self.assertEqual(self.count_usable(again), 1)
 
+    def test_earlier_incarnation_does_not_replace_the_one_that_runs(
+        self,
+    ) -> None:
+        """A copy of the store sent requests to the address of a stopped one."""
+        running = replace(self.before, started_ms=2, sequence=1, port=9)
+        self.table.put(running, START)
+        self.assertEqual(self.count_usable(self.before), 1)
+        (target,) = self.table.list_usable('desk', START)
+        self.assertEqual(target.entry, running)
+
     def test_target_that_has_left_is_not_used_again(self) -> None:
         self.table.put(replace(self.before, sequence=5), START)
         self.table.remove('a', START)
