--- a/packages/core/almonddock_core/tests/test_routing.py
+++ b/packages/core/almonddock_core/tests/test_routing.py
@@ -144,8 +144,8 @@
         running = replace(self.before, started_ms=2, sequence=1, port=9)
         self.table.put(running, START)
         self.assertEqual(self.count_usable(self.before), 1)
-        (target,) = self.table.list_usable('desk', START)
-        self.assertEqual(target.entry, running)
+        usable = self.table.list_usable('desk', START)
+        self.assertEqual([target.entry for target in usable], [running])
 
     def test_target_that_has_left_is_not_used_again(self) -> None:
         self.table.put(replace(self.before, sequence=5), START)
