--- a/packages/core/almonddock_core/tests/test_rollouts.py
+++ b/packages/core/almonddock_core/tests/test_rollouts.py
@@ -412,6 +412,27 @@
         self.fleet.run(63)
         self.assertEqual(self.fleet.states, [RUNNING, ROLLED_BACK])
 
+    def test_second_order_below_the_number_of_the_lost_one_is_a_new_one(
+        self,
+    ) -> None:
+        """It counted as answered by the verdict on the lost order."""
+        fleet = self.fleet
+        fleet.behave_new = fail_often
+        copy = fleet.store.take_copy()
+        fleet.store.revision += 1000
+        fleet.order()
+        fleet.run(20)
+        fleet.store.restore(copy)
+        fleet.run(1)
+        fleet.store.order()
+        fleet.run(2)
+        fleet.behave_new = behave_well
+        fleet.order()
+        fleet.run(20)
+        self.assertEqual(
+            fleet.states, [RUNNING, ROLLED_BACK, RUNNING, COMPLETED]
+        )
+
     def test_order_that_is_repeated_after_a_verdict_is_no_new_one(
         self,
     ) -> None:
--- a/packages/gateway/almonddock_gateway/tests/test_configuration.py
+++ b/packages/gateway/almonddock_gateway/tests/test_configuration.py
@@ -44,11 +44,12 @@
         self.state = EntryState()
         self.clock = ManualClock()
         self.telemetry = Mock(spec=Telemetry)
+        self.context = DispatchCase(make_route()).context
         self.controller = ConfigurationController(
             KEYS,
             decode,
             self.state,
-            DispatchCase(make_route()).context,
+            self.context,
             self.clock,
             self.telemetry,
         )
@@ -99,6 +100,27 @@
         self.telemetry.log_event.assert_not_called()
 
 
+class RestoredDrainTest(ConfigurationCase):
+    def test_next_copy_does_not_keep_data_centres_drained_for_longer(
+        self,
+    ) -> None:
+        """Copies in a row kept them drained for ever."""
+        revision = join_revision(1, 21)
+        item = StoreItem(f'{KEYS.drained_prefix}a', b'{}', revision)
+        self.controller.apply_changes(StoreView([item], revision))
+        for era in (2, 3):
+            self.read(era, 10, None)
+            self.assertEqual(self.drained, {'a'})
+            self.clock.advance(REPEAT_PERIOD * 2 / 3)
+        self.controller.apply_changes(build_view(3, 11, None))
+        self.assertEqual(self.drained, frozenset())
+
+    @property
+    def drained(self) -> frozenset[str]:
+        """The data centres that get no requests."""
+        return self.context.targets.drained
+
+
 class ProofTest(ConfigurationCase):
     """Which reads show that no key in force was withdrawn."""
 
