log: State the steps on the way of a query

The line of a late query had its whole time and its tries: it couldn't tell slow targets from hosts that were slow to send the query, to read the replies of other hosts, or to answer once the answer was due. request_finished now has asked_ms, groups (when each message of another host was read, and the longest time of a target in it) and due_ms.

--- a/packages/cli/almonddock_cli/tests/test_explain.py
+++ b/packages/cli/almonddock_cli/tests/test_explain.py
@@ -2,7 +2,7 @@
 
 import os
 import unittest
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from almonddock_cli._causes import (
@@ -11,7 +11,12 @@
     select_state_lines,
 )
 from almonddock_cli._log_lines import LogLine, parse_lines
-from almonddock_core.dispatch import Dispatch, Failure, ReplyKind
+from almonddock_core.dispatch import (
+    Dispatch,
+    Failure,
+    ReplyGroup,
+    ReplyKind,
+)
 from almonddock_core.model import ManualClock
 from almonddock_core.routing import Rejected, RejectionReason, TargetChange
 from almonddock_core.tests.dispatch_cases import (
@@ -78,6 +83,22 @@
             'were late, failed or gone',
         )
 
+    def test_steps_of_a_late_query_tell_slow_hosts_from_slow_targets(
+        self,
+    ) -> None:
+        case = DispatchCase(make_route(4)).start()
+        case.dispatch.record_handed_over(7 * MS)
+        relayed = replace(
+            make_reply(), group=ReplyGroup(b'x' * 16), elapsed=4 * MS
+        )
+        group = [(attempt, relayed) for attempt in range(3)]
+        case.dispatch.receive_group(group, 60 * MS)
+        case.advance(90 * MS)
+        fields = self.finish(case, 200)[-1].fields
+        self.assertEqual(fields['asked_ms'], 7)
+        self.assertEqual(fields['groups'], [[60, 3, 4]])
+        self.assertEqual(fields['due_ms'], 85)
+
     def test_late_answer_of_one_target_names_it(self) -> None:
         case = DispatchCase(make_route(idempotent=False)).start()
         case.now = 300 * MS
--- a/packages/core/almonddock_core/dispatch/_decision_log.py
+++ b/packages/core/almonddock_core/dispatch/_decision_log.py
@@ -56,6 +56,17 @@
     unreachable: int
 
 
+@dataclass(frozen=True, slots=True)
+class GroupRecord:
+    """One message of another host with outcomes of attempts."""
+
+    received: timedelta
+    #: The number of outcomes in it.
+    outcomes: int
+    #: The longest time that a target took, as the other host measured it.
+    slowest: timedelta
+
+
 @dataclass(slots=True)
 class DecisionLog:
     """The decisions of one request, in order."""
@@ -67,6 +78,11 @@
     over_budget: list[str] = field(default_factory=list)
     #: Services whose hedge was left out because hedges there stay unanswered.
     not_hedged: list[str] = field(default_factory=list)
+    #: When the first attempts had been handed over; None before.
+    handed_over: timedelta | None = None
+    groups: list[GroupRecord] = field(default_factory=list)
+    #: From when an answer with shards missing was due; None for other answers.
+    due: timedelta | None = None
 
     def add_attempt(
         self,
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -1,6 +1,6 @@
 """The state machine of one request."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from datetime import timedelta
 from functools import partial
 
@@ -10,6 +10,7 @@
     Cancel,
     Failure,
     Finish,
+    MergedAnswer,
     Send,
     Withdraw,
 )
@@ -19,6 +20,7 @@
 from almonddock_core.dispatch._decision_log import (
     AttemptOutcome,
     AttemptReason,
+    GroupRecord,
     UnavailableService,
 )
 from almonddock_core.dispatch._outcome import (
@@ -26,6 +28,7 @@
     build_no_target_refusal,
     build_single,
     count_needed,
+    find_due,
 )
 from almonddock_core.dispatch._requests import (
     DispatchedRequest,
@@ -114,6 +117,10 @@
             actions.append(self._attempts.send(branch, target, now))
         return self._finish_if_decided(actions)
 
+    def record_handed_over(self, now: timedelta) -> None:
+        """Records that the first attempts were handed over for sending."""
+        self.decisions.handed_over = now
+
     def receive(
         self,
         number: int,
@@ -143,6 +150,8 @@
         if self.answer is not None:
             return []
         actions: list[Action] = []
+        replies = tuple(replies)
+        self.decisions.groups.append(_describe_group(replies, now))
         for number, outcome in replies:
             kind = outcome if isinstance(outcome, Failure) else outcome.kind
             attempt_outcome = AttemptOutcome(kind.value)
@@ -346,5 +355,18 @@
 
     def _finish(self, answer: Answer) -> list[Action]:
         self.answer = answer
+        if isinstance(answer, MergedAnswer) and answer.missing:
+            self.decisions.due = find_due(self.request, self.timing, self._now)
         cancels = [self._cancel(one) for one in self._attempts.list_open()]
         return [*cancels, Finish(answer)]
+
+
+def _describe_group(
+    replies: Sequence[tuple[int, TargetReply | Failure]], now: timedelta
+) -> GroupRecord:
+    elapsed = (
+        outcome.elapsed
+        for _, outcome in replies
+        if isinstance(outcome, TargetReply) and outcome.elapsed is not None
+    )
+    return GroupRecord(now, len(replies), max(elapsed, default=timedelta()))
--- a/packages/core/almonddock_core/dispatch/_outcome.py
+++ b/packages/core/almonddock_core/dispatch/_outcome.py
@@ -90,16 +90,21 @@
     return None
 
 
+def find_due(
+    request: DispatchedRequest, timing: DispatchTiming, now: timedelta
+) -> timedelta:
+    """Returns from when an answer goes out although shards are missing."""
+    goal = request.arrived + request.route.latency_goal
+    return timing.partial_from if now < goal else timing.late_partial_from
+
+
 def _is_partial_due(
     request: DispatchedRequest,
     timing: DispatchTiming,
     now: timedelta,
 ) -> bool:
     """Whether the answer no longer waits for missing shards."""
-    goal = request.arrived + request.route.latency_goal
-    if now < goal:
-        return now >= timing.partial_from
-    return now >= timing.late_partial_from
+    return now >= find_due(request, timing, now)
 
 
 def _merge(branches: Sequence[Branch]) -> MergedAnswer:
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -99,6 +99,8 @@
         """Sends the first attempts."""
         actions = self.dispatch.start(self._settings.clock.now())
         self._run(self._relay_sends(actions, FLUSH_SHARE))
+        if self.dispatch.request.route.shards:
+            self.dispatch.record_handed_over(self._settings.clock.now())
 
     def abandon(self) -> None:
         """Cancels all attempts, because the caller has disconnected."""
--- a/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
@@ -211,6 +211,7 @@
             elapsed_ms=_count_ms(elapsed),
             goal_ms=round(route.latency_goal / MS),
             **_describe_answer(dispatch),
+            **_describe_steps(dispatch),
             **_describe_decisions(dispatch.decisions, detailed=not in_time),
         )
 
@@ -305,6 +306,31 @@
     return {'outcome': answer.reply.kind.value}
 
 
+def _describe_steps(dispatch: Dispatch) -> dict[str, Any]:
+    """Returns the points in time of a query that was relayed.
+
+    ``groups`` are the messages of other hosts: when each was read, how many
+    outcomes it had, and the longest time that a target took for one.
+    """
+    decisions = dispatch.decisions
+    arrived = dispatch.request.arrived
+    steps: dict[str, Any] = {}
+    if decisions.handed_over is not None:
+        steps['asked_ms'] = _count_ms(decisions.handed_over - arrived)
+    if decisions.groups:
+        steps['groups'] = [
+            [
+                _count_ms(group.received - arrived),
+                group.outcomes,
+                _count_ms(group.slowest),
+            ]
+            for group in decisions.groups
+        ]
+    if decisions.due is not None:
+        steps['due_ms'] = _count_ms(decisions.due - arrived)
+    return steps
+
+
 def _is_notable(record: AttemptRecord) -> bool:
     """Returns whether an attempt gets its own log line.
 
