--- /dev/null
+++ b/bench/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on queries over many shards, with real hosts on loopback."""
--- a/packages/core/almonddock_core/tests/test_dispatch.py
+++ b/packages/core/almonddock_core/tests/test_dispatch.py
@@ -1,5 +1,6 @@
 """Tests of the dispatch of one request, by the replies of its targets."""
 
+import sys
 import unittest
 from datetime import timedelta
 
@@ -459,6 +460,33 @@
         )
 
 
+class WorkTest(unittest.TestCase):
+    def count_lines(self, shards: int) -> int:
+        """Returns the lines of code that run while all shards reply."""
+        case = DispatchCase(make_route(shards), replicas=1).start()
+        lines = 0
+
+        def trace(frame: object, event: str, argument: object) -> object:
+            nonlocal lines
+            lines += event == 'line'
+            return trace
+
+        before = sys.gettrace()
+        sys.settrace(trace)
+        try:
+            for number in range(shards):
+                case.reply(number)
+                case.dispatch.wake_at  # noqa: B018
+        finally:
+            sys.settrace(before)
+        self.assertEqual(case.count_answers(), 1)
+        return lines
+
+    def test_each_reply_takes_the_same_work_whatever_the_shards(self) -> None:
+        """Each reply went through all shards: queries over many were late."""
+        self.assertLess(self.count_lines(400), 12 * self.count_lines(40))
+
+
 class WakeTest(unittest.TestCase):
     def test_every_wait_is_bounded(self) -> None:
         case = DispatchCase(make_route(4)).start()
--- a/packages/gateway/almonddock_gateway/tests/relay_cases.py
+++ b/packages/gateway/almonddock_gateway/tests/relay_cases.py
@@ -75,8 +75,13 @@
         #: Whether there is a watcher for this host.
         self.has_watcher = False
         #: The links to the homes of groups of shards.
-        self.homes: dict[int, MessageLink] = {}
+        self.homes: dict[int, FakeLink] = {}
+        #: The links to the hosts that are asked if those are late.
+        self.other_homes: dict[int, FakeLink] = {}
         self.handle: HandleReply | None = None
+        #: Those of all queries without an end, by number.
+        self.handles: dict[int, HandleReply] = {}
+        self._number = 6
 
     def find_link(self, data_centre: str) -> MessageLink | None:
         """Returns the link for the other data centre."""
@@ -86,6 +91,12 @@
         """Returns the link of a group with a home."""
         return self.homes.get(group)
 
+    def find_other_home(
+        self, group: int, asked: MessageLink
+    ) -> MessageLink | None:
+        """Returns the link to the other home of a group."""
+        return self.other_homes.get(group)
+
     def find_any_link(
         self, avoided: Container[MessageLink] = ()
     ) -> MessageLink | None:
@@ -97,8 +108,9 @@
         return self.link if self.has_watcher else None
 
     def allocate_number(self) -> int:
-        """Always returns the same number."""
-        return 7
+        """Returns numbers from 7 on."""
+        self._number += 1
+        return self._number
 
     def send_query(
         self,
@@ -109,6 +121,7 @@
         """Sends the query and stores the handler."""
         link.send(query)
         self.handle = handle
+        self.handles[query.number] = handle
 
     def cancel(
         self,
@@ -122,6 +135,7 @@
     def forget(self, link: MessageLink, number: int) -> None:
         """Drops the handler."""
         self.handle = None
+        self.handles.pop(number, None)
 
     def deliver(self, message: LinkMessage | None) -> None:
         """Passes a message to the handler."""
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -87,6 +87,11 @@
         self.unread_output = False
         self.write_settings(settings)
 
+    @property
+    def pid(self) -> int:
+        """The id of the running process; 0 without one."""
+        return 0 if self._process is None else self._process.pid
+
     @property
     def errors(self) -> str:
         """The output of this host's processes on standard error."""
