Answer before open attempts are cancelled

Callers of a query over many shards got an answer that was due only after all open attempts had been cancelled: one message to each home with a late part, and the end of each hedge's connection, written before the answer by a host with a third of a core.

Cause: the dispatch returned the cancellations before the answer, and the exchange ended its relays before it passed the answer on. Both now answer first. test_answer_leaves_before_open_attempts_are_cancelled failed before ('cancel', 'cancel', 'answer').

--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -340,7 +340,7 @@
         return Cancel(attempt.number)
 
     def _finish_if_decided(self, actions: list[Action]) -> list[Action]:
-        """Adds the answer and cancels open attempts, once it is decided.
+        """Answers first and then cancels open attempts, once it is decided.
 
         New attempts are then not sent: they are cancelled too.
         """
@@ -348,17 +348,17 @@
         answer = build(self.request, self.timing, self._branches, self._now)
         if answer is None:
             return actions
-        return [
-            *(action for action in actions if not isinstance(action, Send)),
-            *self._finish(answer),
-        ]
+        cancels = [one for one in actions if not isinstance(one, Send)]
+        return self._finish(answer, cancels)
 
-    def _finish(self, answer: Answer) -> list[Action]:
+    def _finish(
+        self, answer: Answer, actions: Iterable[Action] = ()
+    ) -> list[Action]:
         self.answer = answer
         if isinstance(answer, MergedAnswer) and answer.missing:
             self.decisions.due = find_due(self.request, self.timing, self._now)
         cancels = [self._cancel(one) for one in self._attempts.list_open()]
-        return [*cancels, Finish(answer)]
+        return [Finish(answer), *actions, *cancels]
 
 
 def _describe_group(
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -119,14 +119,15 @@
         for action in actions:
             if isinstance(action, Finish):
                 self._timer.stop()
-                self._end_relays()
                 self._finish(self, action.answer)
-                return
-            self._execute(action)
+            else:
+                self._execute(action)
+        if self.dispatch.answer is not None:
+            self._end_relays()
+            return
         for relay in self._relays:
             relay.send_cancelled()
-        if self.dispatch.answer is None:
-            self._timer.set(self.dispatch.wake_at, self._tick)
+        self._timer.set(self.dispatch.wake_at, self._tick)
 
     def _execute(self, action: Send | Cancel | Withdraw) -> None:
         if isinstance(action, Send):
