Count lateness of shards from when they were asked

Hosts that were slow to send a query over many shards hedged shards whose targets had had little time: the hedge delay ran from when the query was read.

Cause: an attempt began when its target was chosen. A host with a third of a core needs a large part of the delay to send the messages of a query, and hedges then take what time is left. Attempts of a query now begin once all first attempts are handed over. test_time_of_this_host_is_not_lateness_of_targets failed before (hedged 30 ms after the arrival, not 45).

--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -118,8 +118,13 @@
         return self._finish_if_decided(actions)
 
     def record_handed_over(self, now: timedelta) -> None:
-        """Records that the first attempts were handed over for sending."""
+        """Records that the first attempts were handed over for sending.
+
+        They are late from then on: before that, this host was.
+        """
         self.decisions.handed_over = now
+        for attempt in self._attempts.list_open():
+            attempt.started = now
 
     def receive(
         self,
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -99,8 +99,9 @@
         """Sends the first attempts."""
         actions = self.dispatch.start(self._settings.clock.now())
         self._run(self._relay_sends(actions, FLUSH_SHARE))
-        if self.dispatch.request.route.shards:
+        if self.dispatch.request.route.shards and self.dispatch.answer is None:
             self.dispatch.record_handed_over(self._settings.clock.now())
+            self._timer.set(self.dispatch.wake_at, self._tick)
 
     def abandon(self) -> None:
         """Cancels all attempts, because the caller has disconnected."""
