Hedge shards of a home through the other home of their group

Cause: another attempt at a shard that a home was asked for went to its target directly. A host has no connection to targets that homes ask for it, so each hedge opened one, and the end of the query closed it. Replies that had come waited meanwhile, which led to more hedges.

--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -91,8 +91,8 @@
         self._finish = finish
         self._attempts: dict[int, tuple[TargetPool, TargetAttempt]] = {}
         self._relays: list[Relay] = []
-        #: Services with an attempt in some relay query.
-        self._relayed_services: set[str] = set()
+        #: The links over which services were asked in relay queries.
+        self._relay_links: dict[str, MessageLink] = {}
         self._timer = WakeTimer(settings.clock)
 
     def start(self) -> None:
@@ -152,7 +152,7 @@
         if not dispatch.request.route.shards:
             return actions
         groups = settings.relays.group(
-            actions, dispatch.request.route.shards, self._relayed_services
+            actions, dispatch.request.route.shards, self._relay_links
         )
         threshold = _find_threshold(dispatch) if groups else b''
         flush_after = dispatch.timing.hedge_after * flush_share
@@ -182,8 +182,8 @@
             self._receive_group,
         )
         self._relays.append(relay)
-        self._relayed_services.update(
-            send.target.entry.service for send in sends
+        self._relay_links.update(
+            (send.target.entry.service, link) for send in sends
         )
         relay.send_query(
             RelayQuery(
@@ -215,6 +215,22 @@
         self._relays = []
 
     def _send(self, action: Send) -> None:
+        link = self._find_other_home(action.target.entry.service)
+        if link is None:
+            self._send_directly(action)
+        else:
+            # Alone, so that its records can be told from those of others.
+            self._send_relay_query(link, (action,), b'', timedelta())
+
+    def _find_other_home(self, service: str) -> MessageLink | None:
+        """Returns the link for another attempt at a shard that was relayed."""
+        asked = self._relay_links.get(service)
+        if asked is None:
+            return None
+        shards = self.dispatch.request.route.shards
+        return self._settings.relays.find_other_home(service, shards, asked)
+
+    def _send_directly(self, action: Send) -> None:
         target = action.target
         number = action.attempt
         pool = self._settings.pools.get(target)
--- a/packages/gateway/almonddock_gateway/links/_peers.py
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -125,6 +125,20 @@
                 return link
         return None
 
+    def find_other_home(
+        self, group: int, asked: MessageLink
+    ) -> MessageLink | None:
+        """Returns a usable link to the home that was not asked.
+
+        ``asked`` is the link to the one that was. Returns None if this host is
+        the other home, or without a link.
+        """
+        for name in self.homes.list_names(group):
+            link = self.find_link_to(name)
+            if link is not None and link is not asked:
+                return link
+        return None
+
     def find_any_link(
         self, avoided: Container[MessageLink] = ()
     ) -> MessageLink | None:
--- a/packages/gateway/almonddock_gateway/relays/_relay.py
+++ b/packages/gateway/almonddock_gateway/relays/_relay.py
@@ -38,6 +38,7 @@
         self._links: LinkDirectory = router.links
         self._link = link
         self._attempts = attempts
+        self._parts = {number: part for part, number in enumerate(attempts)}
         self._receive = receive
         self._record_costs = router.costs.record
         #: Parts without an outcome yet.
@@ -52,10 +53,9 @@
 
     def cancel(self, attempt: int) -> None:
         """Marks an attempt as cancelled; :meth:`send_cancelled` sends it."""
-        if attempt in self._attempts:
-            part = self._attempts.index(attempt)
-            if self._pending.pop(part, None) is not None:
-                self._cancelled.append(part)
+        part = self._parts.get(attempt)
+        if part is not None and self._pending.pop(part, None) is not None:
+            self._cancelled.append(part)
 
     def send_cancelled(self) -> None:
         """Sends the cancelled parts to the other host in one message."""
@@ -91,7 +91,9 @@
         return all(0 <= part < len(self._attempts) for part in named)
 
     def _read_parts(self, reply: RelayReply) -> list[Outcome]:
-        group = ReplyGroup(reply.records)
+        """Returns the replies, of which several share their records."""
+        is_alone = len(self._attempts) == 1
+        group = None if is_alone else ReplyGroup(reply.records)
         outcomes: list[Outcome] = []
         for part, stamp, elapsed in zip(
             reply.parts,
@@ -104,7 +106,7 @@
                 kind=ReplyKind.SUCCESS,
                 status=OK,
                 headers=(),
-                body=b'',
+                body=reply.records if is_alone else b'',
                 stamp=stamp,
                 group=group,
                 elapsed=elapsed,
--- a/packages/gateway/almonddock_gateway/relays/_router.py
+++ b/packages/gateway/almonddock_gateway/relays/_router.py
@@ -49,6 +49,16 @@
         """
         ...
 
+    def find_other_home(
+        self, group: int, asked: MessageLink
+    ) -> MessageLink | None:
+        """Returns a usable link to the home that was not asked.
+
+        ``asked`` is the link to the one that was. Returns None if this host is
+        the other home, or without a link.
+        """
+        ...
+
     def find_any_link(
         self, avoided: Container[MessageLink] = ()
     ) -> MessageLink | None:
@@ -143,6 +153,17 @@
                 groups.append((link, sends))
         return groups
 
+    def find_other_home(
+        self, service: str, shards: Sequence[str], asked: MessageLink
+    ) -> MessageLink | None:
+        """Returns the link for another attempt at a shard, None without one.
+
+        ``asked`` is the link that its first attempt was sent over.
+        """
+        if self.links is None:
+            return None
+        return self.links.find_other_home(assign_groups(shards)[service], asked)
+
     def _group_by_home(
         self, sends: Sequence[Send], shards: Sequence[str]
     ) -> list[tuple[MessageLink, list[Send]]]:
