Handle a reply in the same time whatever the shards of its query

Each reply to a query went through all of its branches for the answer, and through all open attempts for the next hedge, so the work of a query grew with the square of its shards.

--- a/packages/core/almonddock_core/dispatch/_attempts.py
+++ b/packages/core/almonddock_core/dispatch/_attempts.py
@@ -32,9 +32,15 @@
         self._route = route
         self._latency = latency
         self.decisions = DecisionLog()
+        #: Branches with a success.
+        self.answered = 0
+        #: Branches without a success that have an open attempt.
+        self.waiting = 0
         self._open: dict[int, Attempt] = {}
-        # The branch of each attempt, by the attempt's number.
-        self._branches: list[Branch] = []
+        # All attempts, by number; those below the second number are hedged or
+        # closed.
+        self._sent: list[Attempt] = []
+        self._unhedged_from = 0
 
     def send(
         self,
@@ -45,11 +51,13 @@
     ) -> Send:
         """Opens an attempt."""
         self.decisions.add_attempt(target, reason, now)
-        number = len(self._branches)
+        number = len(self._sent)
         is_hedge = reason is AttemptReason.HEDGE
         attempt = Attempt(number, branch, target, now, is_hedge=is_hedge)
-        self._branches.append(branch)
+        self._sent.append(attempt)
         self._open[number] = attempt
+        if not (branch.open or branch.succeeded):
+            self.waiting += 1
         branch.open.append(attempt)
         branch.tried.add(target.entry.target_id)
         branch.sent += 1
@@ -70,7 +78,10 @@
         attempt = self._open.pop(number, None)
         if attempt is not None:
             self.decisions.end_attempt(number, outcome, now)
-            attempt.branch.open.remove(attempt)
+            branch = attempt.branch
+            branch.open.remove(attempt)
+            if not (branch.open or branch.succeeded):
+                self.waiting -= 1
             health = attempt.target.health
             health.in_flight -= 1
             if attempt.unrepeatable is not None:
@@ -103,13 +114,21 @@
         """Replaces an earlier reply of the shard with a merged one."""
         if isinstance(outcome, Failure) or outcome.group is None:
             return
-        branch = self._branches[number]
-        branch.reply = outcome
+        self.record_success(self._sent[number].branch, outcome)
+
+    def record_success(self, branch: Branch, reply: TargetReply) -> None:
+        """Records the success of a branch, which replaces an earlier one."""
+        branch.reply = reply
+        if branch.succeeded:
+            return
         branch.succeeded = True
+        self.answered += 1
+        if branch.open:
+            self.waiting -= 1
 
     def list_replies(self) -> list[TargetReply]:
         """Returns the successful replies so far, one for each branch."""
-        branches = {id(branch): branch for branch in self._branches}
+        branches = {id(one.branch): one.branch for one in self._sent}
         return [
             branch.reply
             for branch in branches.values()
@@ -122,7 +141,9 @@
 
     def find_unhedged(self) -> Attempt | None:
         """Returns the oldest attempt that was not hedged."""
-        for attempt in self._open.values():
-            if not attempt.hedged:
+        while self._unhedged_from < len(self._sent):
+            attempt = self._sent[self._unhedged_from]
+            if not attempt.hedged and attempt.number in self._open:
                 return attempt
+            self._unhedged_from += 1
         return None
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -24,6 +24,7 @@
     UnavailableService,
 )
 from almonddock_core.dispatch._outcome import (
+    BranchCounts,
     build_merged,
     build_no_target_refusal,
     build_single,
@@ -260,8 +261,7 @@
         self, attempt: Attempt, reply: TargetReply
     ) -> list[Action]:
         branch = attempt.branch
-        branch.reply = reply
-        branch.succeeded = True
+        self._attempts.record_success(branch, reply)
         elapsed = reply.elapsed or self._now - attempt.started
         slowness = self._context.measure_slowness(
             self.latency, attempt.target, elapsed.total_seconds()
@@ -349,13 +349,27 @@
 
         New attempts are then not sent: they are cancelled too.
         """
-        build = build_merged if self.request.route.shards else build_single
-        answer = build(self.request, self.timing, self._branches, self._now)
+        answer = self._build_answer()
         if answer is None:
             return actions
         cancels = [one for one in actions if not isinstance(one, Send)]
         return self._finish(answer, cancels)
 
+    def _build_answer(self) -> Answer | None:
+        """Returns the answer, None while the request waits."""
+        if not self.request.route.shards:
+            return build_single(
+                self.request, self.timing, self._branches, self._now
+            )
+        attempts = self._attempts
+        return build_merged(
+            self.request,
+            self.timing,
+            self._branches,
+            BranchCounts(attempts.answered, attempts.waiting),
+            self._now,
+        )
+
     def _finish(
         self, answer: Answer, actions: Iterable[Action] = ()
     ) -> list[Action]:
--- a/packages/core/almonddock_core/dispatch/_outcome.py
+++ b/packages/core/almonddock_core/dispatch/_outcome.py
@@ -8,6 +8,7 @@
 
 import math
 from collections.abc import Sequence
+from dataclasses import dataclass
 from datetime import timedelta
 
 from almonddock_core.dispatch._actions import (
@@ -32,6 +33,15 @@
 ROUNDING_TOLERANCE = 1e-9
 
 
+@dataclass(frozen=True, slots=True)
+class BranchCounts:
+    """How far the branches of a query over shards are."""
+
+    answered: int
+    #: Branches without a success that have an open attempt.
+    waiting: int
+
+
 def count_needed(route: Route) -> int:
     """Returns how many shards must answer, at least one."""
     exact = route.min_share * len(route.shards)
@@ -69,16 +79,12 @@
     request: DispatchedRequest,
     timing: DispatchTiming,
     branches: Sequence[Branch],
+    counts: BranchCounts,
     now: timedelta,
 ) -> Answer | None:
     """Returns the answer of a request to all shards, None while it waits."""
-    answered = 0
-    waiting = 0
-    for branch in branches:
-        if branch.succeeded:
-            answered += 1
-        elif branch.open:
-            waiting += 1
+    answered = counts.answered
+    waiting = counts.waiting
     needed = count_needed(request.route)
     if answered + waiting < needed:
         return _build_refusal(branches)
