Find the nearest target of a shard without comparing all

Cause: the usability and the cost of all targets of a shard were worked out, though those of other data centres cost more by REMOTE_COST. The target of this data centre is now taken at once where its cost is below the least that any other can have, whatever its state; the choice is the same but for equal costs. Services with a roll-out are compared as before.

--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -12,6 +12,7 @@
     ColdStartLimiter,
     QueryPlacement,
     TypicalLatency,
+    choose_near,
 )
 from almonddock_core.rollouts import RolloutTable
 from almonddock_core.routing import (
@@ -111,6 +112,20 @@
             return ()
         return self.table.routes_to.get(service, ())
 
+    def find_near(self, service: str, now: timedelta) -> KnownTarget | None:
+        """Returns the target of this data centre that is the best choice.
+
+        Returns None if all targets have to be compared.
+        """
+        if self.rollouts.find(service) is not None:
+            return None
+        return choose_near(
+            self.targets.list_of(service),
+            self.data_centre,
+            now,
+            self._can_use,
+        )
+
     def list_reachable(
         self,
         service: str,
@@ -174,6 +189,14 @@
             return seconds / latency.seconds
         return latency.observe(seconds)
 
+    def _can_use(self, target: KnownTarget, now: timedelta) -> bool:
+        """Whether a target may get a first attempt."""
+        return (
+            self.targets.is_usable(target, now)
+            and not target.health.unreachable
+            and self.can_accept(target, now)
+        )
+
     def _get_cold_rate(self, service: str) -> float:
         known = self.table.services.get(service) if self.table else None
         return 0 if known is None else known.cold_requests_per_second
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -1,8 +1,9 @@
 """The state machine of one request."""
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from datetime import timedelta
 from functools import partial
+from types import MappingProxyType
 
 from almonddock_core.dispatch._actions import (
     Action,
@@ -42,6 +43,15 @@
 from almonddock_core.routing import KnownTarget
 
 
+#: How an attempt ends with each kind of reply, or without one.
+OUTCOMES: Mapping[ReplyKind | Failure, AttemptOutcome] = MappingProxyType(
+    {
+        kind: AttemptOutcome(kind.value)
+        for kind in (*ReplyKind, *Failure)
+    },
+)
+
+
 class Dispatch:
     """Sends one request and decides when and how it is answered."""
 
@@ -100,7 +110,7 @@
         self._now = now
         self._context.budget.count_request(self.request.route.name, now)
         targets = self._context.placement.choose(
-            [self._list_candidates(branch) for branch in self._branches],
+            [self._list_first_candidates(one) for one in self._branches],
             now,
         )
         chosen = [
@@ -135,8 +145,7 @@
     ) -> list[Action]:
         """Handles the reply to an attempt."""
         self._now = now
-        outcome = AttemptOutcome(reply.kind.value)
-        attempt = self._attempts.close(number, outcome, now)
+        attempt = self._attempts.close(number, OUTCOMES[reply.kind], now)
         if attempt is None:
             return []
         return self._finish_if_decided(self._handle_reply(attempt, reply))
@@ -160,8 +169,7 @@
         self.decisions.groups.append(_describe_group(replies, now))
         for number, outcome in replies:
             kind = outcome if isinstance(outcome, Failure) else outcome.kind
-            attempt_outcome = AttemptOutcome(kind.value)
-            attempt = self._attempts.close(number, attempt_outcome, now)
+            attempt = self._attempts.close(number, OUTCOMES[kind], now)
             if attempt is None:
                 self._attempts.replace_reply(number, outcome)
             elif isinstance(outcome, Failure):
@@ -178,8 +186,7 @@
     ) -> list[Action]:
         """Handles the end of an attempt without a reply."""
         self._now = now
-        outcome = AttemptOutcome(failure.value)
-        attempt = self._attempts.close(number, outcome, now)
+        attempt = self._attempts.close(number, OUTCOMES[failure], now)
         if attempt is None:
             return []
         return self._finish_if_decided(self._handle_failure(attempt, failure))
@@ -270,6 +277,8 @@
         attempt.target.health.observe_reply(slowness, self._now)
         if attempt.is_hedge:
             self._context.hedges.record_answered(branch.service, self._now)
+        if not branch.open:
+            return []
         return [self._cancel(other) for other in tuple(branch.open)]
 
     def _hedge(self, attempt: Attempt) -> list[Action]:
@@ -313,6 +322,11 @@
         context.record_sent(target, self._now)
         return [self._attempts.send(branch, target, self._now, reason)]
 
+    def _list_first_candidates(self, branch: Branch) -> Sequence[KnownTarget]:
+        """Returns the targets among which the first one is chosen."""
+        near = self._context.find_near(branch.service, self._now)
+        return self._list_candidates(branch) if near is None else (near,)
+
     def _list_candidates(self, branch: Branch) -> list[KnownTarget]:
         """Returns the targets that may get an attempt of this branch now."""
         context = self._context
--- a/packages/core/almonddock_core/placement/__init__.py
+++ b/packages/core/almonddock_core/placement/__init__.py
@@ -8,7 +8,11 @@
     target = choose_target(candidates, 'kyushu-a', now)
 """
 
-from almonddock_core.placement._choice import Candidate, choose_target
+from almonddock_core.placement._choice import (
+    Candidate,
+    choose_near,
+    choose_target,
+)
 from almonddock_core.placement._cold import ColdStartLimiter
 from almonddock_core.placement._health import TargetHealth, UnrepeatableRequest
 from almonddock_core.placement._homes import (
@@ -32,6 +36,7 @@
     'UnrepeatableRequest',
     'assign_groups',
     'choose_homes',
+    'choose_near',
     'choose_target',
     'count_groups',
     'is_isolated',
--- a/packages/core/almonddock_core/placement/_choice.py
+++ b/packages/core/almonddock_core/placement/_choice.py
@@ -1,6 +1,6 @@
 """Chooses the target of a request among the replicas of a service."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from datetime import timedelta
 from typing import Protocol, TypeVar
 
@@ -43,6 +43,34 @@
 TargetT = TypeVar('TargetT', bound=Candidate)
 
 
+def choose_near(
+    candidates: Sequence[TargetT],
+    data_centre: str,
+    now: timedelta,
+    can_use: Callable[[TargetT, timedelta], bool],
+) -> TargetT | None:
+    """Returns the target of a data centre that costs less than any other can.
+
+    Returns None if all candidates have to be compared. ``can_use`` is asked for
+    targets of the data centre only, which are few.
+    """
+    best: TargetT | None = None
+    best_cost = float('inf')
+    least_elsewhere = float('inf')
+    for target in candidates:
+        health = target.health
+        if target.entry.data_centre != data_centre:
+            least_elsewhere = min(least_elsewhere, health.slowness, 1)
+        elif can_use(target, now) and health.ejected_until <= now:
+            cost = health.estimate_cost(now)
+            if target.cold_until > now:
+                cost += COLD_COST
+            if cost < best_cost:
+                best = target
+                best_cost = cost
+    return best if best_cost < least_elsewhere + REMOTE_COST else None
+
+
 def choose_target(
     candidates: Sequence[TargetT],
     data_centre: str,
@@ -57,6 +85,8 @@
     Ejected targets, whose connection has just failed, come last: they are
     tried when no other is left, because a refused connection costs little.
     """
+    if len(candidates) == 1:
+        return candidates[0]
     best: TargetT | None = None
     best_cost = (True, float('inf'))
     for target in candidates:
--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -1,7 +1,7 @@
 """What a host knows of the targets, from their entries in the store."""
 
 import enum
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -157,6 +157,10 @@
             return False
         return target.is_usable(now)
 
+    def list_of(self, service: str) -> Sequence[KnownTarget]:
+        """Returns the targets of a service, usable or not."""
+        return self._services.get(service, ())
+
     def list_usable(self, service: str, now: timedelta) -> list[KnownTarget]:
         """Returns the targets of a service that may get new work."""
         return [
