Gather the replies that come after a home's first message

Cause: once the time of the first message has passed, a home sent each reply at once. Replies are now gathered for a tenth of that time, unless nothing else is pending. Failures are sent at once as before. test_late_replies_of_a_short_time_travel_together needs the new step. The test of records that are left out calls it after each reply, so that it still checks one message for each.

--- a/packages/gateway/almonddock_gateway/relays/_server.py
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -43,6 +43,11 @@
 STALL_MS = 300
 STALL = timedelta(milliseconds=STALL_MS)
 
+#: Replies that come after the first message are gathered for this share of the
+#: delay of that one: reading a message takes the sender of the query longer than
+#: reading one more part.
+GATHER_SHARE = 0.1
+
 #: What a sub-query takes besides its request, in bytes.
 PART_BYTES = 0x800
 
@@ -114,8 +119,11 @@
         default_factory=dict,
     )
     failures: list[tuple[int, PartFailure]] = field(default_factory=list)
-    #: Whether ``flush_after`` has passed: each outcome is sent immediately.
+    #: Whether ``flush_after`` has passed: outcomes are gathered for a short time
+    #: only.
     flushed: bool = False
+    #: Whether outcomes are being gathered.
+    gathering: bool = False
     #: The greatest records sent so far.
     sent_records: bytes = b''
 
@@ -297,8 +305,8 @@
         self._send_if_due(relayed)
 
     def _flush(self, relayed: _RelayedQuery) -> None:
+        self._send(relayed)
         relayed.flushed = True
-        self._send_if_due(relayed)
 
     def _expire(self, relayed: _RelayedQuery) -> None:
         """Cancels the remaining parts when the request is given up."""
@@ -306,11 +314,21 @@
 
     def _send_if_due(self, relayed: _RelayedQuery) -> None:
         """Sends the outcomes after a failure, a flush or the last outcome."""
-        if relayed.failures or relayed.flushed or not relayed.pending:
+        if relayed.failures or not relayed.pending:
             self._send(relayed)
+        elif relayed.flushed and relayed.replies and not relayed.gathering:
+            relayed.gathering = True
+            gather_time = relayed.query.flush_after * GATHER_SHARE
+            asyncio.get_running_loop().call_later(
+                gather_time.total_seconds(), self._send_gathered, relayed
+            )
         if not relayed.pending:
             self._end(relayed)
 
+    def _send_gathered(self, relayed: _RelayedQuery) -> None:
+        relayed.gathering = False
+        self._send(relayed)
+
     def _end(self, relayed: _RelayedQuery) -> None:
         if self._running.pop((relayed.link, relayed.query.number), None):
             self.held -= relayed.size
--- a/packages/gateway/almonddock_gateway/tests/test_relays.py
+++ b/packages/gateway/almonddock_gateway/tests/test_relays.py
@@ -140,15 +140,30 @@
             self.link,
             make_query('t0', 't1', 't2', threshold=b'b' * 16),
         )
-        self.server._flush(next(iter(self.server._running.values())))
+        relayed = next(iter(self.server._running.values()))
+        self.server._flush(relayed)
         for number, body in enumerate((b'ad', b'ce', b'de')):
             records = b''.join(bytes([letter]) * 16 for letter in body)
             self.pool.reply(number, records)
+            self.server._send_gathered(relayed)
         sent = [reply.records for reply in self.get_replies()]
         self.assertEqual(sent, [b'd' * 16, b'e' * 16 + b'c' * 16, b'e' * 16])
         stamps = [reply.stamps for reply in self.get_replies()]
         self.assertEqual(stamps, [(b's0',), (b's1',), (b's2',)])
 
+    async def test_late_replies_of_a_short_time_travel_together(self) -> None:
+        """Hosts with a third of a core read one message for each of them."""
+        self.start('t0', 't1', 't2')
+        relayed = next(iter(self.server._running.values()))
+        self.server._flush(relayed)
+        for number in range(2):
+            self.pool.reply(number, b'a' * 16)
+        self.assertEqual(self.get_replies(), [])
+        self.server._send_gathered(relayed)
+        self.assertEqual([one.parts for one in self.get_replies()], [(0, 1)])
+        self.pool.reply(2, b'a' * 16)
+        self.assertEqual(len(self.get_replies()), 2)
+
     async def test_failures_are_sent_immediately(self) -> None:
         self.start('t0', 't1')
         self.pool.reply(0, b'', status=500)
