--- a/packages/core/almonddock_core/placement/_choice.py
+++ b/packages/core/almonddock_core/placement/_choice.py
@@ -56,11 +56,12 @@
     """
     best: TargetT | None = None
     best_cost = float('inf')
-    least_elsewhere = float('inf')
+    least_slowness = float('inf')
     for target in candidates:
         health = target.health
         if target.entry.data_centre != data_centre:
-            least_elsewhere = min(least_elsewhere, health.slowness, 1)
+            if health.slowness < least_slowness:
+                least_slowness = health.slowness
         elif can_use(target, now) and health.ejected_until <= now:
             cost = health.estimate_cost(now)
             if target.cold_until > now:
@@ -68,7 +69,11 @@
             if cost < best_cost:
                 best = target
                 best_cost = cost
-    return best if best_cost < least_elsewhere + REMOTE_COST else None
+    if least_slowness == float('inf'):
+        return best
+    # The cost of a target decays towards 1.
+    least_elsewhere = min(least_slowness, 1) + REMOTE_COST
+    return best if best_cost < least_elsewhere else None
 
 
 def choose_target(
