Read the replies that have arrived before hedging

Cause: the timer of a hedge runs in the turn of the loop in which it is due. A host with a third of a core reads a message in about a millisecond, and those that came meanwhile are read in the next turn. A hedge now waits for what can be read; an answer that is due does not.

--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -105,6 +105,12 @@
         # Stays due until a tick: replies may be read before it runs.
         return min(wake_at, oldest.started + timing.hedge_after)
 
+    def is_answer_due(self, now: timedelta) -> bool:
+        """Whether a tick may answer, and not only hedge."""
+        due = find_due(self.request, self.timing, now)
+        is_partial = bool(self.request.route.shards) and now >= due
+        return is_partial or now >= self.timing.give_up_at
+
     def start(self, now: timedelta) -> list[Action]:
         """Sends the first attempt of every branch."""
         self._now = now
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -21,7 +21,7 @@
 )
 from almonddock_core.model import Clock
 from almonddock_core.routing import KnownTarget
-from almonddock_gateway.entry._timer import WakeTimer
+from almonddock_gateway.entry._timer import WakeTimer, call_after_reads
 from almonddock_gateway.http import CallerRequest, HttpReply, ReplyMatch
 from almonddock_gateway.relays import (
     MessageLink,
@@ -101,7 +101,7 @@
         self._run(self._relay_sends(actions, FLUSH_SHARE))
         if self.dispatch.request.route.shards and self.dispatch.answer is None:
             self.dispatch.record_handed_over(self._settings.clock.now())
-            self._timer.set(self.dispatch.wake_at, self._tick)
+            self._timer.set(self.dispatch.wake_at, self._wake)
 
     def abandon(self) -> None:
         """Cancels all attempts, because the caller has disconnected."""
@@ -128,7 +128,7 @@
             return
         for relay in self._relays:
             relay.send_cancelled()
-        self._timer.set(self.dispatch.wake_at, self._tick)
+        self._timer.set(self.dispatch.wake_at, self._wake)
 
     def _execute(self, action: Send | Cancel | Withdraw) -> None:
         if isinstance(action, Send):
@@ -295,6 +295,13 @@
         now = self._settings.clock.now()
         self._run(self.dispatch.fail(number, failure, now))
 
+    def _wake(self) -> None:
+        """Answers, or hedges once the replies that have arrived are read."""
+        if self.dispatch.is_answer_due(self._settings.clock.now()):
+            self._tick()
+        else:
+            call_after_reads(self._tick)
+
     def _tick(self, funded: Collection[str] = ()) -> None:
         if self.dispatch.answer is not None:
             return
--- a/packages/gateway/almonddock_gateway/entry/_timer.py
+++ b/packages/gateway/almonddock_gateway/entry/_timer.py
@@ -1,4 +1,4 @@
-"""The timer of one request."""
+"""The timer of one request, and the order of what is due in a turn."""
 
 import asyncio
 from collections.abc import Callable
@@ -42,3 +42,13 @@
     def _fire(self, wake: Callable[[], None]) -> None:
         self._handle = None
         wake()
+
+
+def call_after_reads(act: Callable[[], None]) -> None:
+    """Calls back once all that can be read now has been handled.
+
+    A callback runs before what the same turn of the loop finds to read, so it
+    takes a second one.
+    """
+    loop = asyncio.get_running_loop()
+    loop.call_soon(loop.call_soon, act)
--- a/packages/gateway/almonddock_gateway/tests/test_timer.py
+++ b/packages/gateway/almonddock_gateway/tests/test_timer.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import gc
+import socket
 import unittest
 import weakref
 from datetime import timedelta
 
 from almonddock_core.model import ManualClock
-from almonddock_gateway.entry._timer import WakeTimer
+from almonddock_gateway.entry._timer import WakeTimer, call_after_reads
 
 MS = timedelta(milliseconds=1)
 
@@ -48,5 +49,24 @@
         self.assertIsNone(found())
 
 
+class OrderTest(unittest.IsolatedAsyncioTestCase):
+    async def test_replies_that_have_arrived_are_read_before_hedges(
+        self,
+    ) -> None:
+        """Shards were hedged whose replies waited in the kernel."""
+        loop = asyncio.get_running_loop()
+        near, far = socket.socketpair()
+        events: list[str] = []
+        with near, far:
+            near.setblocking(False)
+            loop.add_reader(near, lambda: events.append(str(near.recv(1))))
+            far.send(b'r')
+            loop.call_soon(call_after_reads, lambda: events.append('hedge'))
+            while 'hedge' not in events:
+                await asyncio.sleep(0)
+            loop.remove_reader(near)
+        self.assertEqual(events, ["b'r'", 'hedge'])
+
+
 if __name__ == '__main__':
     unittest.main()
