--- a/bench/queries/cost.py
+++ b/bench/queries/cost.py
@@ -43,9 +43,9 @@
 )
 
 #: What the page leaves for the processors on the way of a query: its goal, less
-#: the caller's way (6.4 ms), the links (4), the hedge delay (17.4) and the answer
-#: to a hedge (4), at the 0.361 of a core that the smallest host has. Machines
-#: differ by a factor of two, so half of it.
+#: the caller's way (6.4 ms), the links (4), the hedge delay (17.4) and a reply
+#: to the hedge (4), at the 0.361 of a core that the smallest host has. Machines
+#: differ by a factor of two, so it is halved.
 ALLOWED_MS = (PAGE_GOAL_MS - 6.4 - 4 - 17.4 - 4) * 0.361 / 2
 
 REFERENCE_ROUNDS = 40
@@ -86,7 +86,7 @@
             await _ask(installation, case, WARM_UP_QUERIES)
         idle = await _measure_idle(installation)
         for case in CASES:
-            found += await _measure_case(installation, case, idle)
+            found.extend(await _measure_case(installation, case, idle))
     return found
 
 
--- a/bench/queries/installation.py
+++ b/bench/queries/installation.py
@@ -206,7 +206,9 @@
             cold_for=timedelta(),
             started_ms=1,
         )
-        self._store.put(f'{KEYS.target_prefix}{name}', describe_target(entry, 1))
+        self._store.put(
+            f'{KEYS.target_prefix}{name}', describe_target(entry, 1)
+        )
 
     def _sample_work(self, *, is_near: bool) -> float:
         is_late = is_near and self._rng.random() < self.late_share
--- a/packages/core/almonddock_core/dispatch/__init__.py
+++ b/packages/core/almonddock_core/dispatch/__init__.py
@@ -45,7 +45,7 @@
 from almonddock_core.dispatch._hedging import HedgeHistory
 from almonddock_core.dispatch._lending import Lending, LoanOffer
 from almonddock_core.dispatch._loans import GRANT_TERM
-from almonddock_core.dispatch._outcome import count_needed
+from almonddock_core.dispatch._outcome import count_needed, is_answer_due
 from almonddock_core.dispatch._records import (
     RECORD_BYTES,
     find_threshold,
@@ -105,6 +105,7 @@
     'Withdraw',
     'count_needed',
     'find_threshold',
+    'is_answer_due',
     'merge_records',
     'merge_replies',
     'plan_timing',
--- a/packages/core/almonddock_core/dispatch/_attempts.py
+++ b/packages/core/almonddock_core/dispatch/_attempts.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from almonddock_core.dispatch._actions import Failure, Send
-from almonddock_core.dispatch._branch import Attempt, Branch
+from almonddock_core.dispatch._branch import Attempt, Branch, BranchCounts
 from almonddock_core.dispatch._decision_log import (
     AttemptOutcome,
     AttemptReason,
@@ -32,10 +32,8 @@
         self._route = route
         self._latency = latency
         self.decisions = DecisionLog()
-        #: Branches with a success.
-        self.answered = 0
-        #: Branches without a success that have an open attempt.
-        self.waiting = 0
+        self._answered = 0
+        self._waiting = 0
         self._open: dict[int, Attempt] = {}
         # All attempts, by number; those below the second number are hedged or
         # closed.
@@ -57,7 +55,7 @@
         self._sent.append(attempt)
         self._open[number] = attempt
         if not (branch.open or branch.succeeded):
-            self.waiting += 1
+            self._waiting += 1
         branch.open.append(attempt)
         branch.tried.add(target.entry.target_id)
         branch.sent += 1
@@ -81,7 +79,7 @@
             branch = attempt.branch
             branch.open.remove(attempt)
             if not (branch.open or branch.succeeded):
-                self.waiting -= 1
+                self._waiting -= 1
             health = attempt.target.health
             health.in_flight -= 1
             if attempt.unrepeatable is not None:
@@ -122,9 +120,9 @@
         if branch.succeeded:
             return
         branch.succeeded = True
-        self.answered += 1
+        self._answered += 1
         if branch.open:
-            self.waiting -= 1
+            self._waiting -= 1
 
     def list_replies(self) -> list[TargetReply]:
         """Returns the successful replies so far, one for each branch."""
@@ -135,6 +133,19 @@
             if branch.succeeded and branch.reply is not None
         ]
 
+    def record_handed_over(self, now: timedelta) -> None:
+        """Records that the first attempts were handed over for sending.
+
+        They are late from then on: before that, this host was.
+        """
+        self.decisions.handed_over = now
+        for attempt in self._open.values():
+            attempt.started = now
+
+    def count_branches(self) -> BranchCounts:
+        """Returns how far the branches are."""
+        return BranchCounts(self._answered, self._waiting)
+
     def list_open(self) -> tuple[Attempt, ...]:
         """Returns the open attempts, oldest first."""
         return tuple(self._open.values())
--- a/packages/core/almonddock_core/dispatch/_branch.py
+++ b/packages/core/almonddock_core/dispatch/_branch.py
@@ -48,3 +48,12 @@
     def ended(self) -> bool:
         """Whether no further reply can come."""
         return self.succeeded or not self.open
+
+
+@dataclass(frozen=True, slots=True)
+class BranchCounts:
+    """How far the branches of a request are."""
+
+    answered: int
+    #: Branches without a success that have an open attempt.
+    waiting: int
--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -120,7 +120,7 @@
         if self.rollouts.find(service) is not None:
             return None
         return choose_near(
-            self.targets.list_of(service),
+            self.targets.by_service.get(service, ()),
             self.data_centre,
             now,
             self._can_use,
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -25,10 +25,8 @@
     UnavailableService,
 )
 from almonddock_core.dispatch._outcome import (
-    BranchCounts,
-    build_merged,
+    build_answer,
     build_no_target_refusal,
-    build_single,
     count_needed,
     find_due,
 )
@@ -42,13 +40,9 @@
 from almonddock_core.rollouts import Outcome
 from almonddock_core.routing import KnownTarget
 
-
 #: How an attempt ends with each kind of reply, or without one.
 OUTCOMES: Mapping[ReplyKind | Failure, AttemptOutcome] = MappingProxyType(
-    {
-        kind: AttemptOutcome(kind.value)
-        for kind in (*ReplyKind, *Failure)
-    },
+    {kind: AttemptOutcome(kind.value) for kind in (*ReplyKind, *Failure)},
 )
 
 
@@ -79,6 +73,8 @@
         )
         #: The decisions of this request, for the log.
         self.decisions = self._attempts.decisions
+        #: Records when the first attempts were handed over for sending.
+        self.record_handed_over = self._attempts.record_handed_over
         #: Returns the successful replies so far.
         self.list_replies = self._attempts.list_replies
         #: Services whose hedge was refused, until a watcher was asked for it.
@@ -105,18 +101,12 @@
         # Stays due until a tick: replies may be read before it runs.
         return min(wake_at, oldest.started + timing.hedge_after)
 
-    def is_answer_due(self, now: timedelta) -> bool:
-        """Whether a tick may answer, and not only hedge."""
-        due = find_due(self.request, self.timing, now)
-        is_partial = bool(self.request.route.shards) and now >= due
-        return is_partial or now >= self.timing.give_up_at
-
     def start(self, now: timedelta) -> list[Action]:
         """Sends the first attempt of every branch."""
         self._now = now
         self._context.budget.count_request(self.request.route.name, now)
         targets = self._context.placement.choose(
-            [self._list_first_candidates(one) for one in self._branches],
+            [self._list_candidates(one) for one in self._branches],
             now,
         )
         chosen = [
@@ -134,15 +124,6 @@
             actions.append(self._attempts.send(branch, target, now))
         return self._finish_if_decided(actions)
 
-    def record_handed_over(self, now: timedelta) -> None:
-        """Records that the first attempts were handed over for sending.
-
-        They are late from then on: before that, this host was.
-        """
-        self.decisions.handed_over = now
-        for attempt in self._attempts.list_open():
-            attempt.started = now
-
     def receive(
         self,
         number: int,
@@ -328,15 +309,17 @@
         context.record_sent(target, self._now)
         return [self._attempts.send(branch, target, self._now, reason)]
 
-    def _list_first_candidates(self, branch: Branch) -> Sequence[KnownTarget]:
-        """Returns the targets among which the first one is chosen."""
-        near = self._context.find_near(branch.service, self._now)
-        return self._list_candidates(branch) if near is None else (near,)
-
     def _list_candidates(self, branch: Branch) -> list[KnownTarget]:
-        """Returns the targets that may get an attempt of this branch now."""
+        """Returns the targets that may get an attempt of this branch now.
+
+        Of a first attempt it may be only the one that would be chosen.
+        """
         context = self._context
         now = self._now
+        if not branch.tried:
+            near = context.find_near(branch.service, now)
+            if near is not None:
+                return [near]
         reachable, unreachable = context.list_reachable(branch.service, now)
         if not reachable:
             unavailable = UnavailableService(branch.service, unreachable)
@@ -369,26 +352,17 @@
 
         New attempts are then not sent: they are cancelled too.
         """
-        answer = self._build_answer()
-        if answer is None:
-            return actions
-        cancels = [one for one in actions if not isinstance(one, Send)]
-        return self._finish(answer, cancels)
-
-    def _build_answer(self) -> Answer | None:
-        """Returns the answer, None while the request waits."""
-        if not self.request.route.shards:
-            return build_single(
-                self.request, self.timing, self._branches, self._now
-            )
-        attempts = self._attempts
-        return build_merged(
+        answer = build_answer(
             self.request,
             self.timing,
             self._branches,
-            BranchCounts(attempts.answered, attempts.waiting),
+            self._attempts.count_branches(),
             self._now,
         )
+        if answer is None:
+            return actions
+        cancels = [one for one in actions if not isinstance(one, Send)]
+        return self._finish(answer, cancels)
 
     def _finish(
         self, answer: Answer, actions: Iterable[Action] = ()
--- a/packages/core/almonddock_core/dispatch/_outcome.py
+++ b/packages/core/almonddock_core/dispatch/_outcome.py
@@ -8,7 +8,6 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
 from datetime import timedelta
 
 from almonddock_core.dispatch._actions import (
@@ -18,7 +17,7 @@
     Refusal,
     RefusalReason,
 )
-from almonddock_core.dispatch._branch import Branch
+from almonddock_core.dispatch._branch import Branch, BranchCounts
 from almonddock_core.dispatch._requests import DispatchedRequest
 from almonddock_core.dispatch._timing import DispatchTiming
 from almonddock_core.routing import Route
@@ -33,15 +32,6 @@
 ROUNDING_TOLERANCE = 1e-9
 
 
-@dataclass(frozen=True, slots=True)
-class BranchCounts:
-    """How far the branches of a query over shards are."""
-
-    answered: int
-    #: Branches without a success that have an open attempt.
-    waiting: int
-
-
 def count_needed(route: Route) -> int:
     """Returns how many shards must answer, at least one."""
     exact = route.min_share * len(route.shards)
@@ -60,8 +50,20 @@
     )
 
 
-def build_single(
+def build_answer(
     request: DispatchedRequest,
+    timing: DispatchTiming,
+    branches: Sequence[Branch],
+    counts: BranchCounts,
+    now: timedelta,
+) -> Answer | None:
+    """Returns the answer of a request, None while it waits."""
+    if request.route.shards:
+        return _build_merged(request, timing, branches, counts, now)
+    return _build_single(timing, branches, now)
+
+
+def _build_single(
     timing: DispatchTiming,
     branches: Sequence[Branch],
     now: timedelta,
@@ -75,7 +77,7 @@
     return _build_refusal(branches) if branch.ended else None
 
 
-def build_merged(
+def _build_merged(
     request: DispatchedRequest,
     timing: DispatchTiming,
     branches: Sequence[Branch],
@@ -96,6 +98,15 @@
     return None
 
 
+def is_answer_due(
+    request: DispatchedRequest, timing: DispatchTiming, now: timedelta
+) -> bool:
+    """Whether a request may be answered now although replies are missing."""
+    if request.route.shards and _is_partial_due(request, timing, now):
+        return True
+    return now >= timing.give_up_at
+
+
 def find_due(
     request: DispatchedRequest, timing: DispatchTiming, now: timedelta
 ) -> timedelta:
--- a/packages/core/almonddock_core/placement/_choice.py
+++ b/packages/core/almonddock_core/placement/_choice.py
@@ -56,24 +56,21 @@
     """
     best: TargetT | None = None
     best_cost = float('inf')
-    least_slowness = float('inf')
+    # The cost of a target is its slowness at least, and decays towards 1.
+    least_elsewhere = 1.0
     for target in candidates:
         health = target.health
         if target.entry.data_centre != data_centre:
-            if health.slowness < least_slowness:
-                least_slowness = health.slowness
-        elif can_use(target, now) and health.ejected_until <= now:
+            if health.slowness < least_elsewhere:
+                least_elsewhere = health.slowness
+        elif health.ejected_until <= now and can_use(target, now):
             cost = health.estimate_cost(now)
             if target.cold_until > now:
                 cost += COLD_COST
             if cost < best_cost:
                 best = target
                 best_cost = cost
-    if least_slowness == float('inf'):
-        return best
-    # The cost of a target decays towards 1.
-    least_elsewhere = min(least_slowness, 1) + REMOTE_COST
-    return best if best_cost < least_elsewhere else None
+    return best if best_cost < least_elsewhere + REMOTE_COST else None
 
 
 def choose_target(
--- a/packages/core/almonddock_core/routing/_targets.py
+++ b/packages/core/almonddock_core/routing/_targets.py
@@ -1,7 +1,7 @@
 """What a host knows of the targets, from their entries in the store."""
 
 import enum
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -109,8 +109,9 @@
     is_version_allowed: Callable[[TargetEntry, timedelta], bool] = (
         lambda entry, now: True
     )
+    #: The targets of each service, usable or not.
+    by_service: dict[str, list[KnownTarget]] = field(default_factory=dict)
     _targets: dict[str, KnownTarget] = field(default_factory=dict)
-    _services: dict[str, list[KnownTarget]] = field(default_factory=dict)
     #: Dropped targets that had said that they leave or rest. A target whose
     #: entry comes back may still run.
     _unwilling: dict[str, KnownTarget] = field(default_factory=dict)
@@ -157,15 +158,11 @@
             return False
         return target.is_usable(now)
 
-    def list_of(self, service: str) -> Sequence[KnownTarget]:
-        """Returns the targets of a service, usable or not."""
-        return self._services.get(service, ())
-
     def list_usable(self, service: str, now: timedelta) -> list[KnownTarget]:
         """Returns the targets of a service that may get new work."""
         return [
             target
-            for target in self._services.get(service, ())
+            for target in self.by_service.get(service, ())
             if self.is_usable(target, now)
         ]
 
@@ -176,7 +173,7 @@
         """
         ends = (
             target.rests_until
-            for target in self._services.get(service, ())
+            for target in self.by_service.get(service, ())
             if target.rests_until > now
         )
         return min(ends, default=now)
@@ -275,14 +272,14 @@
         )
         self._restore_will(added)
         self._targets[entry.target_id] = added
-        self._services.setdefault(entry.service, []).append(added)
+        self.by_service.setdefault(entry.service, []).append(added)
         return _describe(entry, entry.state.value)
 
     def _drop(self, known: KnownTarget, now: timedelta) -> None:
         target_id = known.entry.target_id
         known.dropped = True
         del self._targets[target_id]
-        self._services[known.entry.service].remove(known)
+        self.by_service[known.entry.service].remove(known)
         if known.leaving or now < known.rests_until:
             self._unwilling[target_id] = known
         self._dropped[target_id] = known.entry
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -14,8 +14,8 @@
     Finish,
     Send,
     TargetReply,
-    Withdraw,
     find_threshold,
+    is_answer_due,
     merge_replies,
     trim_reply,
 )
@@ -121,8 +121,12 @@
             if isinstance(action, Finish):
                 self._timer.stop()
                 self._finish(self, action.answer)
+            elif isinstance(action, Send):
+                self._send(action)
+            elif isinstance(action, Cancel):
+                self._cancel(action.attempt)
             else:
-                self._execute(action)
+                self._withdraw_if_unsent(action.attempt)
         if self.dispatch.answer is not None:
             self._end_relays()
             return
@@ -130,14 +134,6 @@
             relay.send_cancelled()
         self._timer.set(self.dispatch.wake_at, self._wake)
 
-    def _execute(self, action: Send | Cancel | Withdraw) -> None:
-        if isinstance(action, Send):
-            self._send(action)
-        elif isinstance(action, Cancel):
-            self._cancel(action.attempt)
-        else:
-            self._withdraw_if_unsent(action.attempt)
-
     def _relay_sends(
         self,
         actions: list[Action],
@@ -215,21 +211,20 @@
         self._relays = []
 
     def _send(self, action: Send) -> None:
-        link = self._find_other_home(action.target.entry.service)
+        """Sends an attempt, through another home if its first one was."""
+        service = action.target.entry.service
+        asked = self._relay_links.get(service)
+        link = None
+        if asked is not None:
+            shards = self.dispatch.request.route.shards
+            relays = self._settings.relays
+            link = relays.find_other_home(service, shards, asked)
         if link is None:
             self._send_directly(action)
         else:
             # Alone, so that its records can be told from those of others.
             self._send_relay_query(link, (action,), b'', timedelta())
 
-    def _find_other_home(self, service: str) -> MessageLink | None:
-        """Returns the link for another attempt at a shard that was relayed."""
-        asked = self._relay_links.get(service)
-        if asked is None:
-            return None
-        shards = self.dispatch.request.route.shards
-        return self._settings.relays.find_other_home(service, shards, asked)
-
     def _send_directly(self, action: Send) -> None:
         target = action.target
         number = action.attempt
@@ -297,7 +292,9 @@
 
     def _wake(self) -> None:
         """Answers, or hedges once the replies that have arrived are read."""
-        if self.dispatch.is_answer_due(self._settings.clock.now()):
+        dispatch = self.dispatch
+        now = self._settings.clock.now()
+        if is_answer_due(dispatch.request, dispatch.timing, now):
             self._tick()
         else:
             call_after_reads(self._tick)
--- a/packages/gateway/almonddock_gateway/links/_peers.py
+++ b/packages/gateway/almonddock_gateway/links/_peers.py
@@ -113,27 +113,18 @@
             ],
         )
 
-    def find_home(self, group: int) -> MessageLink | None:
+    def find_home(
+        self, group: int, asked: MessageLink | None = None
+    ) -> MessageLink | None:
         """Returns a usable link to the home of a group of shards.
 
         Returns None if this host is its home, if it has none, or without a
-        link.
-        """
-        for name in self.homes.list_names(group):
-            link = self.find_link_to(name)
-            if link is not None or name == self._own_name:
-                return link
-        return None
-
-    def find_other_home(
-        self, group: int, asked: MessageLink
-    ) -> MessageLink | None:
-        """Returns a usable link to the home that was not asked.
-
-        ``asked`` is the link to the one that was. Returns None if this host is
-        the other home, or without a link.
+        link. With ``asked``, the link to the home that was asked, it is the
+        link to the other home.
         """
         for name in self.homes.list_names(group):
+            if name == self._own_name and asked is None:
+                return None
             link = self.find_link_to(name)
             if link is not None and link is not asked:
                 return link
--- a/packages/gateway/almonddock_gateway/relays/_router.py
+++ b/packages/gateway/almonddock_gateway/relays/_router.py
@@ -41,21 +41,14 @@
         """Returns a usable link to a host there, None without one."""
         ...
 
-    def find_home(self, group: int) -> MessageLink | None:
+    def find_home(
+        self, group: int, asked: MessageLink | None = None
+    ) -> MessageLink | None:
         """Returns a usable link to the home of a group of shards.
 
         Returns None if this host is its home, if it has none, or without a
-        link.
-        """
-        ...
-
-    def find_other_home(
-        self, group: int, asked: MessageLink
-    ) -> MessageLink | None:
-        """Returns a usable link to the home that was not asked.
-
-        ``asked`` is the link to the one that was. Returns None if this host is
-        the other home, or without a link.
+        link. With ``asked``, the link to the home that was asked, it is the
+        link to the other home.
         """
         ...
 
@@ -162,7 +155,7 @@
         """
         if self.links is None:
             return None
-        return self.links.find_other_home(assign_groups(shards)[service], asked)
+        return self.links.find_home(assign_groups(shards)[service], asked)
 
     def _group_by_home(
         self, sends: Sequence[Send], shards: Sequence[str]
--- a/packages/gateway/almonddock_gateway/relays/_server.py
+++ b/packages/gateway/almonddock_gateway/relays/_server.py
@@ -43,9 +43,8 @@
 STALL_MS = 300
 STALL = timedelta(milliseconds=STALL_MS)
 
-#: Replies that come after the first message are gathered for this share of the
-#: delay of that one: reading a message takes the sender of the query longer than
-#: reading one more part.
+#: Replies that come after the first message are gathered for this share of its
+#: delay: each message takes the host that reads it longer than one more part.
 GATHER_SHARE = 0.1
 
 #: What a sub-query takes besides its request, in bytes.
@@ -119,8 +118,8 @@
         default_factory=dict,
     )
     failures: list[tuple[int, PartFailure]] = field(default_factory=list)
-    #: Whether ``flush_after`` has passed: outcomes are gathered for a short time
-    #: only.
+    #: Whether ``flush_after`` has passed: outcomes are then gathered for a
+    #: short time only.
     flushed: bool = False
     #: Whether outcomes are being gathered.
     gathering: bool = False
--- a/packages/gateway/almonddock_gateway/tests/relay_cases.py
+++ b/packages/gateway/almonddock_gateway/tests/relay_cases.py
@@ -87,15 +87,11 @@
         """Returns the link for the other data centre."""
         return self.link if data_centre == THERE else None
 
-    def find_home(self, group: int) -> MessageLink | None:
-        """Returns the link of a group with a home."""
-        return self.homes.get(group)
-
-    def find_other_home(
-        self, group: int, asked: MessageLink
+    def find_home(
+        self, group: int, asked: MessageLink | None = None
     ) -> MessageLink | None:
-        """Returns the link to the other home of a group."""
-        return self.other_homes.get(group)
+        """Returns the link of a group with a home, or of its other one."""
+        return (self.other_homes if asked else self.homes).get(group)
 
     def find_any_link(
         self, avoided: Container[MessageLink] = ()
