Measure the cost of queries with targets in processes of their own

The targets of the experiment shared one process, which answered a query over 90 shards late and so had it hedged; fifteen shards now share one.

--- a/bench/queries/cost.py
+++ b/bench/queries/cost.py
@@ -23,6 +23,9 @@
 MS = timedelta(milliseconds=1)
 MS_PER_S = 1000
 
+#: Seeds which targets are late.
+SEED = 0
+
 #: The size of the queries of silverbirch-search-grown, and their goal.
 PAGE_SHARDS = 90
 PAGE_GOAL_MS = 57.9
@@ -35,11 +38,9 @@
     other_hosts=4,
     max_connections=23,
     sizes=SIZES,
-    work=timedelta(milliseconds=4),
     # No query is late, so none is hedged.
     latency_goal=timedelta(milliseconds=250),
     short_goal=timedelta(milliseconds=PAGE_GOAL_MS),
-    pause=timedelta(milliseconds=120),
 )
 
 #: What the page leaves for the processors on the way of a query: its goal, less
@@ -93,7 +94,7 @@
 async def _ask(
     installation: Installation, case: _Case, count: int
 ) -> list[QueryOutcome]:
-    installation.late_share = case.late_share
+    await installation.set_late_share(case.late_share)
     kind = 'late' if case.late_share else 'all'
     return await installation.ask(case.size, count, kind)
 
@@ -141,7 +142,7 @@
     unit: str,
     reference: float | None = None,
 ) -> Measurement:
-    subject = Subject(f'query-cost.{figure}', case.name, SETTINGS.seed)
+    subject = Subject(f'query-cost.{figure}', case.name, SEED)
     return note_value(subject, value, unit, baseline=reference)
 
 
@@ -149,7 +150,7 @@
     """Returns the processor time on the way of a query."""
     if case.bound is None:
         return _note(case, 'way', way, 'ms', reference)
-    subject = Subject('query-cost.way', case.name, SETTINGS.seed)
+    subject = Subject('query-cost.way', case.name, SEED)
     return limit_value(subject, way, 'ms', bound=case.bound)
 
 
--- a/bench/queries/installation.py
+++ b/bench/queries/installation.py
@@ -7,7 +7,7 @@
 import contextlib
 import os
 import pathlib
-import random
+import sys
 import tempfile
 import time
 from collections.abc import AsyncIterator, Sequence
@@ -16,7 +16,6 @@
 
 from almonddock_core.dispatch import BudgetLimits
 from almonddock_core.routing import Route, Service, TargetEntry, TargetState
-from almonddock_gateway.settings import Address
 from almonddock_platform.tests.standins import (
     HEALTH_PATH,
     KEYS,
@@ -25,16 +24,22 @@
     StandinBounds,
     StandinHost,
     StoreStandin,
-    WorkingTarget,
     describe_configuration,
     describe_settings,
     describe_target,
     encode_request,
 )
+from bench.queries.targets import (
+    DATA_CENTRES,
+    SLOTS,
+    find_address,
+    name_shard,
+    name_target,
+)
 from soak.processes import HostProcess
 
-DATA_CENTRE = 'a'
-OTHER_DATA_CENTRE = 'b'
+#: The shards whose targets share a process: more would wait for each other.
+SHARDS_PER_PROCESS = 15
 FIRST_HOST = 10
 CALLER_PORT = 8104
 READINESS_PORT = 8108
@@ -72,15 +77,10 @@
     max_connections: int
     #: The numbers of shards for which there is a route.
     sizes: Sequence[int]
-    #: The time in which a target answers, unless it is late.
-    work: timedelta
     #: The latency goal of the routes ``/all-N/``, for N shards.
     latency_goal: timedelta
     #: The latency goal of the routes ``/late-N/``.
     short_goal: timedelta
-    #: The time in which a target answers that is late.
-    pause: timedelta
-    seed: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,9 +106,7 @@
     ) -> None:
         self.settings = settings
         self.hosts: list[HostProcess] = []
-        #: The share of requests at which the targets near the hosts are late.
-        self.late_share: float = 0
-        self._rng = random.Random(settings.seed)
+        self._target_processes: list[asyncio.subprocess.Process] = []
         self._folder = folder
         self._store = StoreStandin(page_size=STORE_PAGE)
         self._servers: list[HttpServer] = []
@@ -118,17 +116,23 @@
 
     async def start(self) -> None:
         """Starts everything; returns once the hosts know each other."""
-        store = await self._serve(self._store)
-        shards = [f'shard-{one:03}' for one in range(max(self.settings.sizes))]
-        for shard in shards:
-            for data_centre in (DATA_CENTRE, OTHER_DATA_CENTRE):
-                await self._add_target(shard, data_centre)
-        self._configure(shards)
+        server = HttpServer(self._store.handle)
+        self._servers.append(server)
+        store = await server.start(self._own_host)
+        most = max(self.settings.sizes)
+        for first in range(0, most, SHARDS_PER_PROCESS):
+            await self._start_targets(
+                first, min(first + SHARDS_PER_PROCESS, most) - 1
+            )
+        for number in range(most):
+            for data_centre in DATA_CENTRES:
+                self._add_entry(number, data_centre)
+        self._configure([name_shard(number) for number in range(most)])
         near = self.settings.hosts
         for number in range(near + self.settings.other_hosts):
             machine = StandinHost(
                 name=f'host-{number}',
-                data_centre=DATA_CENTRE if number < near else OTHER_DATA_CENTRE,
+                data_centre=DATA_CENTRES[number >= near],
                 host=self._get_host(number),
                 caller_port=CALLER_PORT,
                 readiness_port=READINESS_PORT,
@@ -150,6 +154,17 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for server in self._servers:
             server.close()
+        for targets in self._target_processes:
+            if targets.stdin is not None:
+                targets.stdin.close()
+            await targets.wait()
+
+    async def set_late_share(self, share: float) -> None:
+        """Sets the share of requests at which near targets are late."""
+        for targets in self._target_processes:
+            assert targets.stdin is not None
+            targets.stdin.write(b'%f\n' % share)
+            await targets.stdin.drain()
 
     def measure(self) -> list[timedelta]:
         """Returns the processor time of each host so far."""
@@ -178,30 +193,32 @@
     def _get_host(self, number: int) -> str:
         return f'{self._network}.{FIRST_HOST + number}'
 
-    async def _serve(self, standin: StoreStandin | WorkingTarget) -> Address:
-        server = HttpServer(standin.handle)
-        self._servers.append(server)
-        return await server.start(f'{self._network}.1')
-
-    async def _add_target(self, service: str, data_centre: str) -> None:
-        name = f't-{service}-{data_centre}'
-        is_near = data_centre == DATA_CENTRE
-        target = WorkingTarget(
-            target_id=name,
-            service=service,
-            slots=2,
-            sample_service_time=lambda: self._sample_work(is_near=is_near),
-            on_start=lambda arrival: None,
-            now=_now,
+    @property
+    def _own_host(self) -> str:
+        return f'{self._network}.1'
+
+    async def _start_targets(self, first: int, last: int) -> None:
+        arguments = (self._own_host, str(first), str(last))
+        self._target_processes.append(
+            await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'bench.queries.targets',
+                *arguments,
+                stdin=asyncio.subprocess.PIPE,
+            )
         )
-        address = await self._serve(target)
+
+    def _add_entry(self, number: int, data_centre: str) -> None:
+        name = name_target(number, data_centre)
+        address = find_address(self._own_host, number, data_centre)
         entry = TargetEntry(
             target_id=name,
-            service=service,
+            service=name_shard(number),
             host=address.host,
             port=address.port,
             data_centre=data_centre,
-            slots=2,
+            slots=SLOTS,
             state=TargetState.READY,
             cold_for=timedelta(),
             started_ms=1,
@@ -210,11 +227,6 @@
             f'{KEYS.target_prefix}{name}', describe_target(entry, 1)
         )
 
-    def _sample_work(self, *, is_near: bool) -> float:
-        is_late = is_near and self._rng.random() < self.late_share
-        time_taken = self.settings.pause if is_late else self.settings.work
-        return time_taken.total_seconds()
-
     def _configure(self, shards: Sequence[str]) -> None:
         routes = [
             Route(
--- a/packages/core/almonddock_core/placement/_choice.py
+++ b/packages/core/almonddock_core/placement/_choice.py
@@ -59,20 +59,29 @@
     # The cost of a target is its slowness at least, and decays towards 1.
     least_elsewhere = 1.0
     for target in candidates:
-        health = target.health
         if target.entry.data_centre != data_centre:
-            if health.slowness < least_elsewhere:
-                least_elsewhere = health.slowness
-        elif health.ejected_until <= now and can_use(target, now):
-            cost = health.estimate_cost(now)
-            if target.cold_until > now:
-                cost += COLD_COST
-            if cost < best_cost:
-                best = target
-                best_cost = cost
+            least_elsewhere = min(least_elsewhere, target.health.slowness)
+            continue
+        cost = _estimate_near_cost(target, now, can_use)
+        if cost < best_cost:
+            best = target
+            best_cost = cost
     return best if best_cost < least_elsewhere + REMOTE_COST else None
 
 
+def _estimate_near_cost(
+    target: TargetT,
+    now: timedelta,
+    can_use: Callable[[TargetT, timedelta], bool],
+) -> float:
+    """Returns the cost of a target that is near; infinite if unusable."""
+    health = target.health
+    if health.ejected_until > now or not can_use(target, now):
+        return float('inf')
+    cost = health.estimate_cost(now)
+    return cost + COLD_COST if target.cold_until > now else cost
+
+
 def choose_target(
     candidates: Sequence[TargetT],
     data_centre: str,
--- a/packages/core/almonddock_core/tests/test_dispatch.py
+++ b/packages/core/almonddock_core/tests/test_dispatch.py
@@ -3,6 +3,8 @@
 import sys
 import unittest
 from datetime import timedelta
+from types import FrameType
+from typing import Any
 
 from almonddock_core.dispatch import (
     BudgetLimits,
@@ -466,7 +468,7 @@
         case = DispatchCase(make_route(shards), replicas=1).start()
         lines = 0
 
-        def trace(frame: object, event: str, argument: object) -> object:
+        def trace(frame: FrameType, event: str, argument: object) -> Any:
             nonlocal lines
             lines += event == 'line'
             return trace
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -312,11 +312,15 @@
         if self.dispatch.answer is not None:
             # The answer leaves the host at the end of this turn of the loop.
             loop = asyncio.get_running_loop()
-            loop.call_soon(self._observe_sending, due)
+            loop.call_soon(_observe_sending, self, due, self._settings.clock)
 
-    def _observe_sending(self, due: timedelta) -> None:
-        delay = self._settings.clock.now() - due
-        self.dispatch.observe_sending(delay, self.answer_bytes)
+
+def _observe_sending(
+    exchange: TargetExchange, due: timedelta, clock: Clock
+) -> None:
+    """Records how late an answer that was due has left, and its bytes."""
+    delay = clock.now() - due
+    exchange.dispatch.observe_sending(delay, exchange.answer_bytes)
 
 
 def _find_threshold(dispatch: Dispatch) -> bytes:
--- a/packages/gateway/almonddock_gateway/tests/test_exchange.py
+++ b/packages/gateway/almonddock_gateway/tests/test_exchange.py
@@ -134,7 +134,7 @@
                 if isinstance(message, RelayCancel):
                     self.events.append('cancel')
 
-            link.send = record  # type: ignore[method-assign, assignment]
+            link.send = record  # type: ignore[method-assign]
         self.clock.advance(self.exchange.dispatch.timing.partial_from)
         self.exchange._tick()
         self.assertEqual(self.events, ['answer', 'cancel', 'cancel'])
