Find the relay query of a cancelled attempt without going through all

The end of a hedged query went through all of its relay queries for each open attempt; since hedges travel alone, there is one for each hedge. At a host with a third of a core that is work beside the answers of other callers.

Cause: an attempt did not know its relay query. It is looked up now, and only relay queries with a cancelled part are told so.

--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -91,6 +91,10 @@
         self._finish = finish
         self._attempts: dict[int, tuple[TargetPool, TargetAttempt]] = {}
         self._relays: list[Relay] = []
+        #: The relay queries that attempts were sent in, by attempt.
+        self._relay_of: dict[int, Relay] = {}
+        #: Those with cancelled parts that the other host was not told of.
+        self._cancelled: list[Relay] = []
         #: The links over which services were asked in relay queries.
         self._relay_links: dict[str, MessageLink] = {}
         self._timer = WakeTimer(settings.clock)
@@ -130,8 +134,9 @@
         if self.dispatch.answer is not None:
             self._end_relays()
             return
-        for relay in self._relays:
+        for relay in self._cancelled:
             relay.send_cancelled()
+        self._cancelled = []
         self._timer.set(self.dispatch.wake_at, self._wake)
 
     def _relay_sends(
@@ -178,6 +183,7 @@
             self._receive_group,
         )
         self._relays.append(relay)
+        self._relay_of.update((send.attempt, relay) for send in sends)
         self._relay_links.update(
             (send.target.entry.service, link) for send in sends
         )
@@ -248,8 +254,10 @@
             pool, attempt = found
             pool.cancel(attempt)
             return
-        for relay in self._relays:
+        relay = self._relay_of.get(number)
+        if relay is not None:
             relay.cancel(number)
+            self._cancelled.append(relay)
 
     def _withdraw_if_unsent(self, number: int) -> None:
         found = self._attempts.get(number)
--- a/packages/gateway/almonddock_gateway/tests/test_exchange.py
+++ b/packages/gateway/almonddock_gateway/tests/test_exchange.py
@@ -1,11 +1,19 @@
 """What the host of a query does while others ask targets for it."""
 
+import sys
 import unittest
 from datetime import timedelta
-
-from almonddock_core.dispatch import Answer, Dispatch, DispatchedRequest
+from types import FrameType
+from typing import Any
+
+from almonddock_core.dispatch import (
+    Answer,
+    Dispatch,
+    DispatchedRequest,
+    MergedAnswer,
+)
 from almonddock_core.model import ManualClock
-from almonddock_core.placement import assign_groups
+from almonddock_core.placement import count_groups
 from almonddock_core.tests.dispatch_cases import (
     HERE,
     MS,
@@ -33,14 +41,18 @@
 
 class ExchangeTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
+        self.make_exchange(SHARDS)
+
+    def make_exchange(self, shards: int) -> None:
         self.clock = ManualClock()
         self.pools = FakePools()
         self.links = FakeLinks()
-        self.links.homes = {0: FakeLink(), 1: FakeLink()}
-        self.links.other_homes = {0: FakeLink(), 1: FakeLink()}
+        groups = range(count_groups(shards))
+        self.links.homes = {group: FakeLink() for group in groups}
+        self.links.other_homes = {group: FakeLink() for group in groups}
         self.events: list[str] = []
         self.answers: list[Answer | None] = []
-        self.case = DispatchCase(make_route(SHARDS))
+        self.case = DispatchCase(make_route(shards))
         router = RelayRouter(HERE)
         router.links = self.links  # type: ignore[assignment]
         self.exchange = TargetExchange(
@@ -49,7 +61,6 @@
             ExchangeSettings(NAMES, self.pools, self.clock, router),
             self.finish,
         )
-        self.groups = assign_groups(self.case.route.shards)
 
     def build_request(self) -> DispatchedRequest:
         route = self.case.route
@@ -112,12 +123,9 @@
                     if query.number in self.links.handles:
                         self.reply(query, *parts)
                 answer = self.answers[0]
-                assert answer is not None
-                self.assertEqual(len(answer.replies), SHARDS)  # type: ignore[union-attr]
-                groups = {
-                    id(one.group or one)
-                    for one in answer.replies  # type: ignore[union-attr]
-                }
+                assert isinstance(answer, MergedAnswer)
+                self.assertEqual(len(answer.replies), SHARDS)
+                groups = {id(one.group or one) for one in answer.replies}
                 self.assertEqual(len(groups), 3)
 
     async def test_answer_leaves_before_open_attempts_are_cancelled(
@@ -161,6 +169,65 @@
         ]
         self.assertEqual(hedges, [])
 
+    async def test_home_that_is_cut_halfway_leaves_its_shards_to_the_other(
+        self,
+    ) -> None:
+        """Each target is asked once, and what was sent counts once."""
+        await self.start()
+        first = self.list_queries(self.links.homes[0])[0]
+        self.reply(first, *range(5))
+        self.links.handles[first.number](None)
+        retries = self.list_queries(self.links.other_homes[0])
+        self.assertEqual(
+            [one.targets for one in retries],
+            [(f'{target.split("/")[0]}/1',) for target in first.targets[5:]],
+        )
+        self.links.handles[retries[0].number](None)
+        self.assertEqual(len(self.list_queries(self.links.other_homes[0])), 4)
+        self.assertEqual(self.pools.pool.attempts, [])
+        for retry in retries[1:]:
+            self.reply(retry, 0)
+        self.reply(self.list_queries(self.links.homes[1])[0], *range(9))
+        answer = self.answers[0]
+        assert isinstance(answer, MergedAnswer)
+        self.assertEqual(len(answer.replies), SHARDS - 1)
+        self.assertEqual(len(answer.missing), 1)
+
+    async def test_target_is_asked_directly_without_another_home(self) -> None:
+        """It stops, is frozen, or is this host."""
+        self.links.other_homes = {}
+        await self.start()
+        first = self.list_queries(self.links.homes[0])[0]
+        self.links.handles[first.number](None)
+        self.assertEqual(len(self.pools.pool.attempts), 9)
+
+    async def test_each_cancellation_takes_the_same_work(self) -> None:
+        """Each went through all relay queries, one for each hedge."""
+        few = await self.count_lines_of_end(36)
+        self.assertLess(await self.count_lines_of_end(144), 5 * few)
+
+    async def count_lines_of_end(self, shards: int) -> int:
+        """Returns the lines of code that run when a hedged query ends."""
+        self.make_exchange(shards)
+        await self.start()
+        self.clock.advance(HEDGE_DELAY)
+        self.exchange._tick()
+        lines = 0
+
+        def trace(frame: FrameType, event: str, argument: object) -> Any:
+            nonlocal lines
+            lines += event == 'line'
+            return trace
+
+        before = sys.gettrace()
+        sys.settrace(trace)
+        try:
+            self.exchange.give_up()
+        finally:
+            sys.settrace(before)
+        self.assertEqual(len(self.answers), 1)
+        return lines
+
 
 if __name__ == '__main__':
     unittest.main()
