--- a/packages/core/almonddock_core/tests/test_target_choice.py
+++ b/packages/core/almonddock_core/tests/test_target_choice.py
@@ -1,5 +1,6 @@
 """Tests of target choice, cold targets, isolation and the retry budget."""
 
+import random
 import unittest
 from datetime import timedelta
 
@@ -13,6 +14,7 @@
     Reachability,
     TypicalLatency,
     UnrepeatableRequest,
+    choose_near,
     choose_target,
     is_isolated,
 )
@@ -64,6 +66,32 @@
         self.assertIs(self.choose(), self.far)
         self.assertIs(self.choose(20 * SECOND), self.near)
 
+    def test_nearest_target_is_the_one_that_a_comparison_of_all_finds(
+        self,
+    ) -> None:
+        """A query takes it without the others, and may not choose worse."""
+        rng = random.Random(1)
+        found = 0
+        for _ in range(2000):
+            self.setUp()
+            for target in (self.near, self.far):
+                health = target.health
+                health.in_flight = rng.randrange(3)
+                for _ in range(rng.randrange(3)):
+                    health.observe_reply(rng.uniform(0, 3), START)
+                if rng.random() < 0.1:
+                    health.observe_connection_failure(START)
+                target.cold_until = rng.choice((START, START, SECOND))
+            now = rng.randrange(500) * MS
+            targets = [self.far, self.near]
+            near = choose_near(targets, HERE, now, lambda one, at: True)
+            if near is not None:
+                found += 1
+                self.assertIs(near, choose_target(targets, HERE, now))
+            unusable = choose_near(targets, HERE, now, lambda one, at: False)
+            self.assertIsNone(unusable)
+        self.assertGreater(found, 500)
+
     def test_cancelled_request_counts_as_slow(self) -> None:
         for _ in range(3):
             self.near.health.observe_cancellation(6, START)
