--- a/packages/core/almonddock_core/tests/test_target_choice.py
+++ b/packages/core/almonddock_core/tests/test_target_choice.py
@@ -79,7 +79,7 @@
                 health.in_flight = rng.randrange(3)
                 for _ in range(rng.randrange(3)):
                     health.observe_reply(rng.uniform(0, 3), START)
-                if rng.random() < 0.1:
+                if rng.randrange(10) == 0:
                     health.observe_connection_failure(START)
                 target.cold_until = rng.choice((START, START, SECOND))
             now = rng.randrange(500) * MS
