Take fewer steps for each shard of a query

Cause: an entry host with a third of a core works on each shard of a query in Python: the targets of a late shard were compared before its budget was asked, the only near target went through the comparison again, whether a version or a cold target allows it was asked for targets without either, and the frozen class of a reply took 3.4 us to create, 90 times a query. Change: first targets are chosen together (DispatchContext.choose_first), and compared only where the near one is not the best; the budget is asked before the comparison; parts of a target's cost that are absent are left out; TargetReply is not frozen; outcomes of successes are found without a hash. What is chosen, counted and logged stays the same.

--- a/packages/core/almonddock_core/dispatch/_context.py
+++ b/packages/core/almonddock_core/dispatch/_context.py
@@ -1,6 +1,6 @@
 """State that all dispatches of a host share."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -119,6 +119,8 @@
         """
         if self.rollouts.find(service) is not None:
             return None
+        if self.data_centre in self.targets.drained:
+            return None
         return choose_near(
             self.targets.by_service.get(service, ()),
             self.data_centre,
@@ -126,6 +128,27 @@
             self._can_use,
         )
 
+    def choose_first(
+        self,
+        services: Sequence[str],
+        list_candidates: Callable[[int], Sequence[KnownTarget]],
+        now: timedelta,
+    ) -> list[KnownTarget | None]:
+        """Returns the first target to ask of each service, None without one.
+
+        ``list_candidates`` returns the candidates at the service of an index;
+        it is called for those only whose targets have to be compared.
+        """
+        chosen = [self.find_near(service, now) for service in services]
+        compared = [
+            index for index, target in enumerate(chosen) if target is None
+        ]
+        candidates = [list_candidates(index) for index in compared]
+        targets = self.placement.choose(candidates, now)
+        for index, target in zip(compared, targets, strict=True):
+            chosen[index] = target
+        return chosen
+
     def list_reachable(
         self,
         service: str,
@@ -190,12 +213,14 @@
         return latency.observe(seconds)
 
     def _can_use(self, target: KnownTarget, now: timedelta) -> bool:
-        """Whether a target may get a first attempt."""
-        return (
-            self.targets.is_usable(target, now)
-            and not target.health.unreachable
-            and self.can_accept(target, now)
-        )
+        """Whether a target may get a first attempt.
+
+        It is listed, its service has no roll-out, and its data centre is not
+        drained.
+        """
+        if target.health.unreachable or not target.is_usable(now):
+            return False
+        return target.cold_until <= now or self.can_accept(target, now)
 
     def _get_cold_rate(self, service: str) -> float:
         known = self.table.services.get(service) if self.table else None
--- a/packages/core/almonddock_core/dispatch/_dispatch.py
+++ b/packages/core/almonddock_core/dispatch/_dispatch.py
@@ -105,8 +105,9 @@
         """Sends the first attempt of every branch."""
         self._now = now
         self._context.budget.count_request(self.request.route.name, now)
-        targets = self._context.placement.choose(
-            [self._list_candidates(one) for one in self._branches],
+        targets = self._context.choose_first(
+            self.request.services,
+            lambda index: self._list_candidates(self._branches[index]),
             now,
         )
         chosen = [
@@ -155,8 +156,7 @@
         replies = tuple(replies)
         self.decisions.groups.append(_describe_group(replies, now))
         for number, outcome in replies:
-            kind = outcome if isinstance(outcome, Failure) else outcome.kind
-            attempt = self._attempts.close(number, OUTCOMES[kind], now)
+            attempt = self._attempts.close(number, _find_outcome(outcome), now)
             if attempt is None:
                 self._attempts.replace_reply(number, outcome)
             elif isinstance(outcome, Failure):
@@ -294,8 +294,7 @@
             return []
         context = self._context
         candidates = self._list_candidates(branch)
-        target = choose_target(candidates, context.data_centre, self._now)
-        if target is None:
+        if not candidates:
             return []
         if branch.sent and not is_funded:
             routes = context.list_routes_to(branch.service)
@@ -304,22 +303,17 @@
                 if reason is AttemptReason.HEDGE:
                     self.unfunded.append(branch.service)
                 return []
+        target = choose_target(candidates, context.data_centre, self._now)
+        assert target is not None
         if branch.sent:
             self.extra_tries += 1
         context.record_sent(target, self._now)
         return [self._attempts.send(branch, target, self._now, reason)]
 
     def _list_candidates(self, branch: Branch) -> list[KnownTarget]:
-        """Returns the targets that may get an attempt of this branch now.
-
-        Of a first attempt it may be only the one that would be chosen.
-        """
+        """Returns the targets that may get an attempt of this branch now."""
         context = self._context
         now = self._now
-        if not branch.tried:
-            near = context.find_near(branch.service, now)
-            if near is not None:
-                return [near]
         reachable, unreachable = context.list_reachable(branch.service, now)
         if not reachable:
             unavailable = UnavailableService(branch.service, unreachable)
@@ -374,12 +368,21 @@
         return [Finish(answer), *actions, *cancels]
 
 
+def _find_outcome(outcome: TargetReply | Failure) -> AttemptOutcome:
+    if isinstance(outcome, Failure):
+        return OUTCOMES[outcome]
+    # Most are successes, and a member of an enumeration is slow to hash.
+    if outcome.kind is ReplyKind.SUCCESS:
+        return AttemptOutcome.SUCCESS
+    return OUTCOMES[outcome.kind]
+
+
 def _describe_group(
     replies: Sequence[tuple[int, TargetReply | Failure]], now: timedelta
 ) -> GroupRecord:
-    elapsed = (
+    elapsed = [
         outcome.elapsed
         for _, outcome in replies
         if isinstance(outcome, TargetReply) and outcome.elapsed is not None
-    )
+    ]
     return GroupRecord(now, len(replies), max(elapsed, default=timedelta()))
--- a/packages/core/almonddock_core/dispatch/_requests.py
+++ b/packages/core/almonddock_core/dispatch/_requests.py
@@ -73,9 +73,11 @@
     records: bytes
 
 
-@dataclass(frozen=True, slots=True)
+# Not frozen: a query has one for each shard, and a frozen one takes several
+# times as long to create.
+@dataclass(slots=True)
 class TargetReply:
-    """A complete reply of a target."""
+    """A complete reply of a target, which does not change."""
 
     kind: ReplyKind
     status: int
--- a/packages/core/almonddock_core/placement/_health.py
+++ b/packages/core/almonddock_core/placement/_health.py
@@ -139,9 +139,11 @@
     def estimate_cost(self, now: timedelta) -> float:
         """Returns the expected wait in typical latencies."""
         decay = self._compute_decay(now)
-        slowness = 1 + (self.slowness - 1) * decay
-        waited = self._measure_wait(now)
-        slowness = max(slowness, waited, self.decay_report(now))
+        slowness = max(1, 1 + (self.slowness - 1) * decay)
+        if self.reported_cost > 1:
+            slowness = max(slowness, self.decay_report(now))
+        if self.unrepeatable:
+            slowness = max(slowness, self._measure_wait(now))
         queue = 1 + self.in_flight / self.slots
         return slowness * queue + FAILURE_COST * self.failure_share * decay
 
--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -183,10 +183,9 @@
             self._receive_group,
         )
         self._relays.append(relay)
-        self._relay_of.update((send.attempt, relay) for send in sends)
-        self._relay_links.update(
-            (send.target.entry.service, link) for send in sends
-        )
+        for send in sends:
+            self._relay_of[send.attempt] = relay
+            self._relay_links[send.target.entry.service] = link
         relay.send_query(
             RelayQuery(
                 number=relay.number,
--- a/packages/gateway/almonddock_gateway/relays/_relay.py
+++ b/packages/gateway/almonddock_gateway/relays/_relay.py
@@ -87,8 +87,10 @@
         """Whether the lists of the reply fit each other and the query."""
         if not len(reply.parts) == len(reply.stamps) == len(reply.elapsed):
             return False
-        named = (*reply.parts, *(part for part, _ in reply.failures))
-        return all(0 <= part < len(self._attempts) for part in named)
+        named = [*reply.parts, *(part for part, _ in reply.failures)]
+        if not named:
+            return True
+        return min(named) >= 0 and max(named) < len(self._attempts)
 
     def _read_parts(self, reply: RelayReply) -> list[Outcome]:
         """Returns the replies, of which several share their records."""
--- a/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
+++ b/packages/gateway/almonddock_gateway/telemetry/_telemetry.py
@@ -28,9 +28,12 @@
 CALLER_LEFT = 0
 
 
-#: Outcomes of first attempts that are not logged separately.
-ROUTINE_OUTCOMES = frozenset(
-    (AttemptOutcome.SUCCESS, AttemptOutcome.CANCELLED, AttemptOutcome.OPEN),
+#: Outcomes of first attempts that are not logged separately. A tuple, since a
+#: member of an enumeration is slow to hash.
+ROUTINE_OUTCOMES = (
+    AttemptOutcome.SUCCESS,
+    AttemptOutcome.CANCELLED,
+    AttemptOutcome.OPEN,
 )
 
 
