Test that a drained data centre gets no first attempt

Cause: the near target of a shard is now found without the table's check of drained data centres, which DispatchContext.find_near makes once; no test of the core held it. Change: a test. Measured: it fails with that check taken out (a trial) and passes with it (42 of 42 tests of the module).

--- a/packages/core/almonddock_core/tests/test_dispatch.py
+++ b/packages/core/almonddock_core/tests/test_dispatch.py
@@ -43,6 +43,12 @@
         case = DispatchCase(make_route()).start()
         self.assertEqual(case.list_sent(), ['desk/0'])
 
+    def test_drained_data_centre_gets_no_first_attempt(self) -> None:
+        case = DispatchCase(make_route())
+        case.targets.drained = frozenset((case.context.data_centre,))
+        case.start()
+        self.assertEqual(case.list_sent(), ['desk/1'])
+
     def test_slow_target_is_hedged_and_the_slower_cancelled(self) -> None:
         case = DispatchCase(make_route()).start()
         case.advance(31 * MS)
