Do nothing for a query whose caller has left

What callers saw: nothing; the request was counted twice and said not to have run, and gave back its turn and its credits. Cause: puts hedges off until replies are read, and a grant of a watcher comes later still; if the caller leaves before, the tick finds no open attempt and refuses. Change: an abandoned exchange does not tick.

--- a/packages/gateway/almonddock_gateway/entry/_exchange.py
+++ b/packages/gateway/almonddock_gateway/entry/_exchange.py
@@ -98,6 +98,8 @@
         #: The links over which services were asked in relay queries.
         self._relay_links: dict[str, MessageLink] = {}
         self._timer = WakeTimer(settings.clock)
+        #: Whether the caller has left; later calls change nothing then.
+        self._is_abandoned = False
 
     def start(self) -> None:
         """Sends the first attempts."""
@@ -109,8 +111,9 @@
 
     def abandon(self) -> None:
         """Cancels all attempts, because the caller has disconnected."""
-        if self.dispatch.answer is not None:
+        if self._is_abandoned or self.dispatch.answer is not None:
             return
+        self._is_abandoned = True
         self._run(self.dispatch.abandon(self._settings.clock.now()))
         self._timer.stop()
         self._end_relays()
@@ -307,7 +310,7 @@
             call_after_reads(self._tick)
 
     def _tick(self, funded: Collection[str] = ()) -> None:
-        if self.dispatch.answer is not None:
+        if self._is_abandoned or self.dispatch.answer is not None:
             return
         due = self.dispatch.wake_at
         actions = self.dispatch.tick(self._settings.clock.now(), funded)
--- a/packages/gateway/almonddock_gateway/tests/test_exchange.py
+++ b/packages/gateway/almonddock_gateway/tests/test_exchange.py
@@ -1,5 +1,6 @@
 """What the host of a query does while others ask targets for it."""
 
+import asyncio
 import sys
 import unittest
 from datetime import timedelta
@@ -128,6 +129,17 @@
                 groups = {id(one.group or one) for one in answer.replies}
                 self.assertEqual(len(groups), 3)
 
+    async def test_nothing_is_answered_after_the_caller_has_left(self) -> None:
+        """A hedge that waited for reads said that the request had not run."""
+        await self.start()
+        self.clock.advance(HEDGE_DELAY)
+        self.exchange._wake()
+        self.exchange.abandon()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        self.exchange._tick(('desk-0',))
+        self.assertEqual(self.answers, [None])
+
     async def test_answer_leaves_before_open_attempts_are_cancelled(
         self,
     ) -> None:
